Call servers over pooled connections with limits that tell silence from a slow answer

Cause: upstreams and the platform are met over HTTP. A call says not_run only before its first byte; destroying an exchange closes its connection, which cancels the work there.

--- /dev/null
+++ b/include/cardamomstream/connection/http_client.h
@@ -0,0 +1,92 @@
+/// HTTP/1.1 client with a pool of connections, for upstreams and the platform. One per traffic thread.
+#pragma once
+
+#include "cardamomstream/connection/cancellation.h"
+#include "cardamomstream/connection/http_types.h"
+#include "cardamomstream/core/core_types.h"
+#include "cardamomstream/core/error.h"
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+
+namespace cardamomstream {
+
+/// Time limits of one call.
+struct call_limits {
+    std::chrono::milliseconds connect{1'000};
+    std::chrono::milliseconds first_byte{10'000};
+    std::chrono::milliseconds chunk_gap{5'000};
+    std::chrono::milliseconds total{300'000};
+};
+
+/// One request to a server.
+struct http_call {
+    endpoint address;
+    std::string method = "GET";
+    std::string target = "/";
+    std::vector<http_header> headers;
+    std::string body;
+    call_limits limits;
+    bool fresh_connection = false; ///< takes no pooled connection, which might have been closed meanwhile
+
+    /// Asked directly before the first byte leaves; its error ends the call with nothing sent.
+    std::function<result<void>()> before_write;
+};
+
+/// The answer of one call, read piece by piece. Destroying it before the end closes the connection, which tells
+/// the server to stop.
+class http_exchange {
+public:
+    virtual ~http_exchange() = default;
+    http_exchange(const http_exchange&) = delete;
+    http_exchange& operator=(const http_exchange&) = delete;
+    http_exchange(http_exchange&&) = delete;
+    http_exchange& operator=(http_exchange&&) = delete;
+
+    virtual const http_response_head& head() const = 0;
+
+    /// The next part of the body; empty optional at its end. Errors: upstream_timeout, upstream_failed (closed
+    /// in the middle), cancelled; all with outcome unknown.
+    virtual result<std::optional<std::string>> next() = 0;
+
+protected:
+    http_exchange() = default;
+};
+
+struct http_client_settings {
+    std::chrono::milliseconds max_idle{15'000}; ///< pooled connections that idled longer are closed
+    std::size_t max_idle_connections = 32;      ///< kept for one server
+    std::chrono::milliseconds user_timeout{10'000}; ///< unacknowledged bytes for longer end the connection
+};
+
+/// Opens and keeps connections. All calls are made in fibers of the thread that owns `io`.
+class http_client {
+public:
+    http_client(boost::asio::io_context& io, http_client_settings settings);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+    http_client(http_client&&) = delete;
+    http_client& operator=(http_client&&) = delete;
+
+    /// Sends the request and reads the head of the answer. Errors: upstream_unavailable (no connection, not run),
+    /// upstream_timeout and upstream_failed (after the first byte may have left: unknown), cancelled.
+    result<std::unique_ptr<http_exchange>> send(const http_call& call, cancellation& cancel);
+
+    /// Sends the request and reads the whole answer, at most `max_body_bytes` of it.
+    result<http_response> fetch(const http_call& call, cancellation& cancel, std::size_t max_body_bytes);
+
+    /// Closes the idle connections to servers that are no longer in use.
+    void close_idle(const endpoint& address);
+
+private:
+    class pool;
+    std::shared_ptr<pool> m_pool;
+};
+
+} // namespace cardamomstream
--- a/include/cardamomstream/core/error.h
+++ b/include/cardamomstream/core/error.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include <boost/outcome/outcome.hpp>
+#include <boost/outcome/try.hpp>
 
 namespace cardamomstream {
 
@@ -31,6 +32,7 @@
     upstream_unavailable,
     upstream_timeout,
     upstream_failed,
+    cancelled,
     peer_unavailable,
     platform_unavailable,
     stale_version,
--- /dev/null
+++ b/src/connection/client/http_client.cpp
@@ -0,0 +1,111 @@
+#include "cardamomstream/connection/http_client.h"
+
+#include "client_connection.h"
+#include "pooled_exchange.h"
+
+#include <deque>
+#include <unordered_map>
+#include <utility>
+
+namespace cardamomstream {
+
+class http_client::pool : public std::enable_shared_from_this<http_client::pool> {
+public:
+    pool(boost::asio::io_context& io, http_client_settings settings) : m_io(io), m_settings(settings) {}
+
+    result<std::shared_ptr<client_connection>> take(const http_call& call, cancellation& cancel)
+    {
+        if (!call.fresh_connection) {
+            if (auto pooled = take_idle(call.address)) {
+                return pooled;
+            }
+        }
+        auto connection = std::make_shared<client_connection>(m_io);
+        cancel.set_action([connection] { connection->close(); });
+        auto connected = connection->connect(call.address, call.limits.connect, m_settings.user_timeout);
+        cancel.clear_action();
+        if (!connected) {
+            return connected.error();
+        }
+        return connection;
+    }
+
+    void give_back(const endpoint& address, std::shared_ptr<client_connection> connection)
+    {
+        auto& idle = m_idle[address];
+        if (idle.size() >= m_settings.max_idle_connections) {
+            return;
+        }
+        connection->idle_since = boot_clock::now();
+        idle.push_back(std::move(connection));
+    }
+
+    void close_idle(const endpoint& address) { m_idle.erase(address); }
+
+private:
+    std::shared_ptr<client_connection> take_idle(const endpoint& address)
+    {
+        const auto found = m_idle.find(address);
+        if (found == m_idle.end()) {
+            return nullptr;
+        }
+        const auto now = boot_clock::now();
+        auto& idle = found->second;
+        while (!idle.empty()) {
+            auto connection = std::move(idle.back()); // the last one used is the least likely to be closed
+            idle.pop_back();
+            if (now - connection->idle_since < m_settings.max_idle && connection->usable()) {
+                return connection;
+            }
+        }
+        return nullptr;
+    }
+
+    boost::asio::io_context& m_io;
+    http_client_settings m_settings;
+    std::unordered_map<endpoint, std::deque<std::shared_ptr<client_connection>>> m_idle;
+};
+
+http_client::http_client(boost::asio::io_context& io, http_client_settings settings)
+    : m_pool(std::make_shared<pool>(io, settings))
+{
+}
+
+http_client::~http_client() = default;
+
+result<std::unique_ptr<http_exchange>> http_client::send(const http_call& call, cancellation& cancel)
+{
+    BOOST_OUTCOME_TRY(auto connection, m_pool->take(call, cancel));
+    auto exchange = std::make_unique<pooled_exchange>(
+        std::move(connection), cancel,
+        [pool = m_pool, address = call.address](std::shared_ptr<client_connection> idle) {
+            pool->give_back(address, std::move(idle));
+        });
+    BOOST_OUTCOME_TRY(exchange->begin(call));
+    return std::unique_ptr<http_exchange>(std::move(exchange));
+}
+
+result<http_response> http_client::fetch(const http_call& call, cancellation& cancel, std::size_t max_body_bytes)
+{
+    BOOST_OUTCOME_TRY(auto exchange, send(call, cancel));
+    http_response response;
+    response.head = exchange->head();
+    while (true) {
+        BOOST_OUTCOME_TRY(auto part, exchange->next());
+        if (!part) {
+            return response;
+        }
+        if (response.body.size() + part->size() > max_body_bytes) {
+            return error{error_kind::upstream_failed, "the answer of " + call.address.str() + " is too large",
+                         "ask for less in one request", run_outcome::unknown, {}};
+        }
+        response.body += *part;
+    }
+}
+
+void http_client::close_idle(const endpoint& address)
+{
+    m_pool->close_idle(address);
+}
+
+} // namespace cardamomstream
--- /dev/null
+++ b/src/connection/client/pooled_exchange.cpp
@@ -0,0 +1,146 @@
+#include "pooled_exchange.h"
+
+#include "cardamomstream/connection/io_deadline.h"
+#include "cardamomstream/connection/use_fiber.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamomstream {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint32_t max_response_header_bytes = 32 * 1024;
+
+http::request<http::string_body> make_request(const http_call& call)
+{
+    http::request<http::string_body> request{http::string_to_verb(call.method), call.target, 11};
+    if (request.method() == http::verb::unknown) {
+        request.method_string(call.method);
+    }
+    request.set(http::field::host, call.address.str());
+    for (const auto& header : call.headers) {
+        request.insert(header.name, header.value);
+    }
+    request.body() = call.body;
+    request.prepare_payload();
+    return request;
+}
+
+} // namespace
+
+pooled_exchange::pooled_exchange(std::shared_ptr<client_connection> connection, cancellation& cancel,
+                                 give_back_action give_back)
+    : m_connection(std::move(connection)), m_cancel(cancel), m_give_back(std::move(give_back))
+{
+    m_parser.body_limit(boost::none);
+    m_parser.header_limit(max_response_header_bytes);
+}
+
+pooled_exchange::~pooled_exchange()
+{
+    m_cancel.clear_action();
+    if (m_connection) {
+        m_connection->close();
+    }
+}
+
+result<void> pooled_exchange::begin(const http_call& call)
+{
+    m_limits = call.limits;
+    m_started = boot_clock::now();
+    m_cancel.set_action([connection = m_connection] { connection->close(); });
+    BOOST_OUTCOME_TRY(write(call));
+    return read_head(call.limits.first_byte);
+}
+
+result<void> pooled_exchange::write(const http_call& call)
+{
+    const auto request = make_request(call);
+    if (m_cancel.cancelled()) {
+        return error{error_kind::cancelled, "the caller has left", "", run_outcome::not_run, {}};
+    }
+    if (call.before_write) {
+        BOOST_OUTCOME_TRY(call.before_write());
+    }
+    io_deadline deadline(m_connection->socket(), call.limits.first_byte);
+    auto [ec, n] = http::async_write(m_connection->socket(), request, use_fiber);
+    if (ec) {
+        return failure(ec, deadline.expired());
+    }
+    return boost::outcome_v2::success();
+}
+
+result<void> pooled_exchange::read_head(std::chrono::milliseconds limit)
+{
+    io_deadline deadline(m_connection->socket(), limit);
+    do {
+        auto [ec, n] = http::async_read_header(m_connection->socket(), m_connection->buffer(), m_parser, use_fiber);
+        if (ec) {
+            return failure(ec, deadline.expired());
+        }
+    } while (m_parser.get().result() == http::status::continue_);
+    const auto& message = m_parser.get();
+    m_head.status = message.result_int();
+    for (const auto& field : message) {
+        m_head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
+    }
+    return boost::outcome_v2::success();
+}
+
+result<std::optional<std::string>> pooled_exchange::next()
+{
+    while (!m_parser.is_done()) {
+        const auto spent = std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - m_started);
+        const auto left = std::min(m_limits.chunk_gap, m_limits.total - spent);
+        if (left <= std::chrono::milliseconds::zero()) {
+            return failure({}, true);
+        }
+        auto& body = m_parser.get().body();
+        body.data = m_data.data();
+        body.size = m_data.size();
+        body.more = true;
+        io_deadline deadline(m_connection->socket(), left);
+        auto [ec, n] = http::async_read_some(m_connection->socket(), m_connection->buffer(), m_parser, use_fiber);
+        if (ec && ec != http::error::need_buffer) {
+            return failure(ec, deadline.expired());
+        }
+        const auto length = m_data.size() - body.size;
+        if (length > 0) {
+            return std::optional<std::string>(std::string(m_data.data(), length));
+        }
+    }
+    finish();
+    return std::optional<std::string>{};
+}
+
+error pooled_exchange::failure(boost::beast::error_code ec, bool timed_out) const
+{
+    if (m_cancel.cancelled()) {
+        return {error_kind::cancelled, "the caller has left", "", run_outcome::unknown, {}};
+    }
+    if (timed_out) {
+        return {error_kind::upstream_timeout, "the upstream gave no answer in time",
+                "read the status before you submit again", run_outcome::unknown, {}};
+    }
+    return {error_kind::upstream_failed, "the connection to the upstream broke: " + ec.message(),
+            "read the status before you submit again", run_outcome::unknown, {}};
+}
+
+void pooled_exchange::finish()
+{
+    m_cancel.clear_action();
+    if (!m_connection) {
+        return;
+    }
+    auto connection = std::exchange(m_connection, nullptr);
+    if (m_parser.get().keep_alive()) {
+        m_give_back(std::move(connection));
+        return;
+    }
+    connection->close();
+}
+
+} // namespace cardamomstream
--- a/src/connection/http/error_response.cpp
+++ b/src/connection/http/error_response.cpp
@@ -31,6 +31,8 @@
     case error_kind::allowance_exhausted:
     case error_kind::too_many_connections:
         return 429;
+    case error_kind::cancelled:
+        return 499;
     case error_kind::outcome_unknown:
     case error_kind::upstream_failed:
         return 502;
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -43,6 +43,8 @@
         return "upstream_timeout";
     case error_kind::upstream_failed:
         return "upstream_failed";
+    case error_kind::cancelled:
+        return "cancelled";
     case error_kind::peer_unavailable:
         return "peer_unavailable";
     case error_kind::platform_unavailable:
