Add the TOML table reader that rules and settings share

Cause: the operators' rules and the process settings need the same checks: every key known, every value of the right type and range, the line and a remedy in each error.

--- /dev/null
+++ b/include/cardamomstream/version/toml_document.h
@@ -0,0 +1,31 @@
+/// TOML text as a document whose values know their line and comments.
+#pragma once
+
+#include "cardamomstream/core/error.h"
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <toml.hpp>
+
+namespace cardamomstream {
+
+/// One value of a document.
+using toml_value = toml::basic_value<toml::preserve_comments, std::map, std::vector>;
+
+/// Largest document that is read; the platform's service holds values up to a megabyte.
+inline constexpr std::size_t max_toml_bytes = 1'048'576;
+
+/// Parses a document. Errors are of `kind` and name the line; an empty document is refused.
+result<toml_value> parse_toml(std::string_view text, error_kind kind);
+
+/// Line of a value, from 1.
+std::size_t line_of(const toml_value& value);
+
+/// An error at a line of a document.
+error toml_error(error_kind kind, std::size_t line, const std::string& message, std::string remedy);
+
+} // namespace cardamomstream
--- /dev/null
+++ b/src/version/toml/toml_document.cpp
@@ -0,0 +1,85 @@
+#include "cardamomstream/version/toml_document.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace cardamomstream {
+namespace {
+
+/// Deepest nesting of tables and lists. The parser recurses, so an unbounded depth would end the process.
+constexpr std::size_t max_nesting = 32;
+
+bool is_nested_too_deep(std::string_view text)
+{
+    std::size_t depth = 0;
+    for (const char character : text) {
+        if (character == '[' || character == '{') {
+            ++depth;
+        }
+        if ((character == ']' || character == '}') && depth > 0) {
+            --depth;
+        }
+        if (depth > max_nesting) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/// The parser's message without its prefix and its drawing of the source, which could show a secret.
+std::string first_line_of(std::string_view message)
+{
+    message = message.substr(0, message.find('\n'));
+    for (const std::string_view prefix : {"[error] ", "toml::"}) {
+        if (message.starts_with(prefix)) {
+            message.remove_prefix(prefix.size());
+        }
+    }
+    return std::string{message};
+}
+
+error syntax_error_of(const toml::syntax_error& failure, error_kind kind)
+{
+    const std::string message = first_line_of(failure.what());
+    const bool is_duplicate = message.find("already exists") != std::string::npos;
+    return toml_error(kind, failure.location().line(), message,
+                      is_duplicate ? "write each name once" : "write one valid TOML entry on this line");
+}
+
+} // namespace
+
+result<toml_value> parse_toml(std::string_view text, error_kind kind)
+{
+    if (text.size() > max_toml_bytes) {
+        return error{kind, "the file is larger than a megabyte", "shorten it", {}, {}};
+    }
+    if (is_nested_too_deep(text)) {
+        return error{kind, "brackets are nested too deeply", "write tables and lists flat", {}, {}};
+    }
+    try {
+        std::istringstream stream{std::string{text}};
+        auto document = toml::parse<toml::preserve_comments, std::map, std::vector>(stream, "file");
+        if (document.as_table().empty()) {
+            return error{kind, "the file is empty", "write at least the required keys", {}, {}};
+        }
+        return document;
+    }
+    catch (const toml::syntax_error& failure) {
+        return syntax_error_of(failure, kind);
+    }
+    catch (const std::exception& failure) {
+        return error{kind, first_line_of(failure.what()), "write valid TOML", {}, {}};
+    }
+}
+
+std::size_t line_of(const toml_value& value)
+{
+    return value.location().line();
+}
+
+error toml_error(error_kind kind, std::size_t line, const std::string& message, std::string remedy)
+{
+    return error{kind, "line " + std::to_string(line) + ": " + message, std::move(remedy), {}, {}};
+}
+
+} // namespace cardamomstream
