--- a/include/cardamomstream/version/toml_codec.h
+++ b/include/cardamomstream/version/toml_codec.h
@@ -106,12 +106,15 @@
 struct toml_codec<double> {
     static std::optional<double> read(const toml_value& value)
     {
-        if (!value.is_integer() && !value.is_floating()) {
-            return std::nullopt;
+        std::optional<double> number;
+        if (value.is_integer()) {
+            number = static_cast<double>(value.as_integer(std::nothrow));
+        }
+        if (value.is_floating()) {
+            number = floating_of(value);
         }
-        const double number = value.is_integer() ? static_cast<double>(value.as_integer(std::nothrow))
-                                                 : value.as_floating(std::nothrow);
-        if (!std::isfinite(number) || number < 0 || number > static_cast<double>(max_toml_number)) {
+        if (!number || !std::isfinite(*number) || *number < 0 ||
+            *number > static_cast<double>(max_toml_number)) {
             return std::nullopt;
         }
         return number;
--- a/include/cardamomstream/version/toml_document.h
+++ b/include/cardamomstream/version/toml_document.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -25,6 +26,10 @@
 /// Line of a value, from 1.
 std::size_t line_of(const toml_value& value);
 
+/// The number that a floating-point value was written as. The parser's own number follows the global locale;
+/// this one does not. Empty when the text is no number.
+std::optional<double> floating_of(const toml_value& value);
+
 /// An error at a line of a document.
 error toml_error(error_kind kind, std::size_t line, const std::string& message, std::string remedy);
 
--- /dev/null
+++ b/src/version/rules/rule_lines.h
@@ -0,0 +1,13 @@
+/// Where each rule stands in the file.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace cardamomstream {
+
+/// Line of each rule by its dotted key, such as "customers.carrier".
+using rule_lines = std::map<std::string, std::size_t>;
+
+} // namespace cardamomstream
--- a/src/version/toml/toml_document.cpp
+++ b/src/version/toml/toml_document.cpp
@@ -1,6 +1,6 @@
 #include "cardamomstream/version/toml_document.h"
 
-#include <algorithm>
+#include <charconv>
 #include <sstream>
 
 namespace cardamomstream {
@@ -77,6 +77,23 @@
     return value.location().line();
 }
 
+std::optional<double> floating_of(const toml_value& value)
+{
+    const auto location = value.location();
+    if (location.column() > location.line_str().size()) {
+        return std::nullopt;
+    }
+    std::string text = location.line_str().substr(location.column() - 1, location.region());
+    std::erase(text, '_');
+    const std::size_t start = text.starts_with('+') ? 1 : 0;
+    double number = 0;
+    const auto [end, failure] = std::from_chars(text.data() + start, text.data() + text.size(), number);
+    if (failure != std::errc{} || end != text.data() + text.size()) {
+        return std::nullopt;
+    }
+    return number;
+}
+
 error toml_error(error_kind kind, std::size_t line, const std::string& message, std::string remedy)
 {
     return error{kind, "line " + std::to_string(line) + ": " + message, std::move(remedy), {}, {}};
