--- /dev/null
+++ b/include/cardamomstream/request/admission_slot_gate.h
@@ -0,0 +1,76 @@
+/// Free slots of one pool's upstreams as this VM may use them, and the dispatch of queued requests to them.
+#pragma once
+
+#include "cardamomstream/core/boot_clock.h"
+#include "cardamomstream/request/admission_concurrency_limit.h"
+#include "cardamomstream/request/admission_fair_queue.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace cardamomstream {
+
+/// Counts own requests in flight per upstream against its adaptive limit. Not thread safe.
+class slot_gate {
+public:
+    explicit slot_gate(concurrency_limit_settings settings);
+
+    /// The upstream takes new requests; `slots` is the first limit and a quarter of the largest one.
+    void open(const upstream_name& upstream, std::uint32_t slots);
+    /// The upstream takes nothing new; what runs there still counts until released.
+    void close(const upstream_name& upstream);
+
+    /// Takes a slot; false where none is free or the upstream is closed.
+    bool try_acquire(const upstream_name& upstream);
+    /// The request ended; frees its slot.
+    void release(const upstream_name& upstream);
+
+    /// Feedback for the limit (see `concurrency_limit`).
+    void first_byte(const upstream_name& upstream, std::chrono::microseconds latency,
+                    std::chrono::microseconds expected, time_point now);
+    void dropped(const upstream_name& upstream);
+
+    /// Requests that may be in flight there; 0 when closed.
+    std::uint32_t limit(const upstream_name& upstream) const;
+    std::uint32_t in_flight(const upstream_name& upstream) const;
+    /// Free slots over all open upstreams.
+    std::uint32_t free() const;
+
+    /// Hands queued requests to free upstreams until either runs out. `pick(request)` names the upstream,
+    /// or nothing where the request is to go elsewhere (it then leaves the queue too, and
+    /// the caller of `dispatch` finds it with no upstream).
+    template <class Pick>
+    std::vector<std::pair<queued_request, std::optional<upstream_name>>> dispatch(fair_queue& queue,
+                                                                                  time_point now, Pick&& pick)
+    {
+        std::vector<std::pair<queued_request, std::optional<upstream_name>>> sent;
+        while (free() > 0) {
+            auto request = queue.pop(now);
+            if (!request) {
+                break;
+            }
+            std::optional<upstream_name> upstream = pick(*request);
+            if (upstream && !try_acquire(*upstream)) {
+                upstream.reset();
+            }
+            sent.emplace_back(std::move(*request), std::move(upstream));
+        }
+        return sent;
+    }
+
+private:
+    struct upstream_slots {
+        concurrency_limit limit;
+        std::uint32_t in_flight = 0;
+        bool open = true;
+    };
+
+    concurrency_limit_settings m_settings;
+    std::map<upstream_name, upstream_slots> m_upstreams;
+};
+
+} // namespace cardamomstream
