--- a/include/cardamomstream/request/admission_fair_queue.h
+++ b/include/cardamomstream/request/admission_fair_queue.h
@@ -9,6 +9,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace cardamomstream {
@@ -42,8 +43,7 @@
     bool remove(const request_id& id);
 
     /// Predicted wait of a new request of this customer; 0 while the service rate is not known.
-    std::chrono::milliseconds predicted_wait(const customer_name& customer, token_count cost,
-                                             time_point now) const;
+    std::chrono::milliseconds predicted_wait(const customer_name& customer, time_point now) const;
 
     /// Observed service, in tokens a second of busy time; nothing while not known.
     std::optional<double> service_rate(time_point now) const;
@@ -64,9 +64,9 @@
     std::chrono::duration<double> wait_behind(const customer_name& customer, token_count ahead,
                                               double rate) const;
     void advance(time_point now);
-    void take_from_round(const customer_name& customer);
+    void leave_round_if_empty(const customer_name& customer);
     error refusal(const customer_name& customer, std::chrono::duration<double> wait,
-                  std::string reason) const;
+                  const std::string& reason) const;
 
     fair_queue_settings m_settings;
     std::map<customer_name, double> m_weights;
--- a/include/cardamomstream/request/admission_slot_gate.h
+++ b/include/cardamomstream/request/admission_slot_gate.h
@@ -14,6 +14,12 @@
 
 namespace cardamomstream {
 
+/// A request that left the queue.
+struct dispatched_request {
+    queued_request request;
+    std::optional<upstream_name> upstream; ///< its slot is taken; nothing: the request goes elsewhere
+};
+
 /// Counts own requests in flight per upstream against its adaptive limit. Not thread safe.
 class slot_gate {
 public:
@@ -40,14 +46,12 @@
     /// Free slots over all open upstreams.
     std::uint32_t free() const;
 
-    /// Hands queued requests to free upstreams until either runs out. `pick(request)` names the upstream,
-    /// or nothing where the request is to go elsewhere (it then leaves the queue too, and
-    /// the caller of `dispatch` finds it with no upstream).
+    /// Hands queued requests to free upstreams until either runs out. `pick(request)` returns the
+    /// upstream's name, or nothing where the request is to go elsewhere.
     template <class Pick>
-    std::vector<std::pair<queued_request, std::optional<upstream_name>>> dispatch(fair_queue& queue,
-                                                                                  time_point now, Pick&& pick)
+    std::vector<dispatched_request> dispatch(fair_queue& queue, time_point now, Pick&& pick)
     {
-        std::vector<std::pair<queued_request, std::optional<upstream_name>>> sent;
+        std::vector<dispatched_request> sent;
         while (free() > 0) {
             auto request = queue.pop(now);
             if (!request) {
@@ -57,7 +61,7 @@
             if (upstream && !try_acquire(*upstream)) {
                 upstream.reset();
             }
-            sent.emplace_back(std::move(*request), std::move(upstream));
+            sent.push_back({std::move(*request), std::move(upstream)});
         }
         return sent;
     }
--- a/include/cardamomstream/request/admission_types.h
+++ b/include/cardamomstream/request/admission_types.h
@@ -35,10 +35,11 @@
     std::uint32_t initial = 4;
     std::uint32_t min = 1;
     std::uint32_t max = 256;
-    double tolerance = 2;                         ///< latency over its minimum that counts as queueing
-    double decrease = 0.9;                        ///< factor when it does
-    std::size_t samples_wait = 8;                 ///< samples between two decreases
-    std::chrono::milliseconds min_memory{30'000}; ///< age at which the minimum is forgotten
+    double tolerance = 2;                            ///< latency over its minimum that counts as queueing
+    double decrease = 0.9;                           ///< factor when it does
+    std::size_t samples_wait = 8;                    ///< samples between two decreases
+    std::chrono::milliseconds min_memory{30'000};    ///< age at which the minimum is forgotten
+    std::chrono::microseconds least_expected{1'000}; ///< below this the latency is all noise
 };
 
 /// Settings of the retry budget and policy.
--- a/include/cardamomstream/request/routing_types.h
+++ b/include/cardamomstream/request/routing_types.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -63,6 +64,7 @@
     std::uint32_t hop_count = 0;             ///< hops between regions so far
     std::vector<region_name> regions_passed; ///< regions that forwarded it, in order
     std::chrono::milliseconds queue_wait{0}; ///< predicted wait in this VM's queue
+    bool may_probe = true;                   ///< may test a suspected upstream (false for `at_most_once`)
     std::set<upstream_name> tried;           ///< upstreams of earlier attempts, avoided where others exist
     std::set<vm_name> tried_peers;           ///< peers of earlier attempts, avoided where others exist
 };
@@ -86,7 +88,6 @@
     all_suspected,         ///< subject: the least recently failed upstream
     slow_start,            ///< subject: upstream; figure: share of its slots in use for now
     prefix_affinity,       ///< subject: upstream; figure: prompt tokens taken as cached
-    affinity_over_bound,   ///< subject: preferred upstream; figure: its load over the mean
     lowest_cost,           ///< subject: upstream; figure: predicted milliseconds to the first token
     home_meets_target,     ///< figure: predicted milliseconds at home
     home_misses_target,    ///< figure: predicted milliseconds at home
@@ -135,8 +136,9 @@
     vm_name peer;           ///< set for `forward`
     time_point started;
     token_count prefill_tokens = 0;
-    bool alone = false; ///< nothing of ours was before it, so it measures the prefill rate
-    bool first_byte_seen = false;
+    bool probe = false;
+    bool alone = false; ///< no queue was before it, so it measures the prefill rate
+    std::optional<time_point> first_byte_at;
 };
 
 /// How an attempt failed.
--- /dev/null
+++ b/src/request/admission/fair_queue.cpp
@@ -0,0 +1,220 @@
+#include "cardamomstream/request/admission_fair_queue.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cardamomstream {
+
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+constexpr std::chrono::milliseconds shortest_retry_after{100};
+constexpr std::chrono::milliseconds longest_retry_after{60'000};
+constexpr std::chrono::milliseconds full_queue_retry{1'000}; // while the service rate is not known
+constexpr double least_weight = 0.01;
+constexpr double late_prediction_factor = 1.25; // the predictions of waiting requests may err by this much
+
+std::chrono::milliseconds retry_time(seconds value)
+{
+    const auto longest = std::chrono::duration_cast<seconds>(longest_retry_after);
+    const auto rounded = std::chrono::ceil<std::chrono::milliseconds>(std::min(value, longest));
+    return std::max(rounded, shortest_retry_after);
+}
+
+} // namespace
+
+fair_queue::fair_queue(fair_queue_settings settings)
+    : m_settings(settings)
+{
+}
+
+void fair_queue::set_weight(const customer_name& customer, double weight)
+{
+    m_weights[customer] = std::max(weight, least_weight);
+}
+
+result<void> fair_queue::push(queued_request request, time_point now)
+{
+    advance(now);
+    request.cost = std::max<token_count>(1, request.cost);
+    auto& queue = m_queues[request.customer];
+    const auto rate = service_rate(now);
+    const seconds wait = rate ? wait_behind(request.customer, queue.backlog, *rate) : seconds{0};
+    if (m_size >= m_settings.max_requests || queue.requests.size() >= m_settings.max_requests_per_customer) {
+        return refusal(request.customer, rate ? wait : seconds{full_queue_retry}, "the queue is full");
+    }
+    const seconds left = request.deadline - now;
+    if (left < wait || left < seconds{0}) {
+        return refusal(request.customer, wait - left,
+                       "the queue ahead does not leave time before the deadline");
+    }
+    if (m_size == 0) {
+        m_busy_at = now;
+    }
+    if (!queue.in_round) {
+        queue.in_round = true;
+        m_round.push_back(request.customer);
+    }
+    queue.backlog += request.cost;
+    queue.requests.push_back(std::move(request));
+    ++m_size;
+    return boost::outcome_v2::success();
+}
+
+std::optional<queued_request> fair_queue::pop(time_point now)
+{
+    advance(now);
+    while (!m_round.empty()) {
+        const customer_name customer = m_round.front();
+        auto& queue = m_queues[customer];
+        if (!queue.quantum_given) {
+            queue.deficit += static_cast<double>(m_settings.quantum) * weight_of(customer);
+            queue.quantum_given = true;
+        }
+        if (queue.deficit < static_cast<double>(queue.requests.front().cost)) {
+            queue.quantum_given = false;
+            m_round.pop_front();
+            m_round.push_back(customer);
+            continue;
+        }
+        queued_request request = std::move(queue.requests.front());
+        queue.requests.pop_front();
+        queue.deficit -= static_cast<double>(request.cost);
+        queue.backlog -= request.cost;
+        m_served_tokens += static_cast<double>(request.cost);
+        --m_size;
+        leave_round_if_empty(customer);
+        return request;
+    }
+    return std::nullopt;
+}
+
+std::vector<given_up_request> fair_queue::give_up(time_point now)
+{
+    advance(now);
+    std::vector<given_up_request> given_up;
+    const auto rate = service_rate(now);
+    for (auto& [customer, queue] : m_queues) {
+        token_count ahead = 0;
+        std::deque<queued_request> kept;
+        for (auto& request : queue.requests) {
+            const seconds left = request.deadline - now;
+            const seconds wait =
+                rate ? wait_behind(customer, ahead, *rate) / late_prediction_factor : seconds{0};
+            if (left >= wait && left >= seconds{0}) {
+                ahead += request.cost;
+                kept.push_back(std::move(request));
+                continue;
+            }
+            const auto longer = std::max(wait - left, wait);
+            given_up.push_back({std::move(request),
+                                refusal(customer, longer, "the queue moved too slowly for the deadline")});
+        }
+        m_size -= queue.requests.size() - kept.size();
+        queue.requests = std::move(kept);
+        queue.backlog = ahead;
+        leave_round_if_empty(customer);
+    }
+    return given_up;
+}
+
+bool fair_queue::remove(const request_id& id)
+{
+    for (auto& [customer, queue] : m_queues) {
+        const auto found = std::find_if(queue.requests.begin(), queue.requests.end(),
+                                        [&](const queued_request& each) { return each.id == id; });
+        if (found == queue.requests.end()) {
+            continue;
+        }
+        queue.backlog -= found->cost;
+        queue.requests.erase(found);
+        --m_size;
+        leave_round_if_empty(customer);
+        return true;
+    }
+    return false;
+}
+
+std::chrono::milliseconds fair_queue::predicted_wait(const customer_name& customer, time_point now) const
+{
+    const auto rate = service_rate(now);
+    if (!rate || m_size == 0) {
+        return std::chrono::milliseconds{0};
+    }
+    const auto found = m_queues.find(customer);
+    const token_count ahead = found == m_queues.end() ? 0 : found->second.backlog;
+    return std::chrono::ceil<std::chrono::milliseconds>(wait_behind(customer, ahead, *rate));
+}
+
+std::optional<double> fair_queue::service_rate(time_point now) const
+{
+    const seconds running = m_size > 0 && m_busy_at ? seconds{now - *m_busy_at} : seconds{0};
+    const double busy = m_busy_seconds + running.count();
+    if (busy < seconds{m_settings.min_observation}.count() || m_served_tokens <= 0) {
+        return std::nullopt;
+    }
+    return m_served_tokens / busy;
+}
+
+double fair_queue::weight_of(const customer_name& customer) const
+{
+    const auto found = m_weights.find(customer);
+    return found == m_weights.end() ? 1 : found->second;
+}
+
+// While a customer's own backlog drains, each other one gets at most its share by weight, and at most
+// what it has waiting.
+std::chrono::duration<double> fair_queue::wait_behind(const customer_name& customer, token_count ahead,
+                                                      double rate) const
+{
+    const double own_weight = weight_of(customer);
+    const auto own_work = static_cast<double>(ahead);
+    double work = own_work;
+    for (const auto& [other, queue] : m_queues) {
+        if (other == customer) {
+            continue;
+        }
+        const auto turn = static_cast<double>(std::min(m_settings.quantum, queue.backlog));
+        const double share = std::max(turn, own_work * weight_of(other) / own_weight);
+        work += std::min(static_cast<double>(queue.backlog), share);
+    }
+    return seconds{work / rate};
+}
+
+void fair_queue::advance(time_point now)
+{
+    if (m_size > 0 && m_busy_at) {
+        const seconds elapsed = std::max<boot_clock::duration>(now - *m_busy_at, boot_clock::duration{0});
+        const double kept = std::exp(-elapsed / seconds{m_settings.rate_memory});
+        m_served_tokens *= kept;
+        m_busy_seconds = m_busy_seconds * kept + elapsed.count();
+    }
+    m_busy_at = now;
+}
+
+void fair_queue::leave_round_if_empty(const customer_name& customer)
+{
+    auto& queue = m_queues[customer];
+    if (!queue.requests.empty() || !queue.in_round) {
+        return;
+    }
+    queue.in_round = false;
+    queue.quantum_given = false;
+    queue.deficit = 0;
+    std::erase(m_round, customer);
+}
+
+error fair_queue::refusal(const customer_name& customer, std::chrono::duration<double> wait,
+                          const std::string& reason) const
+{
+    error refused;
+    refused.kind = error_kind::overloaded;
+    refused.message = "request of customer \"" + customer.str() + "\" refused: " + reason;
+    refused.remedy = "send it again after the time given";
+    refused.outcome = run_outcome::not_run;
+    refused.retry_after = retry_time(wait);
+    return refused;
+}
+
+} // namespace cardamomstream
--- /dev/null
+++ b/src/request/admission/retry_budget.cpp
@@ -0,0 +1,55 @@
+#include "cardamomstream/request/admission_retry_budget.h"
+
+#include <algorithm>
+
+namespace cardamomstream {
+
+namespace {
+
+constexpr std::uint32_t max_doublings = 16;
+
+} // namespace
+
+retry_budget::retry_budget(retry_settings settings)
+    : m_settings(settings)
+    , m_level(settings.burst)
+{
+}
+
+void retry_budget::on_request()
+{
+    m_level = std::min(m_level + m_settings.fraction, m_settings.burst);
+}
+
+retry_decision retry_budget::next(const retry_query& query, time_point now, std::mt19937_64& random)
+{
+    if (query.answer_begun) {
+        return {retry_verdict::answer_begun, {}};
+    }
+    if (query.repeat == repeat_policy::at_most_once && query.outcome != run_outcome::not_run) {
+        return {retry_verdict::may_have_run, {}};
+    }
+    if (query.attempts_made >= m_settings.max_attempts) {
+        return {retry_verdict::attempts_used, {}};
+    }
+    const time_point at = now + backoff(query.attempts_made, random);
+    if (at + query.shortest_attempt > query.deadline) {
+        return {retry_verdict::deadline_too_near, {}};
+    }
+    if (m_level < 1) {
+        return {retry_verdict::budget_exhausted, {}};
+    }
+    m_level -= 1;
+    return {retry_verdict::allowed, at};
+}
+
+std::chrono::microseconds retry_budget::backoff(std::uint32_t attempts_made, std::mt19937_64& random) const
+{
+    const auto doublings = std::min(attempts_made - std::min(1U, attempts_made), max_doublings);
+    const auto longest =
+        std::min(m_settings.backoff_base * (std::int64_t{1} << doublings), m_settings.backoff_max);
+    std::uniform_real_distribution<double> jitter{0.5, 1.0};
+    return std::chrono::duration_cast<std::chrono::microseconds>(longest * jitter(random));
+}
+
+} // namespace cardamomstream
--- /dev/null
+++ b/src/request/admission/tests/concurrency_test.cpp
@@ -0,0 +1,102 @@
+#include "cardamomstream/request/admission_concurrency_limit.h"
+#include "cardamomstream/request/admission_slot_gate.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cardamomstream;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An upstream that serves `capacity` requests side by side in 100 ms each and queues the rest.
+void drive(concurrency_limit& limit, double capacity, int samples, time_point& now)
+{
+    for (int i = 0; i < samples; ++i) {
+        const auto in_flight = limit.value();
+        const double queueing = std::max(1.0, in_flight / capacity);
+        const auto latency =
+            std::chrono::duration_cast<std::chrono::microseconds>(100ms * queueing * queueing);
+        limit.sample(latency, 100ms, in_flight, now);
+        now += 10ms;
+    }
+}
+
+} // namespace
+
+TEST_CASE("a concurrency limit finds what the upstream takes")
+{
+    concurrency_limit limit{{}};
+    time_point now{1h};
+
+    SECTION("it grows while the latency stays at its minimum")
+    {
+        drive(limit, 20, 400, now);
+        CHECK(limit.value() >= 18);
+        AND_THEN("it falls when the upstream loses capacity")
+        {
+            drive(limit, 5, 400, now);
+            CHECK(limit.value() <= 9);
+        }
+    }
+    SECTION("it does not grow past the point where requests queue")
+    {
+        drive(limit, 8, 4'000, now);
+        CHECK(limit.value() >= 8);
+        CHECK(limit.value() <= 13);
+    }
+    SECTION("refusals lower it to its least value and no further")
+    {
+        for (int i = 0; i < 100; ++i) {
+            limit.dropped();
+        }
+        CHECK(limit.value() == 1);
+    }
+    SECTION("a limit that is not reached does not grow")
+    {
+        for (int i = 0; i < 100; ++i) {
+            limit.sample(100ms, 100ms, 1, now);
+        }
+        CHECK(limit.value() == 4);
+    }
+}
+
+TEST_CASE("a slot gate hands queued requests to free slots only")
+{
+    const upstream_name worker{"r1"};
+    const time_point now{1h};
+    slot_gate gate{{}};
+    fair_queue queue{{}};
+    gate.open(worker, 2);
+    for (const auto* id : {"a", "b", "c"}) {
+        REQUIRE(queue.push({request_id{id}, customer_name{"filing"}, 1, now, now + 1h}, now));
+    }
+    const auto pick = [&](const queued_request&) { return std::optional{worker}; };
+
+    SECTION("two slots take two of three")
+    {
+        CHECK(gate.dispatch(queue, now, pick).size() == 2);
+        CHECK(gate.free() == 0);
+        CHECK(queue.size() == 1);
+        AND_THEN("a slot that is released takes the third")
+        {
+            gate.release(worker);
+            CHECK(gate.dispatch(queue, now, pick).size() == 1);
+        }
+    }
+    SECTION("an upstream that closes takes nothing new and still counts what runs")
+    {
+        REQUIRE(gate.try_acquire(worker));
+        gate.close(worker);
+        CHECK(gate.dispatch(queue, now, pick).empty());
+        CHECK(gate.in_flight(worker) == 1);
+        gate.open(worker, 2);
+        CHECK(gate.free() == 1);
+    }
+    SECTION("a request without an upstream leaves the queue and takes no slot")
+    {
+        const auto sent =
+            gate.dispatch(queue, now, [](const queued_request&) { return std::optional<upstream_name>{}; });
+        CHECK(sent.size() == 3);
+        CHECK(gate.free() == 2);
+    }
+}
--- /dev/null
+++ b/src/request/routing/router.cpp
@@ -0,0 +1,557 @@
+#include "cardamomstream/request/routing.h"
+
+#include "home_candidates.h"
+#include "link_budget.h"
+#include "suspicion.h"
+#include "upstream_model.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <boost/outcome/try.hpp>
+
+namespace cardamomstream {
+
+namespace {
+
+constexpr std::chrono::milliseconds default_target{720};
+constexpr std::chrono::milliseconds no_capacity_retry{1'000};
+constexpr std::chrono::milliseconds longest_link_wait{60'000};
+
+struct peer_model {
+    region_name region;
+    bool live = true;
+    std::uint32_t in_flight = 0;
+    suspicion suspected;
+};
+
+struct region_option {
+    region_name region;
+    std::optional<route_cost> cost; ///< nothing while its load is unknown
+};
+
+bool is_fault(attempt_failure failure)
+{
+    return failure != attempt_failure::overloaded && failure != attempt_failure::cancelled;
+}
+
+double to_milliseconds(std::chrono::microseconds value)
+{
+    return std::chrono::duration<double, std::milli>{value}.count();
+}
+
+std::string described(const std::set<region_name>& regions)
+{
+    std::string text;
+    for (const auto& region : regions) {
+        text += (text.empty() ? "" : ", ") + region.str();
+    }
+    return text;
+}
+
+} // namespace
+
+class router::impl {
+public:
+    impl(region_name home, router_settings settings)
+        : m_home(std::move(home))
+        , m_settings(settings)
+    {
+    }
+
+    void update(const routing_view& view, time_point now);
+    result<route_choice> choose(const route_query& query, time_point now, std::mt19937_64& random);
+
+    upstream_model* model_of(const upstream_name& name);
+    peer_model* peer_of(const vm_name& name);
+    void end(const route_attempt& attempt, std::optional<attempt_failure> failure, time_point now,
+             std::mt19937_64* random);
+
+    region_name m_home;
+    router_settings m_settings;
+    upstream_models m_upstreams;
+    std::map<vm_name, peer_model> m_peers;
+
+private:
+    void update_upstreams(const vm_list& list, time_point now);
+    void update_peers(const std::vector<peer_vm>& peers);
+    void update_links(const rules& current, time_point now);
+
+    result<void> check_hops(const route_query& query) const;
+    result<void> check_residency(const route_query& query) const;
+    std::set<region_name> regions_of(const pool_name& pool) const;
+
+    std::optional<region_option> other_region(const route_query& query, time_point now, bool home_can_serve,
+                                              std::chrono::microseconds target,
+                                              std::vector<route_note>& notes) const;
+    std::optional<route_cost> region_cost(const region_name& region, const route_query& query,
+                                          time_point now) const;
+    bool reachable(const region_name& region) const;
+    std::optional<route_choice> forward(const region_option& option, const route_query& query, time_point now,
+                                        std::mt19937_64& random, std::vector<route_note>& notes);
+    vm_name pick_peer(const region_name& region, const route_query& query, time_point now,
+                      std::mt19937_64& random);
+    error unreachable(const route_query& query, const std::vector<route_note>& notes, time_point now) const;
+    std::chrono::microseconds target_of(const pool_name& pool) const;
+
+    routing_view m_view;
+    time_point m_view_at;
+    bool m_has_view = false;
+    std::map<region_name, link_budget> m_links;
+};
+
+void router::impl::update(const routing_view& view, time_point now)
+{
+    if (view.list) {
+        update_upstreams(*view.list, now);
+    }
+    if (view.rules) {
+        update_links(*view.rules, now);
+    }
+    update_peers(view.peers);
+    for (const auto& [name, load] : view.upstream_loads) {
+        if (auto* model = model_of(name)) {
+            model->report(load, now);
+        }
+    }
+    m_view = view;
+    m_view_at = now;
+    m_has_view = true;
+}
+
+void router::impl::update_upstreams(const vm_list& list, time_point now)
+{
+    for (auto& [name, model] : m_upstreams) {
+        if (!list.upstreams.contains(name)) {
+            model.set_unlisted();
+        }
+    }
+    std::erase_if(m_upstreams, [&](const auto& entry) {
+        return !list.upstreams.contains(entry.first) && entry.second.own_in_flight() == 0;
+    });
+    // What a starting VM finds in its first list has run before; only what comes later is cold.
+    const auto cold_since = m_has_view ? std::optional{now} : std::nullopt;
+    for (const auto& [name, listed] : list.upstreams) {
+        auto* model = model_of(name);
+        if (model == nullptr) {
+            m_upstreams.emplace(name, upstream_model{listed, m_settings, cold_since});
+            continue;
+        }
+        const bool returned = !model->usable() && listed.state == listed_state::live;
+        const bool moved = model->listed().address != listed.address;
+        model->set_listed(listed);
+        if (returned || moved) {
+            model->restart_cold(now);
+        }
+    }
+}
+
+void router::impl::update_peers(const std::vector<peer_vm>& peers)
+{
+    for (auto& [name, model] : m_peers) {
+        model.live = false;
+    }
+    for (const auto& peer : peers) {
+        auto& model = m_peers[peer.vm];
+        model.region = peer.region;
+        model.live = true;
+    }
+    std::erase_if(m_peers,
+                  [](const auto& entry) { return !entry.second.live && entry.second.in_flight == 0; });
+}
+
+void router::impl::update_links(const rules& current, time_point now)
+{
+    const auto in_home = [&](const auto& entry) { return entry.second.region == m_home; };
+    const auto vms = std::count_if(current.vms.begin(), current.vms.end(), in_home);
+    const double parts =
+        static_cast<double>(std::max<std::ptrdiff_t>(1, vms)) * std::max(1U, m_settings.thread_share);
+    std::map<region_name, double> rates;
+    for (const auto& [name, link] : current.links) {
+        if (link.from == m_home) {
+            rates[link.to] += link.requests_per_second / parts;
+        }
+    }
+    std::erase_if(m_links, [&](const auto& entry) { return !rates.contains(entry.first); });
+    for (const auto& [region, rate] : rates) {
+        m_links[region].set_rate(rate, now);
+    }
+}
+
+result<route_choice> router::impl::choose(const route_query& query, time_point now, std::mt19937_64& random)
+{
+    BOOST_OUTCOME_TRYV(check_hops(query));
+    BOOST_OUTCOME_TRYV(check_residency(query));
+    route_choice choice;
+    choice.region = m_home;
+    const bool home_permitted = query.permitted.empty() || query.permitted.contains(m_home);
+    std::optional<home_candidate> best;
+    if (home_permitted) {
+        best = home_candidates{m_settings, query, now, choice.notes}.best(m_upstreams, m_home, random);
+    }
+    else {
+        choice.notes.push_back({route_reason::region_not_permitted, m_home.str(), 0});
+    }
+    if (best) {
+        choice.cost = best->cost;
+        choice.cost.queue += query.queue_wait;
+    }
+    const auto target = target_of(query.pool);
+    const bool home_meets = best && (best->probe || choice.cost.total() <= target);
+    if (best) {
+        const auto reason = home_meets ? route_reason::home_meets_target : route_reason::home_misses_target;
+        choice.notes.push_back({reason, m_home.str(), to_milliseconds(choice.cost.total())});
+    }
+    if (query.origin == request_origin::peer) {
+        choice.notes.push_back({route_reason::local_only, {}, static_cast<double>(query.hop_count)});
+    }
+    else if (!home_meets && (m_settings.send_away || !best)) {
+        const auto option = other_region(query, now, best.has_value(), target, choice.notes);
+        auto forwarded = option ? forward(*option, query, now, random, choice.notes) : std::nullopt;
+        if (forwarded) {
+            return std::move(*forwarded);
+        }
+    }
+    if (!best) {
+        return unreachable(query, choice.notes, now);
+    }
+    choice.prefill_tokens = best->prefill_tokens;
+    if (best->model->at_limit()) {
+        choice.action = route_action::wait;
+        return choice;
+    }
+    choice.upstream = *best->name;
+    choice.address = best->model->listed().address;
+    choice.probe = best->probe;
+    choice.notes.push_back(
+        {route_reason::lowest_cost, choice.upstream.str(), to_milliseconds(choice.cost.total())});
+    return choice;
+}
+
+result<void> router::impl::check_hops(const route_query& query) const
+{
+    const auto& passed = query.regions_passed;
+    const bool from_peer = query.origin == request_origin::peer;
+    const bool counted = query.hop_count == passed.size() && query.hop_count <= (from_peer ? 1U : 0U);
+    const bool loops = std::find(passed.begin(), passed.end(), m_home) != passed.end();
+    if (counted && !loops) {
+        return boost::outcome_v2::success();
+    }
+    error wrong;
+    wrong.kind = error_kind::invalid_request;
+    wrong.message = "the request carries hop count " + std::to_string(query.hop_count) + " and " +
+                    std::to_string(passed.size()) + " passed regions" +
+                    (loops ? ", region \"" + m_home.str() + "\" among them" : "");
+    wrong.remedy = "send the request to an entry VM directly, without hop fields";
+    return wrong;
+}
+
+std::set<region_name> router::impl::regions_of(const pool_name& pool) const
+{
+    std::set<region_name> regions;
+    for (const auto& [name, model] : m_upstreams) {
+        if (model.listed().pool == pool) {
+            regions.insert(model.listed().region);
+        }
+    }
+    return regions;
+}
+
+result<void> router::impl::check_residency(const route_query& query) const
+{
+    const auto regions = regions_of(query.pool);
+    const bool local_only = query.origin == request_origin::peer;
+    const auto fits = [&](const region_name& region) {
+        return query.permitted.empty() || query.permitted.contains(region);
+    };
+    const bool any = local_only ? fits(m_home) : std::any_of(regions.begin(), regions.end(), fits);
+    if (any || (!local_only && regions.empty())) {
+        return boost::outcome_v2::success();
+    }
+    error refused;
+    refused.kind = error_kind::no_permitted_region;
+    refused.message = "pool \"" + query.pool.str() + "\" is not served in the customer's regions (" +
+                      described(query.permitted) + ")" + (local_only ? " that this VM can serve" : "");
+    refused.remedy = "ask the operators to add a region to the customer or upstreams to its regions";
+    return refused;
+}
+
+std::optional<region_option> router::impl::other_region(const route_query& query, time_point now,
+                                                        bool home_can_serve, std::chrono::microseconds target,
+                                                        std::vector<route_note>& notes) const
+{
+    std::optional<region_option> best;
+    for (const auto& region : regions_of(query.pool)) {
+        if (region == m_home) {
+            continue;
+        }
+        if (!query.permitted.empty() && !query.permitted.contains(region)) {
+            notes.push_back({route_reason::region_not_permitted, region.str(), 0});
+            continue;
+        }
+        if (!reachable(region)) {
+            notes.push_back({route_reason::no_peer, region.str(), 0});
+            continue;
+        }
+        const auto cost = region_cost(region, query, now);
+        if (!cost) {
+            notes.push_back({route_reason::region_without_data, region.str(), 0});
+        }
+        else if (cost->total() > target) {
+            notes.push_back(
+                {route_reason::region_misses_target, region.str(), to_milliseconds(cost->total())});
+        }
+        if (home_can_serve && (!cost || cost->total() > target)) {
+            continue;
+        }
+        const bool better = !best || (cost && (!best->cost || cost->total() < best->cost->total()));
+        if (better) {
+            best = region_option{region, cost};
+        }
+    }
+    return best;
+}
+
+std::optional<route_cost> router::impl::region_cost(const region_name& region, const route_query& query,
+                                                    time_point now) const
+{
+    const auto found = m_view.loads.find({region, query.pool});
+    if (found == m_view.loads.end()) {
+        return std::nullopt;
+    }
+    const pool_load& load = found->second;
+    if (load.age + (now - m_view_at) > m_settings.load_max_age) {
+        return std::nullopt;
+    }
+    double forwarded = 0;
+    for (const auto& [name, peer] : m_peers) {
+        forwarded += peer.region == region ? peer.in_flight : 0;
+    }
+    std::chrono::duration<double> service_time = m_settings.default_service_time;
+    double prefill_rate = m_settings.default_prefill_rate;
+    for (const auto& [name, model] : m_upstreams) {
+        if (model.listed().pool == query.pool && model.listed().region == m_home) {
+            service_time = std::max(service_time, model.service_time());
+            prefill_rate = model.prefill_rate();
+        }
+    }
+    const double slots = std::max(1.0, load.slots);
+    const double excess = load.in_flight + load.queued + forwarded - slots + 1;
+    const auto queue = std::max(0.0, excess) / slots * service_time;
+    // Caches belong to one region: the whole prompt is taken as not cached there.
+    const std::chrono::duration<double> prefill{static_cast<double>(query.prompt_tokens) / prefill_rate};
+    return route_cost{std::chrono::duration_cast<std::chrono::microseconds>(queue),
+                      std::chrono::duration_cast<std::chrono::microseconds>(prefill), load.round_trip};
+}
+
+bool router::impl::reachable(const region_name& region) const
+{
+    return std::any_of(m_peers.begin(), m_peers.end(),
+                       [&](const auto& entry) { return entry.second.live && entry.second.region == region; });
+}
+
+std::optional<route_choice> router::impl::forward(const region_option& option, const route_query& query,
+                                                  time_point now, std::mt19937_64& random,
+                                                  std::vector<route_note>& notes)
+{
+    const auto link = m_links.find(option.region);
+    if (link == m_links.end() || !link->second.try_take(now)) {
+        notes.push_back({route_reason::link_budget_exhausted, option.region.str(), 0});
+        return std::nullopt;
+    }
+    route_choice choice;
+    choice.action = route_action::forward;
+    choice.region = option.region;
+    choice.peer = pick_peer(option.region, query, now, random);
+    choice.prefill_tokens = query.prompt_tokens;
+    choice.cost = option.cost.value_or(route_cost{});
+    choice.notes = std::move(notes);
+    choice.notes.push_back(
+        {route_reason::sent_away, option.region.str(), to_milliseconds(choice.cost.total())});
+    return choice;
+}
+
+vm_name router::impl::pick_peer(const region_name& region, const route_query& query, time_point now,
+                                std::mt19937_64& random)
+{
+    std::vector<std::pair<const vm_name*, peer_model*>> peers;
+    for (auto& [name, peer] : m_peers) {
+        if (peer.live && peer.region == region) {
+            peers.emplace_back(&name, &peer);
+        }
+    }
+    const auto drop_unless_all = [&](const auto& unfit) {
+        if (!std::all_of(peers.begin(), peers.end(), unfit)) {
+            std::erase_if(peers, unfit);
+        }
+    };
+    drop_unless_all([&](const auto& each) { return query.tried_peers.contains(*each.first); });
+    drop_unless_all([&](const auto& each) {
+        const auto& suspected = each.second->suspected;
+        return suspected.active() && !suspected.probe_due(m_settings, now);
+    });
+    std::shuffle(peers.begin(), peers.end(), random);
+    const bool second = peers.size() > 1 && peers[1].second->in_flight < peers[0].second->in_flight;
+    return *peers[second ? 1 : 0].first;
+}
+
+error router::impl::unreachable(const route_query& query, const std::vector<route_note>& notes,
+                                time_point now) const
+{
+    error refused;
+    refused.remedy = "try again after the time given";
+    refused.retry_after = no_capacity_retry;
+    const auto spent = std::find_if(notes.begin(), notes.end(), [](const route_note& note) {
+        return note.reason == route_reason::link_budget_exhausted;
+    });
+    if (spent == notes.end()) {
+        refused.kind = error_kind::upstream_unavailable;
+        refused.message = "pool \"" + query.pool.str() + "\" has no live upstream in reach of region \"" +
+                          m_home.str() + "\"";
+        return refused;
+    }
+    refused.kind = error_kind::overloaded;
+    refused.message =
+        "the link from region \"" + m_home.str() + "\" to \"" + spent->subject + "\" has no budget left";
+    const auto link = m_links.find(region_name{spent->subject});
+    refused.retry_after =
+        link == m_links.end() ? longest_link_wait : link->second.wait(longest_link_wait, now);
+    return refused;
+}
+
+std::chrono::microseconds router::impl::target_of(const pool_name& pool) const
+{
+    if (!m_view.rules) {
+        return default_target;
+    }
+    const auto rule = m_view.rules->pools.find(pool);
+    return rule == m_view.rules->pools.end() ? default_target : rule->second.first_token_target;
+}
+
+upstream_model* router::impl::model_of(const upstream_name& name)
+{
+    const auto found = m_upstreams.find(name);
+    return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+peer_model* router::impl::peer_of(const vm_name& name)
+{
+    const auto found = m_peers.find(name);
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+void router::impl::end(const route_attempt& attempt, std::optional<attempt_failure> failure, time_point now,
+                       std::mt19937_64* random)
+{
+    auto* model = model_of(attempt.upstream);
+    auto* peer = peer_of(attempt.peer);
+    if (model != nullptr) {
+        failure ? model->ended(attempt, now) : model->finished(attempt, now);
+    }
+    if (peer != nullptr && peer->in_flight > 0) {
+        --peer->in_flight;
+    }
+    auto* suspected = model != nullptr ? &model->suspected : peer != nullptr ? &peer->suspected : nullptr;
+    if (suspected == nullptr) {
+        return;
+    }
+    if (failure && is_fault(*failure)) {
+        suspected->failed(m_settings, now, *random);
+    }
+    else if (!failure) {
+        suspected->clear();
+    }
+    else if (attempt.probe) {
+        suspected->probe_abandoned();
+    }
+}
+
+router::router(region_name home, router_settings settings)
+    : m_impl(std::make_unique<impl>(std::move(home), settings))
+{
+}
+router::router(router&& other) noexcept = default;
+router& router::operator=(router&& other) noexcept = default;
+router::~router() = default;
+
+void router::update(const routing_view& view, time_point now)
+{
+    m_impl->update(view, now);
+}
+
+void router::set_limit(const upstream_name& upstream, std::uint32_t limit)
+{
+    if (auto* model = m_impl->model_of(upstream)) {
+        model->set_limit(limit);
+    }
+}
+
+result<route_choice> router::choose(const route_query& query, time_point now, std::mt19937_64& random)
+{
+    return m_impl->choose(query, now, random);
+}
+
+route_attempt router::started(const route_choice& choice, const route_query& query, time_point now)
+{
+    route_attempt attempt;
+    attempt.upstream = choice.upstream;
+    attempt.peer = choice.peer;
+    attempt.started = now;
+    attempt.prefill_tokens = choice.prefill_tokens;
+    attempt.probe = choice.probe;
+    if (auto* model = m_impl->model_of(choice.upstream)) {
+        attempt.alone = model->idle_prefill(now);
+        model->started(choice.prefill_tokens, query.prefix_digest, now);
+        if (choice.probe) {
+            model->suspected.probe_started(now);
+        }
+    }
+    if (auto* peer = m_impl->peer_of(choice.peer)) {
+        ++peer->in_flight;
+    }
+    return attempt;
+}
+
+void router::first_byte(route_attempt& attempt, time_point now)
+{
+    if (attempt.first_byte_at) {
+        return;
+    }
+    if (auto* model = m_impl->model_of(attempt.upstream)) {
+        model->first_byte(attempt, now);
+        model->suspected.clear();
+    }
+    attempt.first_byte_at = now;
+}
+
+void router::finished(const route_attempt& attempt, time_point now)
+{
+    m_impl->end(attempt, std::nullopt, now, nullptr);
+}
+
+void router::failed(const route_attempt& attempt, attempt_failure failure, time_point now,
+                    std::mt19937_64& random)
+{
+    m_impl->end(attempt, failure, now, &random);
+}
+
+std::uint32_t router::in_flight(const upstream_name& upstream) const
+{
+    const auto* model = m_impl->model_of(upstream);
+    return model == nullptr ? 0 : model->own_in_flight();
+}
+
+pool_load router::own_load(const pool_name& pool) const
+{
+    pool_load load;
+    for (const auto& [name, model] : m_impl->m_upstreams) {
+        if (model.listed().pool != pool || model.listed().region != m_impl->m_home) {
+            continue;
+        }
+        load.in_flight += model.own_in_flight();
+        load.slots += model.usable() ? model.listed().slots : 0;
+    }
+    return load;
+}
+
+} // namespace cardamomstream
--- /dev/null
+++ b/src/request/routing/upstream_model.cpp
@@ -0,0 +1,164 @@
+#include "upstream_model.h"
+
+#include <algorithm>
+
+namespace cardamomstream {
+
+namespace {
+
+using seconds = std::chrono::duration<double>;
+
+constexpr std::size_t max_history = 128;
+constexpr token_count min_measured_prefill = 64; // fewer tokens measure the connection, not the prefill
+constexpr double prefill_rate_step = 1.05; // tracks the median, so that a wrong cache guess moves it little
+constexpr double service_time_gain = 0.1;
+
+std::chrono::microseconds to_microseconds(seconds value)
+{
+    return std::chrono::duration_cast<std::chrono::microseconds>(value);
+}
+
+} // namespace
+
+upstream_model::upstream_model(listed_upstream listed, const router_settings& settings,
+                               std::optional<time_point> cold_since)
+    : m_listed(std::move(listed))
+    , m_settings(settings)
+    , m_cold_since(cold_since)
+    , m_prefill_rate(settings.default_prefill_rate)
+    , m_service_time(settings.default_service_time)
+{
+}
+
+void upstream_model::restart_cold(time_point now)
+{
+    m_usable = true;
+    m_cold_since = now;
+    m_prefixes.clear();
+    m_prefix_order.clear();
+    m_others_at.reset();
+}
+
+void upstream_model::report(const upstream_load& load, time_point now)
+{
+    if (load.age > m_settings.load_max_age) {
+        return;
+    }
+    const auto measured_at = now - load.age;
+    if (m_others_at && measured_at < *m_others_at) {
+        return;
+    }
+    m_others_in_flight = std::max(0.0, load.in_flight - own_in_flight_at(measured_at));
+    m_others_at = measured_at;
+}
+
+void upstream_model::started(token_count prefill_tokens, std::uint64_t digest, time_point now)
+{
+    change_in_flight(1, now);
+    m_prefill_pending += prefill_tokens;
+    if (digest != 0) {
+        remember_prefix(digest);
+    }
+}
+
+void upstream_model::first_byte(const route_attempt& attempt, time_point now)
+{
+    m_prefill_pending = std::max<token_count>(0, m_prefill_pending - attempt.prefill_tokens);
+    if (!attempt.alone || attempt.prefill_tokens < min_measured_prefill) {
+        return;
+    }
+    const seconds latency =
+        std::max<boot_clock::duration>(now - attempt.started, std::chrono::microseconds{1});
+    const double measured = static_cast<double>(attempt.prefill_tokens) / latency.count();
+    m_prefill_rate *= measured > m_prefill_rate ? prefill_rate_step : 1 / prefill_rate_step;
+}
+
+void upstream_model::ended(const route_attempt& attempt, time_point now)
+{
+    change_in_flight(-1, now);
+    if (!attempt.first_byte_at) {
+        m_prefill_pending = std::max<token_count>(0, m_prefill_pending - attempt.prefill_tokens);
+    }
+}
+
+void upstream_model::finished(const route_attempt& attempt, time_point now)
+{
+    ended(attempt, now);
+    // The slot was held for the prefill and the answer, not for the queue before it.
+    const seconds prefill{static_cast<double>(attempt.prefill_tokens) / m_prefill_rate};
+    const seconds answer = now - attempt.first_byte_at.value_or(attempt.started);
+    m_service_time += service_time_gain * (answer + prefill - m_service_time);
+}
+
+double upstream_model::load(time_point now) const
+{
+    const bool others_known = m_others_at && now - *m_others_at <= m_settings.load_max_age;
+    return m_own_in_flight + (others_known ? m_others_in_flight : 0);
+}
+
+double upstream_model::warm_share(time_point now) const
+{
+    if (!m_cold_since || m_settings.slow_start.count() == 0) {
+        return 1;
+    }
+    const seconds elapsed = now - *m_cold_since;
+    const double least = 1.0 / std::max(1U, m_listed.slots);
+    return std::clamp(elapsed / seconds{m_settings.slow_start}, least, 1.0);
+}
+
+bool upstream_model::idle_prefill(time_point now) const
+{
+    return m_prefill_pending == 0 && load(now) < m_listed.slots;
+}
+
+route_cost upstream_model::predict(token_count prefill_tokens, time_point now) const
+{
+    const double slots = std::max(1.0, m_listed.slots * warm_share(now));
+    double excess = load(now) - slots + 1;
+    if (at_limit()) {
+        excess = std::max(excess, static_cast<double>(m_own_in_flight - *m_limit) + 1);
+    }
+    const seconds slot_wait = std::max(0.0, excess) / slots * m_service_time;
+    const seconds prefill_wait{static_cast<double>(m_prefill_pending) / m_prefill_rate};
+    const seconds prefill{static_cast<double>(prefill_tokens) / m_prefill_rate};
+    return {to_microseconds(slot_wait + prefill_wait), to_microseconds(prefill),
+            std::chrono::microseconds{0}};
+}
+
+void upstream_model::change_in_flight(int step, time_point now)
+{
+    if (step < 0 && m_own_in_flight == 0) {
+        return;
+    }
+    m_own_in_flight = step < 0 ? m_own_in_flight - 1 : m_own_in_flight + 1;
+    m_history.push_back({now, m_own_in_flight});
+    if (m_history.size() > max_history) {
+        m_history.pop_front();
+    }
+}
+
+std::uint32_t upstream_model::own_in_flight_at(time_point when) const
+{
+    const auto later = std::find_if(m_history.rbegin(), m_history.rend(),
+                                    [&](const load_step& step) { return step.at <= when; });
+    if (later != m_history.rend()) {
+        return later->in_flight;
+    }
+    return m_history.size() < max_history ? 0 : m_history.front().in_flight;
+}
+
+void upstream_model::remember_prefix(std::uint64_t digest)
+{
+    m_prefix_order.push_back(digest);
+    ++m_prefixes[digest];
+    while (m_prefixes.size() > m_settings.prefixes_per_upstream ||
+           m_prefix_order.size() > 4 * m_settings.prefixes_per_upstream) {
+        const auto oldest = m_prefixes.find(m_prefix_order.front());
+        m_prefix_order.pop_front();
+        if (oldest != m_prefixes.end() && --oldest->second == 0) {
+            m_prefixes.erase(oldest);
+        }
+    }
+}
+
+} // namespace cardamomstream
