Measure routing policies in virtual time

A model of one fleet (slots, prefill queue, prefix cache, late reports) drives the same decisions as a VM.

--- a/include/cardamomstream/request/admission_fair_queue.h
+++ b/include/cardamomstream/request/admission_fair_queue.h
@@ -36,6 +36,9 @@
     /// The next request by deficit round robin; nothing when empty. Call only when a slot is free.
     std::optional<queued_request> pop(time_point now);
 
+    /// Undoes the last `pop`, where its request could not be sent after all: it keeps its place.
+    void put_back(queued_request request);
+
     /// Takes out all requests that can't be served in time any more. Call often: they are answered at once.
     std::vector<given_up_request> give_up(time_point now);
 
--- a/include/cardamomstream/request/admission_slot_gate.h
+++ b/include/cardamomstream/request/admission_slot_gate.h
@@ -14,6 +14,18 @@
 
 namespace cardamomstream {
 
+/// Where a queued request is to go.
+enum class slot_verdict {
+    serve,     ///< to `slot_pick::upstream`
+    elsewhere, ///< out of the queue without a slot: forwarded or refused by the host
+    wait,      ///< nothing fit is free: it keeps its place
+};
+
+struct slot_pick {
+    slot_verdict verdict = slot_verdict::wait;
+    upstream_name upstream;
+};
+
 /// A request that left the queue.
 struct dispatched_request {
     queued_request request;
@@ -46,8 +58,8 @@
     /// Free slots over all open upstreams.
     std::uint32_t free() const;
 
-    /// Hands queued requests to free upstreams until either runs out. `pick(request)` returns the
-    /// upstream's name, or nothing where the request is to go elsewhere.
+    /// Hands queued requests to free upstreams until either runs out. `pick(const queued_request&)` returns
+    /// a `slot_pick`; a pick whose upstream has no free slot waits.
     template <class Pick>
     std::vector<dispatched_request> dispatch(fair_queue& queue, time_point now, Pick&& pick)
     {
@@ -57,11 +69,16 @@
             if (!request) {
                 break;
             }
-            std::optional<upstream_name> upstream = pick(*request);
-            if (upstream && !try_acquire(*upstream)) {
-                upstream.reset();
+            const slot_pick picked = pick(std::as_const(*request));
+            if (picked.verdict == slot_verdict::elsewhere) {
+                sent.push_back({std::move(*request), std::nullopt});
+                continue;
+            }
+            if (picked.verdict == slot_verdict::wait || !try_acquire(picked.upstream)) {
+                queue.put_back(std::move(*request));
+                break;
             }
-            sent.push_back({std::move(*request), std::move(upstream)});
+            sent.push_back({std::move(*request), picked.upstream});
         }
         return sent;
     }
--- a/src/request/admission/fair_queue.cpp
+++ b/src/request/admission/fair_queue.cpp
@@ -90,6 +90,22 @@
     return std::nullopt;
 }
 
+void fair_queue::put_back(queued_request request)
+{
+    const customer_name customer = request.customer;
+    auto& queue = m_queues[customer];
+    if (!queue.in_round) {
+        queue.in_round = true;
+        queue.quantum_given = true;
+        m_round.push_front(customer);
+    }
+    queue.deficit += static_cast<double>(request.cost);
+    queue.backlog += request.cost;
+    m_served_tokens = std::max(0.0, m_served_tokens - static_cast<double>(request.cost));
+    queue.requests.push_front(std::move(request));
+    ++m_size;
+}
+
 std::vector<given_up_request> fair_queue::give_up(time_point now)
 {
     advance(now);
--- /dev/null
+++ b/src/request/bench/fleet_model.h
@@ -0,0 +1,96 @@
+/// A fleet in virtual time: workers with slots, a prefill queue and a prefix cache of limited memory.
+#pragma once
+
+#include "cardamomstream/core/boot_clock.h"
+#include "cardamomstream/core/core_types.h"
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <list>
+#include <map>
+#include <vector>
+
+namespace cardamomstream::bench {
+
+using seconds = std::chrono::duration<double>;
+
+/// Runs actions in the order of their times.
+class virtual_time {
+public:
+    time_point now() const noexcept { return m_now; }
+    void after(seconds delay, std::function<void()> action);
+    void run_until(time_point end);
+
+private:
+    time_point m_now{};
+    std::multimap<time_point, std::function<void()>> m_actions;
+};
+
+/// One call of a caller, with what the report needs.
+struct call {
+    std::size_t customer = 0;
+    std::size_t home = 0;
+    time_point arrived;
+    token_count prompt = 0;
+    token_count prefix = 0;
+    std::uint64_t digest = 0;
+    token_count answer = 0;
+    bool bound = false; ///< its residency allows the home region only
+    bool hopped = false;
+    int attempts = 0;
+};
+
+/// What a worker tells about one attempt.
+struct attempt_events {
+    std::function<void()> first_token;
+    std::function<void()> finished;
+    std::function<void()> failed;
+};
+
+struct worker_shape {
+    std::size_t region = 0;
+    std::uint32_t slots = 8;
+    double prefill_rate = 8'000; ///< tokens a second
+    seconds token_gap{0.03};
+    std::size_t cached_prefixes = 24;
+};
+
+class worker_model {
+public:
+    worker_model(virtual_time& time, worker_shape shape);
+
+    const worker_shape& shape() const noexcept { return m_shape; }
+    bool alive() const noexcept { return m_alive; }
+    std::size_t in_flight() const noexcept { return m_running.size() + m_waiting.size(); }
+    double token_seconds() const noexcept { return m_token_seconds; }
+
+    void submit(const call& request, attempt_events events);
+    /// Breaks all its calls and empties its cache; nothing can be submitted until `come_back`.
+    void lose();
+    void come_back() { m_alive = true; }
+
+private:
+    struct job {
+        std::uint64_t id = 0;
+        call request;
+        attempt_events events;
+    };
+
+    void start_waiting();
+    bool use_cache(std::uint64_t digest);
+    void end(std::uint64_t id, seconds held);
+
+    virtual_time& m_time;
+    worker_shape m_shape;
+    bool m_alive = true;
+    std::uint64_t m_next_id = 0;
+    std::deque<job> m_waiting;
+    std::map<std::uint64_t, job> m_running;
+    time_point m_prefill_free;
+    std::list<std::uint64_t> m_cache; ///< the most recently used first
+    double m_token_seconds = 0;
+};
+
+} // namespace cardamomstream::bench
--- /dev/null
+++ b/src/request/bench/gateway_model.cpp
@@ -0,0 +1,269 @@
+#include "gateway_model.h"
+
+#include <algorithm>
+
+namespace cardamomstream::bench {
+
+namespace {
+
+constexpr int max_attempts = 3;
+
+router_settings settings_of(policy chosen)
+{
+    router_settings settings;
+    settings.affinity = chosen != policy::no_affinity;
+    settings.send_away = chosen != policy::no_send_away;
+    return settings;
+}
+
+customer_name customer_of(const call& request)
+{
+    return customer_name{"customer-" + std::to_string(request.customer)};
+}
+
+std::size_t index_of(const upstream_name& upstream)
+{
+    return std::stoul(upstream.str());
+}
+
+} // namespace
+
+upstream_name worker_name(std::size_t index)
+{
+    return upstream_name{std::to_string(index)};
+}
+
+gateway_model::gateway_model(fleet& shared, std::size_t region, std::size_t vms_per_region, policy chosen)
+    : m_shared(shared)
+    , m_region(region)
+    , m_policy(chosen)
+    , m_router(shared.regions[region], settings_of(chosen))
+    , m_vms_per_region(vms_per_region)
+{
+}
+
+void gateway_model::publish(const routing_view& view)
+{
+    m_view = view;
+    std::erase_if(m_view.peers,
+                  [&](const peer_vm& peer) { return peer.region == m_shared.regions[m_region]; });
+    m_router.update(m_view, m_shared.time.now());
+    for (std::size_t i = 0; i < m_shared.workers.size(); ++i) {
+        const auto& shape = m_shared.workers[i]->shape();
+        if (shape.region != m_region) {
+            continue;
+        }
+        if (!view.list->upstreams.contains(worker_name(i))) {
+            m_gate.close(worker_name(i));
+            continue;
+        }
+        m_gate.open(worker_name(i), shape.slots);
+        m_router.set_limit(worker_name(i), m_gate.limit(worker_name(i)));
+    }
+    for (const auto& given_up : m_queue.give_up(m_shared.time.now())) {
+        refuse(m_waiting.extract(given_up.request.id.str()).mapped());
+    }
+    dispatch();
+}
+
+void gateway_model::take(const call& request)
+{
+    if (m_policy == policy::random || m_policy == policy::least_loaded) {
+        take_by_baseline(request);
+        return;
+    }
+    if (request.attempts == 0) {
+        m_retries.on_request();
+    }
+    const auto query = query_for(request);
+    const auto choice = m_router.choose(query, m_shared.time.now(), m_shared.random);
+    if (!choice) {
+        refuse(request);
+        return;
+    }
+    const bool must_queue = !m_queue.empty() && choice.value().action == route_action::serve;
+    if (must_queue || choice.value().action == route_action::wait) {
+        enqueue(request);
+        dispatch();
+        return;
+    }
+    if (choice.value().action == route_action::serve && !m_gate.try_acquire(choice.value().upstream)) {
+        enqueue(request);
+        return;
+    }
+    act(request, choice.value(), query);
+}
+
+void gateway_model::take_by_baseline(const call& request)
+{
+    const auto index = baseline_worker();
+    if (!index || request.attempts >= max_attempts) {
+        refuse(request);
+        return;
+    }
+    auto again = request;
+    ++again.attempts;
+    m_shared.workers[*index]->submit(request, {[=, this] { served(request, m_shared.time.now()); }, [] {},
+                                               [=, this] { take_by_baseline(again); }});
+}
+
+std::optional<std::size_t> gateway_model::baseline_worker()
+{
+    std::vector<std::size_t> listed;
+    for (const auto& [name, upstream] : m_view.list->upstreams) {
+        if (upstream.region == m_shared.regions[m_region]) {
+            listed.push_back(index_of(name));
+        }
+    }
+    if (listed.empty()) {
+        return std::nullopt;
+    }
+    std::shuffle(listed.begin(), listed.end(), m_shared.random);
+    if (m_policy == policy::random) {
+        return listed.front();
+    }
+    const auto published = [&](std::size_t index) {
+        return m_view.upstream_loads[worker_name(index)].in_flight;
+    };
+    return *std::min_element(listed.begin(), listed.end(), [&](std::size_t left, std::size_t right) {
+        return published(left) < published(right);
+    });
+}
+
+route_query gateway_model::query_for(const call& request) const
+{
+    route_query query;
+    query.pool = pool_name{"pool"};
+    query.prompt_tokens = request.prompt;
+    query.prefix_tokens = request.prefix;
+    query.prefix_digest = request.digest;
+    query.queue_wait = m_queue.predicted_wait(customer_of(request), m_shared.time.now());
+    if (request.bound) {
+        query.permitted = {m_shared.regions[request.home]};
+    }
+    if (request.hopped) {
+        query.origin = request_origin::peer;
+        query.hop_count = 1;
+        query.regions_passed = {m_shared.regions[request.home]};
+    }
+    return query;
+}
+
+void gateway_model::enqueue(const call& request)
+{
+    const auto now = m_shared.time.now();
+    const request_id id{std::to_string(m_next_id++)};
+    const seconds prefill{static_cast<double>(request.prompt) / worker_shape{}.prefill_rate};
+    const auto latest =
+        request.arrived + std::chrono::duration_cast<boot_clock::duration>(m_shared.deadline - prefill);
+    if (!m_queue.push({id, customer_of(request), request.prompt + request.answer, now, latest}, now)) {
+        refuse(request);
+        return;
+    }
+    m_waiting.emplace(id.str(), request);
+}
+
+void gateway_model::dispatch()
+{
+    const auto now = m_shared.time.now();
+    const auto pick = [&](const queued_request& queued) -> slot_pick {
+        auto query = query_for(m_waiting.at(queued.id.str()));
+        query.queue_wait = std::chrono::milliseconds{0}; // its turn has come
+        const auto choice = m_router.choose(query, now, m_shared.random);
+        if (!choice || choice.value().action == route_action::wait) {
+            return {choice ? slot_verdict::wait : slot_verdict::elsewhere, {}};
+        }
+        m_picked[queued.id.str()] = choice.value();
+        const bool here = choice.value().action == route_action::serve;
+        return {here ? slot_verdict::serve : slot_verdict::elsewhere, choice.value().upstream};
+    };
+    while (true) {
+        // One at a time, so that each start counts in the next choice.
+        bool done = false;
+        const auto once = [&](const queued_request& queued) {
+            return std::exchange(done, true) ? slot_pick{} : pick(queued);
+        };
+        const auto sent = m_gate.dispatch(m_queue, now, once);
+        if (sent.empty()) {
+            return;
+        }
+        const auto request = m_waiting.extract(sent.front().request.id.str()).mapped();
+        const auto picked = m_picked.extract(sent.front().request.id.str());
+        picked.empty() ? refuse(request) : act(request, picked.mapped(), query_for(request));
+    }
+}
+
+void gateway_model::act(const call& request, const route_choice& choice, const route_query& query)
+{
+    if (choice.action == route_action::serve) {
+        serve(request, choice, query);
+        return;
+    }
+    const auto peer = std::find_if(m_peers.begin(), m_peers.end(), [&](const auto* each) {
+        return m_shared.regions[each->region()] == choice.region;
+    });
+    auto hopped = request;
+    hopped.hopped = true;
+    auto attempt = m_router.started(choice, query, m_shared.time.now());
+    m_shared.time.after(m_shared.round_trip / 2, [=] { (*peer)->take(hopped); });
+    // The hop is taken as over when its answer would be.
+    m_shared.time.after(seconds{5}, [=, this] { m_router.finished(attempt, m_shared.time.now()); });
+}
+
+void gateway_model::serve(const call& request, const route_choice& choice, const route_query& query)
+{
+    const auto upstream = choice.upstream;
+    const auto attempt =
+        std::make_shared<route_attempt>(m_router.started(choice, query, m_shared.time.now()));
+    const auto first_token = [=, this] {
+        const auto now = m_shared.time.now();
+        m_router.first_byte(*attempt, now);
+        const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - attempt->started);
+        m_gate.first_byte(upstream, latency, choice.cost.prefill, now);
+        m_router.set_limit(upstream, m_gate.limit(upstream));
+        served(request, now);
+    };
+    const auto finished = [=, this] {
+        m_router.finished(*attempt, m_shared.time.now());
+        m_gate.release(upstream);
+        dispatch();
+    };
+    const auto failed = [=, this] {
+        m_router.failed(*attempt, attempt_failure::reset, m_shared.time.now(), m_shared.random);
+        m_gate.release(upstream);
+        if (!attempt->first_byte_at) {
+            retry(request, upstream);
+        }
+        dispatch();
+    };
+    m_shared.workers[index_of(upstream)]->submit(request, {first_token, finished, failed});
+}
+
+void gateway_model::retry(const call& request, const upstream_name& /*failed*/)
+{
+    auto again = request;
+    ++again.attempts;
+    retry_query query;
+    query.attempts_made = static_cast<std::uint32_t>(again.attempts);
+    query.deadline = request.arrived + std::chrono::duration_cast<boot_clock::duration>(m_shared.deadline);
+    const auto now = m_shared.time.now();
+    const auto decision = m_retries.next(query, now, m_shared.random);
+    if (decision.verdict != retry_verdict::allowed) {
+        refuse(request);
+        return;
+    }
+    m_shared.time.after(decision.at - now, [=, this] { take(again); });
+}
+
+void gateway_model::refuse(const call& request)
+{
+    m_shared.ended({request, std::nullopt, true, request.hopped});
+}
+
+void gateway_model::served(const call& request, time_point at)
+{
+    const seconds way_back = request.hopped ? m_shared.round_trip / 2 : seconds{0};
+    m_shared.ended({request, at - request.arrived + way_back, false, request.hopped});
+}
+
+} // namespace cardamomstream::bench
--- /dev/null
+++ b/src/request/bench/gateway_model.h
@@ -0,0 +1,81 @@
+/// The entry VMs of the model, by one of the compared policies.
+#pragma once
+
+#include "cardamomstream/request/admission_fair_queue.h"
+#include "cardamomstream/request/admission_retry_budget.h"
+#include "cardamomstream/request/admission_slot_gate.h"
+#include "cardamomstream/request/routing.h"
+
+#include "fleet_model.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace cardamomstream::bench {
+
+enum class policy { random, least_loaded, full, no_affinity, no_send_away };
+
+/// How one call ended; no first token: refused or lost.
+struct call_end {
+    call request;
+    std::optional<seconds> first_token;
+    bool refused = false;
+    bool sent_away = false;
+};
+
+/// What the VMs of one run share: the fleet and where outcomes go.
+struct fleet {
+    virtual_time time;
+    std::vector<region_name> regions;
+    std::vector<std::unique_ptr<worker_model>> workers;
+    std::function<void(call_end)> ended;
+    std::mt19937_64 random;
+    seconds round_trip{0.16};
+    seconds deadline{10};
+};
+
+upstream_name worker_name(std::size_t index);
+
+/// One entry VM.
+class gateway_model {
+public:
+    gateway_model(fleet& shared, std::size_t region, std::size_t vms_per_region, policy chosen);
+
+    void set_peers(std::vector<gateway_model*> peers) { m_peers = std::move(peers); }
+    void publish(const routing_view& view);
+    void take(const call& request);
+    std::size_t queued() const { return m_queue.size(); }
+    std::size_t region() const { return m_region; }
+
+private:
+    void take_by_baseline(const call& request);
+    std::optional<std::size_t> baseline_worker();
+    route_query query_for(const call& request) const;
+    void enqueue(const call& request);
+    void dispatch();
+    void act(const call& request, const route_choice& choice, const route_query& query);
+    void serve(const call& request, const route_choice& choice, const route_query& query);
+    void retry(const call& request, const upstream_name& failed);
+    void refuse(const call& request);
+    void served(const call& request, time_point at);
+
+    fleet& m_shared;
+    std::size_t m_region;
+    policy m_policy;
+    router m_router;
+    fair_queue m_queue{{}};
+    slot_gate m_gate{{}};
+    retry_budget m_retries{{}};
+    std::size_t m_vms_per_region;
+    std::vector<gateway_model*> m_peers;
+    routing_view m_view;
+    std::map<std::string, call> m_waiting;
+    std::map<std::string, route_choice> m_picked;
+    std::uint64_t m_next_id = 0;
+};
+
+} // namespace cardamomstream::bench
