Learn the prefill rate only from prompts without a cache guess

Cause: a prompt taken as cached and computed in full (or the reverse) moved the learned prefill rate, by a factor of four in the model; a low rate made every other region's prediction miss the target, so nothing was sent away and the home queue grew. Now such prompts teach the share of cache guesses that hold, and that share weighs the guess. Ruled out: affinity itself (with the rate learned apart, the same affinity does not do it), the link's budget (50 requests/s, 2.6 % of requests sent).

--- a/include/cardamomstream/request/routing_types.h
+++ b/include/cardamomstream/request/routing_types.h
@@ -120,12 +120,13 @@
 /// The decision for one request.
 struct route_choice {
     route_action action = route_action::serve;
-    region_name region;             ///< where it will run
-    upstream_name upstream;         ///< set for `serve`
-    endpoint address;               ///< of the upstream, set for `serve`
-    vm_name peer;                   ///< set for `forward`
-    bool probe = false;             ///< tests a suspected upstream
-    token_count prefill_tokens = 0; ///< prompt tokens that are taken as not cached
+    region_name region;              ///< where it will run
+    upstream_name upstream;          ///< set for `serve`
+    endpoint address;                ///< of the upstream, set for `serve`
+    vm_name peer;                    ///< set for `forward`
+    bool probe = false;              ///< tests a suspected upstream
+    token_count prefill_tokens = 0;  ///< prompt tokens expected to be computed
+    token_count credited_tokens = 0; ///< prompt tokens hoped to be cached
     route_cost cost;
     std::vector<route_note> notes;
 };
@@ -135,7 +136,9 @@
     upstream_name upstream; ///< set for `serve`
     vm_name peer;           ///< set for `forward`
     time_point started;
+    token_count prompt_tokens = 0;
     token_count prefill_tokens = 0;
+    token_count credited_tokens = 0;
     bool probe = false;
     bool alone = false; ///< no queue was before it, so it measures the prefill rate
     std::optional<time_point> first_byte_at;
--- a/src/request/routing/home_candidates.cpp
+++ b/src/request/routing/home_candidates.cpp
@@ -68,7 +68,7 @@
             note(route_reason::upstream_leaving, name.str());
             continue;
         }
-        m_candidates.push_back({&name, &model, m_query.prompt_tokens, {}, false});
+        m_candidates.push_back({&name, &model, m_query.prompt_tokens, 0, {}, false});
     }
 }
 
@@ -136,8 +136,9 @@
         home_candidate& each = m_candidates[i];
         const bool cached = preferred == i || each.model->holds_prefix(m_query.prefix_digest);
         if (cached && m_settings.affinity && m_query.prefix_digest != 0) {
-            each.prefill_tokens -= std::min(m_query.prefix_tokens, m_query.prompt_tokens);
+            each.credited_tokens = std::min(m_query.prefix_tokens, m_query.prompt_tokens);
         }
+        each.prefill_tokens = each.model->expected_prefill(m_query.prompt_tokens, each.credited_tokens);
         each.cost = each.model->predict(each.prefill_tokens, m_now);
     }
     if (!preferred) {
--- a/src/request/routing/home_candidates.h
+++ b/src/request/routing/home_candidates.h
@@ -19,6 +19,7 @@
     const upstream_name* name = nullptr;
     upstream_model* model = nullptr;
     token_count prefill_tokens = 0;
+    token_count credited_tokens = 0; ///< hoped to be cached
     route_cost cost;
     bool probe = false;
 };
--- a/src/request/routing/router.cpp
+++ b/src/request/routing/router.cpp
@@ -216,6 +216,7 @@
         return unreachable(query, choice.notes, now);
     }
     choice.prefill_tokens = best->prefill_tokens;
+    choice.credited_tokens = best->credited_tokens;
     if (best->model->at_limit()) {
         choice.action = route_action::wait;
         return choice;
@@ -497,7 +498,9 @@
     attempt.upstream = choice.upstream;
     attempt.peer = choice.peer;
     attempt.started = now;
+    attempt.prompt_tokens = query.prompt_tokens;
     attempt.prefill_tokens = choice.prefill_tokens;
+    attempt.credited_tokens = choice.credited_tokens;
     attempt.probe = choice.probe;
     if (auto* model = m_impl->model_of(choice.upstream)) {
         attempt.alone = model->idle_prefill(now);
--- a/src/request/routing/upstream_model.cpp
+++ b/src/request/routing/upstream_model.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t max_history = 128;
 constexpr token_count min_measured_prefill = 64; // fewer tokens measure the connection, not the prefill
 constexpr double prefill_rate_step = 1.05; // tracks the median, so that a wrong cache guess moves it little
+constexpr double hit_share_gain = 0.05;
 constexpr double service_time_gain = 0.1;
 
 std::chrono::microseconds to_microseconds(seconds value)
@@ -64,13 +65,31 @@
 void upstream_model::first_byte(const route_attempt& attempt, time_point now)
 {
     m_prefill_pending = std::max<token_count>(0, m_prefill_pending - attempt.prefill_tokens);
-    if (!attempt.alone || attempt.prefill_tokens < min_measured_prefill) {
+    if (attempt.alone) {
+        learn(attempt, std::max<boot_clock::duration>(now - attempt.started, std::chrono::microseconds{1}));
+    }
+}
+
+// A prompt with cached tokens tells little of the prefill rate, one without tells nothing of the cache.
+void upstream_model::learn(const route_attempt& attempt, std::chrono::duration<double> latency)
+{
+    if (attempt.credited_tokens >= min_measured_prefill) {
+        const double computed = latency.count() * m_prefill_rate;
+        const double if_missed = static_cast<double>(attempt.prompt_tokens);
+        const double if_hit = static_cast<double>(attempt.prompt_tokens - attempt.credited_tokens);
+        const double hit = computed < (if_hit + if_missed) / 2 ? 1 : 0;
+        m_hit_share += hit_share_gain * (hit - m_hit_share);
         return;
     }
-    const seconds latency =
-        std::max<boot_clock::duration>(now - attempt.started, std::chrono::microseconds{1});
-    const double measured = static_cast<double>(attempt.prefill_tokens) / latency.count();
-    m_prefill_rate *= measured > m_prefill_rate ? prefill_rate_step : 1 / prefill_rate_step;
+    if (attempt.prompt_tokens >= min_measured_prefill) {
+        const double measured = static_cast<double>(attempt.prompt_tokens) / latency.count();
+        m_prefill_rate *= measured > m_prefill_rate ? prefill_rate_step : 1 / prefill_rate_step;
+    }
+}
+
+token_count upstream_model::expected_prefill(token_count prompt, token_count credited) const
+{
+    return prompt - static_cast<token_count>(static_cast<double>(credited) * m_hit_share);
 }
 
 void upstream_model::ended(const route_attempt& attempt, time_point now)
--- a/src/request/routing/upstream_model.h
+++ b/src/request/routing/upstream_model.h
@@ -44,6 +44,9 @@
     /// True while nothing would delay a new request's prefill.
     bool idle_prefill(time_point now) const;
     bool holds_prefix(std::uint64_t digest) const { return m_prefixes.contains(digest); }
+    /// Prompt tokens to compute; `credited` of them are hoped to be cached and count as far as such hopes
+    /// held.
+    token_count expected_prefill(token_count prompt, token_count credited) const;
     route_cost predict(token_count prefill_tokens, time_point now) const;
 
     double prefill_rate() const noexcept { return m_prefill_rate; }
@@ -60,6 +63,7 @@
     void change_in_flight(int step, time_point now);
     std::uint32_t own_in_flight_at(time_point when) const;
     void remember_prefix(std::uint64_t digest);
+    void learn(const route_attempt& attempt, std::chrono::duration<double> latency);
 
     listed_upstream m_listed;
     router_settings m_settings;
@@ -70,6 +74,7 @@
     std::deque<load_step> m_history;
     token_count m_prefill_pending = 0; ///< own prompt tokens whose first byte has not come
     double m_prefill_rate;
+    double m_hit_share = 1; ///< of the hoped-for cache hits
     std::chrono::duration<double> m_service_time;
     double m_others_in_flight = 0;
     std::optional<time_point> m_others_at;
