Let one VM fill only its part of an upstream's slots, or what the others leave free

Two VMs before the same upstream could each fill all its slots, so that a second queue formed there.

--- a/include/cardamomstream/request/admission_slot_gate.h
+++ b/include/cardamomstream/request/admission_slot_gate.h
@@ -5,6 +5,7 @@
 #include "cardamomstream/request/admission_concurrency_limit.h"
 #include "cardamomstream/request/admission_fair_queue.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
@@ -37,7 +38,8 @@
 public:
     explicit slot_gate(concurrency_limit_settings settings);
 
-    /// The upstream takes new requests; `slots` is the first limit and a quarter of the largest one.
+    /// The upstream takes new requests, up to `slots` at once and less where its latency shows queueing.
+    /// Call again to change `slots`.
     void open(const upstream_name& upstream, std::uint32_t slots);
     /// The upstream takes nothing new; what runs there still counts until released.
     void close(const upstream_name& upstream);
@@ -86,8 +88,11 @@
 private:
     struct upstream_slots {
         concurrency_limit limit;
+        std::uint32_t slots = 1;
         std::uint32_t in_flight = 0;
         bool open = true;
+
+        std::uint32_t usable() const { return open ? std::min(slots, limit.value()) : 0; }
     };
 
     concurrency_limit_settings m_settings;
--- a/include/cardamomstream/request/routing.h
+++ b/include/cardamomstream/request/routing.h
@@ -43,6 +43,10 @@
     void failed(const route_attempt& attempt, attempt_failure failure, time_point now,
                 std::mt19937_64& random);
 
+    /// Slots of the upstream that this VM may fill now: its equal part among its region's VMs, or what the
+    /// others leave free by their last report where that is more. 0 for a leaving or unlisted one.
+    std::uint32_t open_slots(const upstream_name& upstream, time_point now) const;
+
     /// Own requests in flight at the upstream.
     std::uint32_t in_flight(const upstream_name& upstream) const;
     /// This VM's own part of its region's load, for membership to publish.
--- a/src/request/admission/slot_gate.cpp
+++ b/src/request/admission/slot_gate.cpp
@@ -1,15 +1,7 @@
 #include "cardamomstream/request/admission_slot_gate.h"
 
-#include <algorithm>
-
 namespace cardamomstream {
 
-namespace {
-
-constexpr std::uint32_t max_limit_over_slots = 4;
-
-} // namespace
-
 slot_gate::slot_gate(concurrency_limit_settings settings)
     : m_settings(settings)
 {
@@ -20,12 +12,12 @@
     const auto found = m_upstreams.find(upstream);
     if (found != m_upstreams.end()) {
         found->second.open = true;
+        found->second.slots = std::max(1U, slots);
         return;
     }
     auto settings = m_settings;
     settings.initial = std::max(1U, slots);
-    settings.max = settings.initial * max_limit_over_slots;
-    m_upstreams.emplace(upstream, upstream_slots{concurrency_limit{settings}, 0, true});
+    m_upstreams.emplace(upstream, upstream_slots{concurrency_limit{settings}, settings.initial, 0, true});
 }
 
 void slot_gate::close(const upstream_name& upstream)
@@ -46,7 +38,7 @@
     if (found == m_upstreams.end() || !found->second.open) {
         return false;
     }
-    if (found->second.in_flight >= found->second.limit.value()) {
+    if (found->second.in_flight >= found->second.usable()) {
         return false;
     }
     ++found->second.in_flight;
@@ -85,7 +77,7 @@
 std::uint32_t slot_gate::limit(const upstream_name& upstream) const
 {
     const auto found = m_upstreams.find(upstream);
-    return found == m_upstreams.end() || !found->second.open ? 0 : found->second.limit.value();
+    return found == m_upstreams.end() ? 0 : found->second.usable();
 }
 
 std::uint32_t slot_gate::in_flight(const upstream_name& upstream) const
@@ -98,8 +90,7 @@
 {
     std::uint32_t total = 0;
     for (const auto& [name, slots] : m_upstreams) {
-        const auto limit = slots.open ? slots.limit.value() : 0;
-        total += limit - std::min(limit, slots.in_flight);
+        total += slots.usable() - std::min(slots.usable(), slots.in_flight);
     }
     return total;
 }
--- a/src/request/bench/gateway_model.cpp
+++ b/src/request/bench/gateway_model.cpp
@@ -57,7 +57,7 @@
             m_gate.close(worker_name(i));
             continue;
         }
-        m_gate.open(worker_name(i), shape.slots);
+        m_gate.open(worker_name(i), m_router.open_slots(worker_name(i), m_shared.time.now()));
         m_router.set_limit(worker_name(i), m_gate.limit(worker_name(i)));
     }
     for (const auto& given_up : m_queue.give_up(m_shared.time.now())) {
--- a/src/request/routing/router.cpp
+++ b/src/request/routing/router.cpp
@@ -69,6 +69,7 @@
 
     region_name m_home;
     router_settings m_settings;
+    std::uint32_t m_home_vms = 1; ///< by the roster
     upstream_models m_upstreams;
     std::map<vm_name, peer_model> m_peers;
 
@@ -538,6 +539,12 @@
     m_impl->end(attempt, failure, now, &random);
 }
 
+std::uint32_t router::open_slots(const upstream_name& upstream, time_point now) const
+{
+    const auto* model = m_impl->model_of(upstream);
+    return model == nullptr ? 0 : model->open_slots(m_impl->m_home_vms, now);
+}
+
 std::uint32_t router::in_flight(const upstream_name& upstream) const
 {
     const auto* model = m_impl->model_of(upstream);
--- a/src/request/routing/upstream_model.cpp
+++ b/src/request/routing/upstream_model.cpp
@@ -111,8 +111,27 @@
 
 double upstream_model::load(time_point now) const
 {
-    const bool others_known = m_others_at && now - *m_others_at <= m_settings.load_max_age;
-    return m_own_in_flight + (others_known ? m_others_in_flight : 0);
+    return m_own_in_flight + others_in_flight(now);
+}
+
+double upstream_model::others_in_flight(time_point now) const
+{
+    const bool known = m_others_at && now - *m_others_at <= m_settings.load_max_age;
+    return known ? m_others_in_flight : 0;
+}
+
+std::uint32_t upstream_model::open_slots(std::uint32_t vms, time_point now) const
+{
+    if (!usable()) {
+        return 0;
+    }
+    const std::uint32_t slots = std::max(1U, m_listed.slots);
+    const std::uint32_t part = (slots + vms - 1) / vms;
+    if (!m_others_at || now - *m_others_at > m_settings.load_max_age) {
+        return part;
+    }
+    const double left = slots - std::min<double>(slots, m_others_in_flight);
+    return std::max(part, static_cast<std::uint32_t>(left));
 }
 
 double upstream_model::warm_share(time_point now) const
--- a/src/request/routing/upstream_model.h
+++ b/src/request/routing/upstream_model.h
@@ -39,6 +39,8 @@
     /// Requests of all VMs there: own ones exactly, those of others as last published.
     double load(time_point now) const;
     std::uint32_t own_in_flight() const noexcept { return m_own_in_flight; }
+    /// Slots that one of `vms` VMs may fill.
+    std::uint32_t open_slots(std::uint32_t vms, time_point now) const;
     /// Share of its slots that a cold upstream may use for now.
     double warm_share(time_point now) const;
     /// True while nothing would delay a new request's prefill.
@@ -60,6 +62,7 @@
         std::uint32_t in_flight = 0;
     };
 
+    double others_in_flight(time_point now) const;
     void change_in_flight(int step, time_point now);
     std::uint32_t own_in_flight_at(time_point when) const;
     void remember_prefix(std::uint64_t digest);
