Predict a customer's wait from its own service too

Cause: the predicted wait counted only what others had queued, not what they would bring while a customer's queue drains, so requests were taken that started after their deadline.

--- a/include/cardamomstream/request/admission_fair_queue.h
+++ b/include/cardamomstream/request/admission_fair_queue.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cardamomstream/core/error.h"
+#include "cardamomstream/request/admission_service_meter.h"
 #include "cardamomstream/request/admission_types.h"
 
 #include <chrono>
@@ -56,16 +57,22 @@
 
 private:
     struct customer_queue {
+        explicit customer_queue(std::chrono::milliseconds memory = std::chrono::milliseconds{5'000})
+            : meter(memory)
+        {
+        }
+
         std::deque<queued_request> requests;
         token_count backlog = 0; ///< tokens that wait
         double deficit = 0;
         bool in_round = false;
         bool quantum_given = false; ///< for its present turn
+        service_meter meter;
     };
 
     double weight_of(const customer_name& customer) const;
-    std::chrono::duration<double> wait_behind(const customer_name& customer, token_count ahead,
-                                              double rate) const;
+    std::chrono::duration<double> wait_behind(const customer_name& customer, token_count ahead, double rate,
+                                              time_point now) const;
     void advance(time_point now);
     void leave_round_if_empty(const customer_name& customer);
     error refusal(const customer_name& customer, std::chrono::duration<double> wait,
@@ -76,9 +83,7 @@
     std::map<customer_name, customer_queue> m_queues;
     std::deque<customer_name> m_round;
     std::size_t m_size = 0;
-    double m_served_tokens = 0; ///< decayed, in busy time
-    double m_busy_seconds = 0;  ///< decayed, in busy time
-    std::optional<time_point> m_busy_at;
+    service_meter m_meter;
 };
 
 } // namespace cardamomstream
--- /dev/null
+++ b/include/cardamomstream/request/admission_service_meter.h
@@ -0,0 +1,31 @@
+/// Observed service of a queue.
+#pragma once
+
+#include "cardamomstream/core/boot_clock.h"
+
+#include <chrono>
+#include <optional>
+
+namespace cardamomstream {
+
+/// Tokens served per second of busy time, averaged over the recent past. Busy means that something waits.
+class service_meter {
+public:
+    explicit service_meter(std::chrono::milliseconds memory = std::chrono::milliseconds{5'000});
+
+    /// Counts the time since the last call, as busy or not.
+    void advance(bool busy, time_point now);
+    void served(double tokens) { m_tokens += tokens; }
+    void returned(double tokens);
+
+    /// Tokens a second; nothing before `least` of busy time was seen.
+    std::optional<double> rate(std::chrono::milliseconds least, bool busy, time_point now) const;
+
+private:
+    std::chrono::duration<double> m_memory;
+    double m_tokens = 0;
+    std::chrono::duration<double> m_busy{0};
+    std::optional<time_point> m_at;
+};
+
+} // namespace cardamomstream
--- a/src/request/admission/fair_queue.cpp
+++ b/src/request/admission/fair_queue.cpp
@@ -1,7 +1,6 @@
 #include "cardamomstream/request/admission_fair_queue.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace cardamomstream {
 
@@ -26,6 +25,7 @@
 
 fair_queue::fair_queue(fair_queue_settings settings)
     : m_settings(settings)
+    , m_meter(settings.rate_memory)
 {
 }
 
@@ -38,9 +38,10 @@
 {
     advance(now);
     request.cost = std::max<token_count>(1, request.cost);
-    auto& queue = m_queues[request.customer];
+    auto& queue =
+        m_queues.try_emplace(request.customer, customer_queue{m_settings.rate_memory}).first->second;
     const auto rate = service_rate(now);
-    const seconds wait = rate ? wait_behind(request.customer, queue.backlog, *rate) : seconds{0};
+    const seconds wait = rate ? wait_behind(request.customer, queue.backlog, *rate, now) : seconds{0};
     if (m_size >= m_settings.max_requests || queue.requests.size() >= m_settings.max_requests_per_customer) {
         return refusal(request.customer, rate ? wait : seconds{full_queue_retry}, "the queue is full");
     }
@@ -49,9 +50,6 @@
         return refusal(request.customer, wait - left,
                        "the queue ahead does not leave time before the deadline");
     }
-    if (m_size == 0) {
-        m_busy_at = now;
-    }
     if (!queue.in_round) {
         queue.in_round = true;
         m_round.push_back(request.customer);
@@ -82,7 +80,8 @@
         queue.requests.pop_front();
         queue.deficit -= static_cast<double>(request.cost);
         queue.backlog -= request.cost;
-        m_served_tokens += static_cast<double>(request.cost);
+        queue.meter.served(static_cast<double>(request.cost));
+        m_meter.served(static_cast<double>(request.cost));
         --m_size;
         leave_round_if_empty(customer);
         return request;
@@ -101,7 +100,8 @@
     }
     queue.deficit += static_cast<double>(request.cost);
     queue.backlog += request.cost;
-    m_served_tokens = std::max(0.0, m_served_tokens - static_cast<double>(request.cost));
+    queue.meter.returned(static_cast<double>(request.cost));
+    m_meter.returned(static_cast<double>(request.cost));
     queue.requests.push_front(std::move(request));
     ++m_size;
 }
@@ -117,7 +117,7 @@
         for (auto& request : queue.requests) {
             const seconds left = request.deadline - now;
             const seconds wait =
-                rate ? wait_behind(customer, ahead, *rate) / late_prediction_factor : seconds{0};
+                rate ? wait_behind(customer, ahead, *rate, now) / late_prediction_factor : seconds{0};
             if (left >= wait && left >= seconds{0}) {
                 ahead += request.cost;
                 kept.push_back(std::move(request));
@@ -160,17 +160,12 @@
     }
     const auto found = m_queues.find(customer);
     const token_count ahead = found == m_queues.end() ? 0 : found->second.backlog;
-    return std::chrono::ceil<std::chrono::milliseconds>(wait_behind(customer, ahead, *rate));
+    return std::chrono::ceil<std::chrono::milliseconds>(wait_behind(customer, ahead, *rate, now));
 }
 
 std::optional<double> fair_queue::service_rate(time_point now) const
 {
-    const seconds running = m_size > 0 && m_busy_at ? seconds{now - *m_busy_at} : seconds{0};
-    const double busy = m_busy_seconds + running.count();
-    if (busy < seconds{m_settings.min_observation}.count() || m_served_tokens <= 0) {
-        return std::nullopt;
-    }
-    return m_served_tokens / busy;
+    return m_meter.rate(m_settings.min_observation, !empty(), now);
 }
 
 double fair_queue::weight_of(const customer_name& customer) const
@@ -180,13 +175,14 @@
 }
 
 // While a customer's own backlog drains, each other one gets at most its share by weight, and at most
-// what it has waiting.
+// what it has waiting. What others will bring meanwhile shows in the customer's own service so far.
 std::chrono::duration<double> fair_queue::wait_behind(const customer_name& customer, token_count ahead,
-                                                      double rate) const
+                                                      double rate, time_point now) const
 {
     const double own_weight = weight_of(customer);
     const auto own_work = static_cast<double>(ahead);
     double work = own_work;
+    double weights = own_weight;
     for (const auto& [other, queue] : m_queues) {
         if (other == customer) {
             continue;
@@ -194,19 +190,25 @@
         const auto turn = static_cast<double>(std::min(m_settings.quantum, queue.backlog));
         const double share = std::max(turn, own_work * weight_of(other) / own_weight);
         work += std::min(static_cast<double>(queue.backlog), share);
+        weights += weight_of(other);
     }
-    return seconds{work / rate};
+    const seconds by_queue{work / rate};
+    const auto found = m_queues.find(customer);
+    if (found == m_queues.end()) {
+        return by_queue;
+    }
+    const bool waiting = !found->second.requests.empty();
+    const auto own_rate = found->second.meter.rate(m_settings.min_observation, waiting, now);
+    const double least_rate = rate * own_weight / weights;
+    return own_rate ? std::max(by_queue, seconds{own_work / std::max(*own_rate, least_rate)}) : by_queue;
 }
 
 void fair_queue::advance(time_point now)
 {
-    if (m_size > 0 && m_busy_at) {
-        const seconds elapsed = std::max<boot_clock::duration>(now - *m_busy_at, boot_clock::duration{0});
-        const double kept = std::exp(-elapsed / seconds{m_settings.rate_memory});
-        m_served_tokens *= kept;
-        m_busy_seconds = m_busy_seconds * kept + elapsed.count();
+    m_meter.advance(!empty(), now);
+    for (auto& [customer, queue] : m_queues) {
+        queue.meter.advance(!queue.requests.empty(), now);
     }
-    m_busy_at = now;
 }
 
 void fair_queue::leave_round_if_empty(const customer_name& customer)
