--- a/include/cardamomstream/request/routing.h
+++ b/include/cardamomstream/request/routing.h
@@ -50,7 +50,7 @@
     /// Own requests in flight at the upstream.
     std::uint32_t in_flight(const upstream_name& upstream) const;
     /// This VM's own part of its region's load, for membership to publish.
-    pool_load own_load(const pool_name& pool) const;
+    pool_load_report own_load(const pool_name& pool) const;
 
 private:
     class impl;
--- a/include/cardamomstream/request/routing_types.h
+++ b/include/cardamomstream/request/routing_types.h
@@ -19,7 +19,7 @@
 namespace cardamomstream {
 
 /// Load of one pool in one region as membership last heard it.
-struct pool_load {
+struct pool_load_report {
     double in_flight = 0;                    ///< requests that run, over the region's upstreams
     double queued = 0;                       ///< requests that wait, over the region's VMs
     double slots = 0;                        ///< requests that can run side by side
@@ -27,7 +27,7 @@
     std::chrono::milliseconds round_trip{0}; ///< from the home region and back
 };
 
-using region_loads = std::map<std::pair<region_name, pool_name>, pool_load>;
+using region_loads = std::map<std::pair<region_name, pool_name>, pool_load_report>;
 
 /// Load of one upstream as it published it.
 struct upstream_load {
--- a/src/request/routing/router.cpp
+++ b/src/request/routing/router.cpp
@@ -321,7 +321,7 @@
     if (found == m_view.loads.end()) {
         return std::nullopt;
     }
-    const pool_load& load = found->second;
+    const pool_load_report& load = found->second;
     if (load.age + (now - m_view_at) > m_settings.load_max_age) {
         return std::nullopt;
     }
@@ -551,9 +551,9 @@
     return model == nullptr ? 0 : model->own_in_flight();
 }
 
-pool_load router::own_load(const pool_name& pool) const
+pool_load_report router::own_load(const pool_name& pool) const
 {
-    pool_load load;
+    pool_load_report load;
     for (const auto& [name, model] : m_impl->m_upstreams) {
         if (model.listed().pool != pool || model.listed().region != m_impl->m_home) {
             continue;
