--- a/include/cardamomstream/process/allowance_types.h
+++ b/include/cardamomstream/process/allowance_types.h
@@ -61,12 +61,13 @@
     friend auto operator<=>(const loan_id&, const loan_id&) = default;
 };
 
-/// Asks `lender` for a part of its share. The level asked for is at most the burst.
+/// Asks `lender` for a part of its share. A level alone is a transfer for good.
 struct loan_request {
     loan_id id;
     vm_name lender;
     customer_name customer;
     bucket_share wanted;
+    token_count needed = 0; ///< tokens of the request that waits for it; zero: ahead of need
     std::chrono::milliseconds duration{0};
 };
 
@@ -74,7 +75,6 @@
 struct loan_answer {
     loan_id id;
     vm_name lender;
-    incarnation lender_process;
     customer_name customer;
     bucket_share lent;
     std::chrono::milliseconds duration{0};
@@ -85,14 +85,14 @@
 struct loan_return {
     loan_id id;
     vm_name lender;
-    incarnation lender_process;
     customer_name customer;
     double burst_kept = 0; ///< tokens; never grows between two returns of one loan
     double level = 0;      ///< tokens given back, added with the first return that arrives
+    bool unused = false;   ///< the answer came too late or never: the whole loan comes back
 };
 
 /// A process that starts asks every other VM which loans of its predecessors it still holds. Whoever answers
-/// accepts no more loans of an earlier incarnation of `vm`.
+/// gives up the loans that it has asked of `vm` and not yet received, so a predecessor's late answer is ignored.
 struct restart_query {
     vm_name vm;
     incarnation process;
--- /dev/null
+++ b/src/process/allowance/allowance_book.cpp
@@ -0,0 +1,710 @@
+#include "cardamomstream/process/allowance_book.h"
+
+#include "cardamomstream/process/allowance_part.h"
+#include "customer_share.h"
+
+#include <algorithm>
+#include <iterator>
+#include <limits>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+namespace cardamomstream {
+
+namespace {
+
+/// Bounds of the time that a refusal tells its caller to wait.
+constexpr std::chrono::milliseconds shortest_retry{100};
+constexpr std::chrono::milliseconds longest_retry{60'000};
+/// A loan ahead of need is asked for when more than this fraction of the wish is missing.
+constexpr double worth_asking = 0.3;
+/// Mean requests that should fit into the free allowance.
+constexpr double spare_requests = 2;
+/// Peers hear first of the customers that were asked for within this time.
+constexpr std::chrono::seconds asked_recently{10};
+/// Tokens a second below which demand counts as none.
+constexpr double least_demand = 1e-3;
+constexpr double least_tokens = 1e-3;
+
+bucket_share minus(const bucket_share& left, const bucket_share& right)
+{
+    return {{std::max(0.0, left.rate.per_second - right.rate.per_second)},
+            std::max(0.0, left.burst - right.burst),
+            std::max(0.0, left.level - right.level)};
+}
+
+std::chrono::milliseconds time_to_refill(double tokens, token_rate rate)
+{
+    if (rate.per_second <= 0) {
+        return longest_retry;
+    }
+    const double seconds =
+        std::min(tokens / rate.per_second, std::chrono::duration<double>(longest_retry).count());
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(std::chrono::duration<double>(seconds));
+    return std::clamp(wait, shortest_retry, longest_retry);
+}
+
+error unknown_customer(const customer_name& customer)
+{
+    return {error_kind::not_found,
+            "customer \"" + customer.str() + "\" is not in the rules",
+            "add the customer to the rules",
+            run_outcome::not_run,
+            {}};
+}
+
+} // namespace
+
+class allowance_book::state {
+public:
+    state(vm_name self, incarnation self_process, const allowance_limits& limits, time_point started)
+        : m_self(std::move(self))
+        , m_process(self_process)
+        , m_limits(limits)
+        , m_started(started)
+    {
+    }
+
+    void apply(const rules_snapshot& published, const applied_versions& others, time_point now);
+    version_number settled_version(time_point now);
+    result<reservation> admit(const customer_name& customer, token_count charge, time_point now);
+    void receive(reservation& open, token_count tokens, time_point now);
+    void settle(reservation& open, token_count used, time_point now);
+    std::optional<loan_request> plan_loan(const customer_name& customer, customer_share& share,
+                                          token_count needed, time_point now);
+    std::vector<loan_request> plan_ahead(std::size_t max_requests, time_point now);
+    loan_answer lend(const loan_request& request, time_point now);
+    void accept(const loan_answer& answer, time_point now);
+    void accept(const loan_return& returned, time_point now);
+    restart_answer answer_restart(const restart_query& query, time_point now);
+    void accept(const restart_answer& answer, time_point now);
+    demand_summary summarise(time_point now);
+    void note_peer(const demand_summary& peer, time_point now);
+    void advance(time_point now);
+
+    customer_share* find(const customer_name& customer, time_point now);
+    restart_query ask_restart() const { return {m_self, m_process}; }
+    bool restarting() const { return m_restarting; }
+    std::vector<loan_return> take_returns() { return std::exchange(m_returns, {}); }
+
+private:
+    void take_rules(const rules_snapshot& published, time_point now);
+    void take_customer(const customer_name& customer, const customer_rule& rule, time_point now);
+    void learn_versions(const applied_versions& others);
+    void check_restart(time_point now);
+    void set_parts(time_point now);
+    void collect_returns(customer_share& share);
+    void give_up_late(const customer_name& customer, customer_share& share, time_point now);
+    bool settled() const;
+    std::chrono::milliseconds hold_back() const
+    {
+        return m_limits.loan_duration + m_limits.longest_reservation;
+    }
+    bucket_share target(customer_share& share, time_point now) const;
+    bucket_share missing(customer_share& share, token_count needed, time_point now) const;
+    bool worth_a_loan(const bucket_share& wanted, const bucket_share& wish, token_count needed) const;
+    std::vector<lender_candidate> candidates(const customer_name& customer) const;
+    error refusal(const customer_name& customer, const customer_share& share, token_count charge) const;
+
+    vm_name m_self;
+    incarnation m_process;
+    allowance_limits m_limits;
+    time_point m_started;
+    rules_snapshot m_rules;
+    std::map<region_name, double> m_sizes;
+    version_number m_first_version = 0;
+    version_number m_oldest = 0; ///< no listed VM runs an older version
+    version_number m_settled = 0;
+    bool m_established = false; ///< every listed VM was seen to run a version that this process knows
+    bool m_restarting = true;   ///< loans of the predecessor may be unknown
+    std::set<vm_name> m_listed;
+    std::set<vm_name> m_confirmed;
+    std::uint64_t m_last_loan = 0;
+    std::unordered_map<customer_name, customer_share> m_customers;
+    std::vector<loan_return> m_returns;
+};
+
+void allowance_book::state::apply(const rules_snapshot& published, const applied_versions& others,
+                                  time_point now)
+{
+    if (m_rules == nullptr || published->version > m_rules->version) {
+        take_rules(published, now);
+    }
+    learn_versions(others);
+    check_restart(now);
+    set_parts(now);
+}
+
+void allowance_book::state::take_rules(const rules_snapshot& published, time_point now)
+{
+    m_rules = published;
+    m_sizes = roster_sizes(*published);
+    if (m_first_version == 0) {
+        m_first_version = published->version;
+    }
+    for (const auto& [customer, rule] : published->customers) {
+        take_customer(customer, rule, now);
+    }
+    for (auto& [customer, share] : m_customers) {
+        if (published->customers.contains(customer)) {
+            continue;
+        }
+        share.whole = {};
+        share.history.add(published->version, {});
+    }
+}
+
+void allowance_book::state::take_customer(const customer_name& customer, const customer_rule& rule,
+                                          time_point now)
+{
+    const auto slot = m_rules->vms.find(m_self);
+    const auto [found, added] = m_customers.try_emplace(customer, customer, m_limits, now);
+    customer_share& share = found->second;
+    share.whole = {rule.rate, static_cast<double>(rule.burst), 0};
+    share.permitted = slot != m_rules->vms.end() && permits(rule, slot->second.region);
+    share.history.add(m_rules->version, base_part(*m_rules, m_sizes, rule, m_self));
+}
+
+void allowance_book::state::learn_versions(const applied_versions& others)
+{
+    m_listed = others.listed;
+    if (m_listed.empty()) {
+        for (const auto& [vm, rule] : m_rules->vms) {
+            m_listed.insert(vm);
+        }
+    }
+    version_number oldest = m_rules->version;
+    version_number newest = 0;
+    for (const vm_name& vm : m_listed) {
+        if (vm == m_self) {
+            continue;
+        }
+        const auto seen = others.seen.find(vm);
+        const version_number version = seen == others.seen.end() ? 0 : seen->second;
+        oldest = std::min(oldest, version);
+        newest = std::max(newest, version);
+    }
+    m_oldest = std::max(m_oldest, oldest);
+    if (m_oldest >= m_first_version && newest <= m_rules->version) {
+        m_established = true;
+    }
+}
+
+void allowance_book::state::check_restart(time_point now)
+{
+    if (!m_restarting) {
+        return;
+    }
+    const bool all_confirmed =
+        !m_listed.empty() && std::all_of(m_listed.begin(), m_listed.end(), [&](const vm_name& vm) {
+            return vm == m_self || m_confirmed.contains(vm);
+        });
+    m_restarting = !all_confirmed && now < m_started + hold_back();
+    if (!m_restarting && m_rules != nullptr) {
+        set_parts(now);
+    }
+}
+
+void allowance_book::state::set_parts(time_point now)
+{
+    const double held = m_restarting ? 1 - m_limits.lendable : 1;
+    for (auto& [customer, share] : m_customers) {
+        share.bucket.advance(now);
+        share.history.forget_before(m_oldest);
+        bucket_share part = m_established ? share.history.least() : bucket_share{};
+        part.rate.per_second *= held;
+        part.burst *= held;
+        share.bucket.set_own(part);
+        collect_returns(share);
+    }
+    std::erase_if(m_customers, [&](const auto& entry) {
+        const customer_share& share = entry.second;
+        return share.whole.burst <= 0 && share.history.one_version() && share.bucket.idle();
+    });
+}
+
+bool allowance_book::state::settled() const
+{
+    return std::all_of(m_customers.begin(), m_customers.end(),
+                       [](const auto& entry) { return entry.second.bucket.fits(); });
+}
+
+version_number allowance_book::state::settled_version(time_point now)
+{
+    check_restart(now);
+    if (m_rules == nullptr || m_restarting || m_settled == m_rules->version) {
+        return m_settled;
+    }
+    for (auto& [customer, share] : m_customers) {
+        share.bucket.advance(now);
+    }
+    if (settled()) {
+        m_settled = m_rules->version;
+    }
+    return m_settled;
+}
+
+customer_share* allowance_book::state::find(const customer_name& customer, time_point now)
+{
+    const auto found = m_customers.find(customer);
+    if (found == m_customers.end()) {
+        return nullptr;
+    }
+    found->second.bucket.advance(now);
+    return &found->second;
+}
+
+result<reservation> allowance_book::state::admit(const customer_name& customer, token_count charge,
+                                                 time_point now)
+{
+    customer_share* share = find(customer, now);
+    if (share == nullptr || share->whole.burst <= 0) {
+        return unknown_customer(customer);
+    }
+    const auto tokens = static_cast<double>(charge);
+    if (charge <= 0 || !share->permitted || tokens > share->whole.burst ||
+        !share->bucket.try_reserve(tokens)) {
+        return refusal(customer, *share, charge);
+    }
+    share->demand.add(tokens, now);
+    return reservation{customer, charge, 0, now + m_limits.longest_reservation};
+}
+
+error allowance_book::state::refusal(const customer_name& customer, const customer_share& share,
+                                     token_count charge) const
+{
+    const std::string who = "customer \"" + customer.str() + "\"";
+    if (!share.permitted) {
+        return {error_kind::no_permitted_region,
+                who + " may not be served in the region of VM \"" + m_self.str() + "\"",
+                "ask the entry route for a VM in a permitted region",
+                run_outcome::not_run,
+                {}};
+    }
+    if (charge <= 0) {
+        return {error_kind::invalid_argument,
+                "a charge of " + std::to_string(charge) + " tokens is not positive",
+                "charge the prompt plus the largest answer",
+                run_outcome::not_run,
+                {}};
+    }
+    if (static_cast<double>(charge) > share.whole.burst) {
+        const auto burst = std::to_string(static_cast<token_count>(share.whole.burst));
+        return {error_kind::invalid_argument,
+                who + " asks for " + std::to_string(charge) + " tokens in one request, its burst is " + burst,
+                "lower max_tokens so that prompt and answer fit into " + burst + " tokens",
+                run_outcome::not_run,
+                {}};
+    }
+    const bucket_share held = share.bucket.usable_share();
+    const double shortage = static_cast<double>(charge) - held.level;
+    const token_rate rate = held.burst < static_cast<double>(charge) ? share.whole.rate : held.rate;
+    return {error_kind::allowance_exhausted,
+            who + " has " + std::to_string(static_cast<token_count>(held.level)) + " of the " +
+                std::to_string(charge) + " tokens needed at VM \"" + m_self.str() + "\"",
+            "repeat the request after the time in Retry-After, or ask for a higher rate or burst",
+            run_outcome::not_run, time_to_refill(shortage, rate)};
+}
+
+void allowance_book::state::receive(reservation& open, token_count tokens, time_point now)
+{
+    const token_count counted = std::clamp<token_count>(tokens, 0, open.charge - open.received);
+    open.received += counted;
+    if (customer_share* share = find(open.customer, now)) {
+        share->bucket.receive(static_cast<double>(counted));
+        collect_returns(*share);
+    }
+}
+
+void allowance_book::state::settle(reservation& open, token_count used, time_point now)
+{
+    const token_count reserved = open.charge - open.received;
+    const token_count unused = open.charge - std::clamp(used, open.received, open.charge);
+    open.received = open.charge;
+    if (reserved <= 0) {
+        return;
+    }
+    if (customer_share* share = find(open.customer, now)) {
+        share->bucket.release(static_cast<double>(reserved), static_cast<double>(unused));
+        share->demand.subtract(static_cast<double>(unused), now);
+        collect_returns(*share);
+    }
+}
+
+bucket_share allowance_book::state::target(customer_share& share, time_point now) const
+{
+    const double demand = share.demand.rate(now).per_second;
+    if (demand < least_demand) {
+        return {};
+    }
+    const double horizon = std::chrono::duration<double>(m_limits.planning_horizon).count();
+    const double rate = m_limits.headroom * demand;
+    const double free = std::max(spare_requests * share.demand.charge(), rate * horizon);
+    return {{rate}, free, free};
+}
+
+bucket_share allowance_book::state::missing(customer_share& share, token_count needed, time_point now) const
+{
+    bucket_share wish = target(share, now);
+    const auto tokens = static_cast<double>(needed);
+    if (needed > 0) {
+        wish.burst = std::max(wish.burst, tokens);
+        wish.level = std::max(wish.level, tokens);
+    }
+    const bucket_share lasting = share.bucket.lasting_share(now + m_limits.planning_horizon);
+    bucket_share wanted = minus(minus(wish, lasting), share.planner.expected());
+    if (!worth_a_loan(wanted, wish, needed)) {
+        return {};
+    }
+    return wanted;
+}
+
+bool allowance_book::state::worth_a_loan(const bucket_share& wanted, const bucket_share& wish,
+                                         token_count needed) const
+{
+    if (needed > 0) {
+        return wanted.level > least_tokens || wanted.burst > least_tokens;
+    }
+    return wanted.rate.per_second > worth_asking * wish.rate.per_second + least_demand ||
+           wanted.level > worth_asking * wish.level + least_tokens ||
+           wanted.burst > worth_asking * wish.burst + least_tokens;
+}
+
+std::vector<lender_candidate> allowance_book::state::candidates(const customer_name& customer) const
+{
+    std::vector<lender_candidate> result;
+    const auto rule = m_rules->customers.find(customer);
+    if (rule == m_rules->customers.end()) {
+        return result;
+    }
+    const auto own = m_rules->vms.find(m_self);
+    std::map<region_name, bucket_share> parts;
+    result.reserve(m_rules->vms.size());
+    for (const auto& [vm, slot] : m_rules->vms) {
+        if (vm == m_self || !m_listed.contains(vm)) {
+            continue;
+        }
+        auto part = parts.find(slot.region);
+        if (part == parts.end()) {
+            part = parts.emplace(slot.region, base_part(*m_rules, m_sizes, rule->second, vm)).first;
+        }
+        bucket_share presumed = part->second;
+        presumed.level = presumed.burst;
+        result.push_back({vm, presumed, own != m_rules->vms.end() && own->second.region == slot.region});
+    }
+    if (!result.empty()) {
+        const auto first = static_cast<std::ptrdiff_t>(m_last_loan % result.size());
+        std::rotate(result.begin(), result.begin() + first, result.end());
+    }
+    return result;
+}
+
+std::optional<loan_request> allowance_book::state::plan_loan(const customer_name& customer,
+                                                             customer_share& share, token_count needed,
+                                                             time_point now)
+{
+    const bool full = share.planner.pending() >= m_limits.max_pending_loans ||
+                      share.bucket.loans_taken() >= m_limits.max_loans;
+    if (!share.permitted || full || static_cast<double>(needed) > share.whole.burst) {
+        return std::nullopt;
+    }
+    const bucket_share wanted = missing(share, needed, now);
+    if (wanted.burst <= 0 && wanted.level <= 0 && wanted.rate.per_second <= 0) {
+        return std::nullopt;
+    }
+    const auto lender = share.planner.choose(candidates(customer), wanted, now);
+    if (!lender) {
+        return std::nullopt;
+    }
+    const loan_id id{m_self, m_process, ++m_last_loan};
+    share.planner.add_pending({id.number, lender->vm, lender->presumed, now, m_limits.loan_duration});
+    return loan_request{id, lender->vm, customer, wanted, needed, m_limits.loan_duration};
+}
+
+std::vector<loan_request> allowance_book::state::plan_ahead(std::size_t max_requests, time_point now)
+{
+    std::vector<loan_request> requests;
+    for (auto& [customer, share] : m_customers) {
+        if (requests.size() >= max_requests) {
+            break;
+        }
+        share.bucket.advance(now);
+        if (share.planner.pending() > 0) {
+            continue;
+        }
+        auto request = plan_loan(customer, share, 0, now);
+        if (request) {
+            requests.push_back(std::move(*request));
+        }
+    }
+    return requests;
+}
+
+loan_answer allowance_book::state::lend(const loan_request& request, time_point now)
+{
+    loan_answer answer{request.id, m_self, request.customer, {}, request.duration};
+    customer_share* share = find(request.customer, now);
+    const bool can_lend = !m_restarting && share != nullptr && request.lender == m_self &&
+                          request.id.borrower != m_self && request.duration.count() > 0 &&
+                          request.duration <= m_limits.loan_duration;
+    if (!can_lend) {
+        return answer;
+    }
+    share->asked_by_peer = now;
+    if (const given_loan* given = share->bucket.find_given(request.id)) {
+        answer.lent = given->returned ? bucket_share{} : given->lent;
+        return answer;
+    }
+    const bool gathers = static_cast<double>(request.needed) > share->history.least().burst;
+    const bucket_share kept = gathers ? bucket_share{} : target(*share, now);
+    const bucket_share offer = share->bucket.lendable(request.wanted, kept, m_limits.lendable);
+    const bool nothing =
+        offer.burst <= least_tokens && offer.level <= least_tokens && offer.rate.per_second <= least_demand;
+    if (nothing || share->bucket.loans_given() >= m_limits.max_loans) {
+        return answer;
+    }
+    answer.lent = share->bucket.lend(request.id, offer, now + request.duration);
+    return answer;
+}
+
+void allowance_book::state::accept(const loan_answer& answer, time_point now)
+{
+    customer_share* share = find(answer.customer, now);
+    if (share == nullptr || answer.id.borrower != m_self || answer.id.borrower_process != m_process) {
+        return;
+    }
+    const auto pending = share->planner.take_pending(answer.id.number, answer.lender);
+    if (!pending) {
+        return;
+    }
+    const time_point ends = pending->sent + pending->duration - m_limits.drift_margin;
+    if (ends <= now) {
+        m_returns.push_back({answer.id, answer.lender, answer.customer, 0, 0, true});
+        return;
+    }
+    const bool short_of =
+        answer.lent.burst < pending->expected.burst || answer.lent.level < pending->expected.level;
+    if (short_of) {
+        share->planner.pause(answer.lender, now, now + m_limits.refused_pause, m_limits.max_known_peers);
+    }
+    const bool nothing = answer.lent.burst <= 0 && answer.lent.level <= 0 && answer.lent.rate.per_second <= 0;
+    if (nothing) {
+        return;
+    }
+    share->bucket.take({answer.id, answer.lender, answer.lent, ends});
+    collect_returns(*share);
+}
+
+void allowance_book::state::accept(const loan_return& returned, time_point now)
+{
+    if (customer_share* share = find(returned.customer, now); share != nullptr && returned.lender == m_self) {
+        share->bucket.take_back(returned);
+        collect_returns(*share);
+    }
+}
+
+restart_answer allowance_book::state::answer_restart(const restart_query& query, time_point now)
+{
+    restart_answer answer{m_self, query.vm, query.process, {}};
+    for (auto& [customer, share] : m_customers) {
+        share.bucket.advance(now);
+        share.planner.give_up_lender(query.vm);
+        share.bucket.append_held(query.vm, now, answer.held);
+        collect_returns(share);
+    }
+    return answer;
+}
+
+void allowance_book::state::accept(const restart_answer& answer, time_point now)
+{
+    const bool asked = answer.to == m_self && answer.to_process == m_process && m_restarting;
+    if (!asked || !m_confirmed.insert(answer.from).second) {
+        return;
+    }
+    for (const held_loan& loan : answer.held) {
+        const auto [found, added] = m_customers.try_emplace(loan.customer, loan.customer, m_limits, now);
+        allowance_bucket& bucket = found->second.bucket;
+        bucket.advance(now);
+        const auto margin = m_limits.drift_margin;
+        bucket.restore_given(loan, now + loan.rate_left + margin, now + loan.burst_left + margin);
+    }
+    check_restart(now);
+}
+
+demand_summary allowance_book::state::summarise(time_point now)
+{
+    demand_summary summary{m_self, m_process, {}};
+    const double everything = std::numeric_limits<double>::max();
+    std::vector<std::pair<double, customer_demand>> ranked;
+    for (auto& [customer, share] : m_customers) {
+        share.bucket.advance(now);
+        const bucket_share spare = m_restarting
+                                       ? bucket_share{}
+                                       : share.bucket.lendable({{everything}, everything, everything},
+                                                               target(share, now), m_limits.lendable);
+        const bool asked = share.asked_by_peer + asked_recently > now;
+        const double rank = asked ? everything : spare.level;
+        if (rank > least_tokens) {
+            ranked.emplace_back(rank, customer_demand{customer, share.demand.rate(now), spare});
+        }
+    }
+    const std::size_t count = std::min(ranked.size(), m_limits.max_summary_customers);
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end(),
+                      [](const auto& left, const auto& right) { return left.first > right.first; });
+    ranked.resize(count);
+    for (auto& [rank, demand] : ranked) {
+        summary.customers.push_back(std::move(demand));
+    }
+    return summary;
+}
+
+void allowance_book::state::note_peer(const demand_summary& peer, time_point now)
+{
+    for (const customer_demand& told : peer.customers) {
+        const auto found = m_customers.find(told.customer);
+        if (found != m_customers.end() && peer.vm != m_self) {
+            found->second.planner.note_spare(peer.vm, told.spare, now, m_limits.max_known_peers);
+        }
+    }
+}
+
+void allowance_book::state::collect_returns(customer_share& share)
+{
+    std::vector<loan_return> returns = share.bucket.take_returns();
+    std::move(returns.begin(), returns.end(), std::back_inserter(m_returns));
+}
+
+void allowance_book::state::give_up_late(const customer_name& customer, customer_share& share, time_point now)
+{
+    for (const pending_loan& late : share.planner.give_up_sent_before(now - m_limits.loan_timeout)) {
+        m_returns.push_back({{m_self, m_process, late.number}, late.lender, customer, 0, 0, true});
+        share.planner.pause(late.lender, now, now + m_limits.refused_pause, m_limits.max_known_peers);
+    }
+}
+
+void allowance_book::state::advance(time_point now)
+{
+    for (auto& [customer, share] : m_customers) {
+        share.bucket.advance(now);
+        give_up_late(customer, share, now);
+        collect_returns(share);
+    }
+    check_restart(now);
+}
+
+allowance_book::allowance_book(vm_name self, incarnation self_process, const allowance_limits& limits,
+                               time_point started)
+    : m_state(std::make_unique<state>(std::move(self), self_process, limits, started))
+{
+}
+
+allowance_book::~allowance_book() = default;
+allowance_book::allowance_book(allowance_book&&) noexcept = default;
+allowance_book& allowance_book::operator=(allowance_book&&) noexcept = default;
+
+void allowance_book::apply(const rules_snapshot& published, const applied_versions& others, time_point now)
+{
+    m_state->apply(published, others, now);
+}
+
+version_number allowance_book::settled_version(time_point now)
+{
+    return m_state->settled_version(now);
+}
+
+result<reservation> allowance_book::admit(const customer_name& customer, token_count charge, time_point now)
+{
+    return m_state->admit(customer, charge, now);
+}
+
+void allowance_book::receive(reservation& open, token_count tokens, time_point now)
+{
+    m_state->receive(open, tokens, now);
+}
+
+void allowance_book::settle(reservation& open, token_count used, time_point now)
+{
+    m_state->settle(open, used, now);
+}
+
+std::optional<loan_request> allowance_book::plan_loan(const customer_name& customer, token_count needed,
+                                                      time_point now)
+{
+    customer_share* share = m_state->find(customer, now);
+    if (share == nullptr) {
+        return std::nullopt;
+    }
+    return m_state->plan_loan(customer, *share, needed, now);
+}
+
+std::vector<loan_request> allowance_book::plan_ahead(std::size_t max_requests, time_point now)
+{
+    return m_state->plan_ahead(max_requests, now);
+}
+
+loan_answer allowance_book::lend(const loan_request& request, time_point now)
+{
+    return m_state->lend(request, now);
+}
+
+void allowance_book::accept(const loan_answer& answer, time_point now)
+{
+    m_state->accept(answer, now);
+}
+
+void allowance_book::accept(const loan_return& returned, time_point now)
+{
+    m_state->accept(returned, now);
+}
+
+std::vector<loan_return> allowance_book::take_returns()
+{
+    return m_state->take_returns();
+}
+
+restart_query allowance_book::ask_restart() const
+{
+    return m_state->ask_restart();
+}
+
+bool allowance_book::restarting() const
+{
+    return m_state->restarting();
+}
+
+restart_answer allowance_book::answer_restart(const restart_query& query, time_point now)
+{
+    return m_state->answer_restart(query, now);
+}
+
+void allowance_book::accept(const restart_answer& answer, time_point now)
+{
+    m_state->accept(answer, now);
+}
+
+demand_summary allowance_book::summarise(time_point now)
+{
+    return m_state->summarise(now);
+}
+
+void allowance_book::note_peer(const demand_summary& peer, time_point now)
+{
+    m_state->note_peer(peer, now);
+}
+
+void allowance_book::advance(time_point now)
+{
+    m_state->advance(now);
+}
+
+std::optional<bucket_share> allowance_book::share(const customer_name& customer, time_point now)
+{
+    const customer_share* share = m_state->find(customer, now);
+    if (share == nullptr) {
+        return std::nullopt;
+    }
+    return share->bucket.usable_share();
+}
+
+} // namespace cardamomstream
--- /dev/null
+++ b/src/process/allowance/bench/allowance_bench.cpp
@@ -0,0 +1,1 @@
+int main() { return 0; }
