--- a/include/cardamomstream/process/allowance_book.h
+++ b/include/cardamomstream/process/allowance_book.h
@@ -55,6 +55,9 @@
     /// The version into whose parts this VM fits; what the membership tells others. Zero: none yet.
     version_number settled_version(time_point now);
 
+    /// Versions that give every VM the same parts as the last one; what the membership tells others.
+    stable_versions stable() const;
+
     /// Reserves `charge` tokens (prompt and largest answer).
     /// Errors, all "not run": not_found (no such customer), no_permitted_region (this VM's region is outside
     /// the customer's residency), invalid_argument (charge not positive, or above the customer's whole burst,
--- a/include/cardamomstream/process/allowance_part.h
+++ b/include/cardamomstream/process/allowance_part.h
@@ -19,4 +19,7 @@
 bucket_share base_part(const rules& published, const std::map<region_name, double>& sizes,
                        const customer_rule& customer, const vm_name& vm);
 
+/// Whether every VM has the same part of every customer's bucket in both.
+bool same_parts(const rules& left, const rules& right);
+
 } // namespace cardamomstream
--- a/include/cardamomstream/process/allowance_types.h
+++ b/include/cardamomstream/process/allowance_types.h
@@ -92,7 +92,8 @@
 };
 
 /// A process that starts asks every other VM which loans of its predecessors it still holds. Whoever answers
-/// gives up the loans that it has asked of `vm` and not yet received, so a predecessor's late answer is ignored.
+/// gives up the loans that it has asked of `vm` and not yet received, so a predecessor's late answer is
+/// ignored.
 struct restart_query {
     vm_name vm;
     incarnation process;
@@ -130,12 +131,21 @@
     std::vector<customer_demand> customers;
 };
 
+/// Versions between which (both included) no part of any customer's allowance changed.
+struct stable_versions {
+    version_number since = 0;
+    version_number until = 0;
+};
+
 /// What is known of the versions in force elsewhere. Built by the membership.
 struct applied_versions {
     /// Highest `allowance_book::settled_version` heard of each VM, directly or through others.
     std::map<vm_name, version_number> seen;
     /// VMs on the platform's list, or off it for less than its lag. While no list is known: the roster.
     std::set<vm_name> listed;
+    /// `allowance_book::stable` of some peers: spares a process that starts from waiting for versions that
+    /// differ only in other rules.
+    std::vector<stable_versions> stable;
 };
 
 /// Right of one request to pass tokens on to its customer. The host gives it to `settle` once.
--- a/src/process/allowance/allowance_book.cpp
+++ b/src/process/allowance/allowance_book.cpp
@@ -86,6 +86,7 @@
     customer_share* find(const customer_name& customer, time_point now);
     restart_query ask_restart() const { return {m_self, m_process}; }
     bool restarting() const { return m_restarting; }
+    stable_versions stable() const { return m_stable; }
     std::vector<loan_return> take_returns() { return std::exchange(m_returns, {}); }
 
 private:
@@ -113,8 +114,9 @@
     time_point m_started;
     rules_snapshot m_rules;
     std::map<region_name, double> m_sizes;
-    version_number m_first_version = 0;
-    version_number m_oldest = 0; ///< no listed VM runs an older version
+    stable_versions m_stable;           ///< versions with the parts of the last one
+    version_number m_first_version = 0; ///< oldest version whose parts this process knows
+    version_number m_oldest = 0;        ///< no listed VM runs an older version
     version_number m_settled = 0;
     bool m_established = false; ///< every listed VM was seen to run a version that this process knows
     bool m_restarting = true;   ///< loans of the predecessor may be unknown
@@ -129,6 +131,7 @@
                                   time_point now)
 {
     if (m_rules == nullptr || published->version > m_rules->version) {
+        settled_version(now);
         take_rules(published, now);
     }
     learn_versions(others);
@@ -138,6 +141,9 @@
 
 void allowance_book::state::take_rules(const rules_snapshot& published, time_point now)
 {
+    const bool unchanged = m_rules != nullptr && same_parts(*m_rules, *published);
+    m_stable.since = unchanged ? m_stable.since : published->version;
+    m_stable.until = published->version;
     m_rules = published;
     m_sizes = roster_sizes(*published);
     if (m_first_version == 0) {
@@ -174,6 +180,14 @@
             m_listed.insert(vm);
         }
     }
+    for (const stable_versions& told : others.stable) {
+        if (told.since < m_stable.since && m_stable.since <= told.until) {
+            m_stable.since = told.since;
+        }
+    }
+    if (m_stable.since < m_first_version && m_first_version <= m_stable.until) {
+        m_first_version = m_stable.since;
+    }
     version_number oldest = m_rules->version;
     version_number newest = 0;
     for (const vm_name& vm : m_listed) {
@@ -608,6 +622,11 @@
     m_state->apply(published, others, now);
 }
 
+stable_versions allowance_book::stable() const
+{
+    return m_state->stable();
+}
+
 version_number allowance_book::settled_version(time_point now)
 {
     return m_state->settled_version(now);
--- a/src/process/allowance/allowance_part.cpp
+++ b/src/process/allowance/allowance_part.cpp
@@ -1,5 +1,7 @@
 #include "cardamomstream/process/allowance_part.h"
 
+#include <algorithm>
+
 namespace cardamomstream {
 
 namespace {
@@ -31,6 +33,20 @@
     return 1 / static_cast<double>(permitted);
 }
 
+bool same_slot(const std::pair<const vm_name, vm_rule>& left, const std::pair<const vm_name, vm_rule>& right)
+{
+    return left.first == right.first && left.second.region == right.second.region;
+}
+
+bool same_allowance(const std::pair<const customer_name, customer_rule>& left,
+                    const std::pair<const customer_name, customer_rule>& right)
+{
+    const customer_rule& one = left.second;
+    const customer_rule& other = right.second;
+    return left.first == right.first && one.rate == other.rate && one.burst == other.burst &&
+           one.regions == other.regions && one.demand_shares == other.demand_shares;
+}
+
 } // namespace
 
 std::map<region_name, double> roster_sizes(const rules& published)
@@ -59,4 +75,11 @@
     return {{customer.rate.per_second * fraction}, static_cast<double>(customer.burst) * fraction, 0};
 }
 
+bool same_parts(const rules& left, const rules& right)
+{
+    return std::equal(left.vms.begin(), left.vms.end(), right.vms.begin(), right.vms.end(), same_slot) &&
+           std::equal(left.customers.begin(), left.customers.end(), right.customers.begin(),
+                      right.customers.end(), same_allowance);
+}
+
 } // namespace cardamomstream
--- a/src/process/allowance/tests/allowance_book_test.cpp
+++ b/src/process/allowance/tests/allowance_book_test.cpp
@@ -1,1 +1,448 @@
+#include "virtual_fleet.h"
+
+#include <array>
+#include <string>
+
 #include <catch2/catch.hpp>
+
+using namespace cardamomstream;
+using namespace cardamomstream::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+const customer_name filing{"filing"};
+const time_point start{1000s};
+constexpr token_rate whole_rate{400};
+constexpr token_count whole_burst = 1200;
+
+allowance_limits short_limits()
+{
+    allowance_limits limits;
+    limits.loan_duration = 2s;
+    limits.longest_reservation = 6s;
+    limits.drift_margin = 100ms;
+    limits.loan_timeout = 500ms;
+    return limits;
+}
+
+rules_snapshot roster(version_number version, const std::vector<std::string>& vms)
+{
+    auto published = std::make_shared<rules>();
+    published->version = version;
+    for (const std::string& vm : vms) {
+        published->vms[vm_name{vm}].region = region_name{vm.substr(0, 1)};
+    }
+    published->customers[filing].rate = whole_rate;
+    published->customers[filing].burst = whole_burst;
+    return published;
+}
+
+applied_versions seen(const std::vector<std::pair<std::string, version_number>>& versions)
+{
+    applied_versions others;
+    for (const auto& [vm, version] : versions) {
+        others.seen[vm_name{vm}] = version;
+        others.listed.insert(vm_name{vm});
+    }
+    return others;
+}
+
+/// A VM of {a1, a2} after a calm start, at level zero.
+allowance_book calm_book(const std::string& self, std::uint64_t process = 1)
+{
+    allowance_book book{vm_name{self}, incarnation{process}, short_limits(), start};
+    book.apply(roster(1, {"a1", "a2"}), seen({{"a1", 1}, {"a2", 1}}), start);
+    const std::string other = self == "a1" ? "a2" : "a1";
+    book.accept(restart_answer{vm_name{other}, vm_name{self}, incarnation{process}, {}}, start);
+    return book;
+}
+
+double level(allowance_book& book, time_point now)
+{
+    return book.share(filing, now)->level;
+}
+
+double burst(allowance_book& book, time_point now)
+{
+    return book.share(filing, now)->burst;
+}
+
+/// Bucket that refills to the brim while reservations are open.
+struct naive_bucket {
+    double level = 0;
+    void refill(double seconds) { level = std::min(1200.0, level + 400 * seconds); }
+    bool reserve(double tokens) { return level >= tokens && (level -= tokens, true); }
+};
+
+} // namespace
+
+TEST_CASE("a late answer and a refilled level never arrive together")
+{
+    SECTION("a bucket that refills to the brim gives twice the burst at one instant")
+    {
+        naive_bucket bucket{1200};
+        REQUIRE(bucket.reserve(1200));
+        bucket.refill(3);
+        CHECK(bucket.reserve(1200));
+    }
+    SECTION("the part refills only beside its open reservations")
+    {
+        allowance_book book = calm_book("a1");
+        auto first = book.admit(filing, 600, start + 3s);
+        REQUIRE(first);
+        CHECK_FALSE(book.admit(filing, 1, start + 6s));
+        book.settle(first.value(), 600, start + 6s);
+        CHECK_FALSE(book.admit(filing, 1, start + 6s));
+        CHECK(book.admit(filing, 600, start + 9s));
+    }
+    SECTION("tokens passed on while the answer runs make room")
+    {
+        allowance_book book = calm_book("a1");
+        auto first = book.admit(filing, 600, start + 3s);
+        REQUIRE(first);
+        book.receive(first.value(), 400, start + 4s);
+        CHECK(level(book, start + 5s) == Approx(200));
+        book.settle(first.value(), 500, start + 5s);
+        CHECK(level(book, start + 5s) == Approx(300));
+        book.settle(first.value(), 500, start + 5s);
+        CHECK(level(book, start + 5s) == Approx(300));
+    }
+}
+
+TEST_CASE("a refusal says what helps")
+{
+    allowance_book book = calm_book("a1");
+
+    SECTION("waiting for the refill")
+    {
+        const auto refused = book.admit(filing, 100, start + 100ms);
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().kind == error_kind::allowance_exhausted);
+        CHECK(refused.error().outcome == run_outcome::not_run);
+        CHECK(refused.error().retry_after == 400ms);
+        CHECK(book.admit(filing, 100, start + 500ms));
+    }
+    SECTION("a smaller answer when the whole burst is too small")
+    {
+        const auto refused = book.admit(filing, 1201, start + 1h);
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().kind == error_kind::invalid_argument);
+        CHECK(refused.error().remedy.find("lower max_tokens") != std::string::npos);
+        CHECK_FALSE(refused.error().retry_after);
+        CHECK_FALSE(book.plan_loan(filing, 1201, start + 1h));
+    }
+    SECTION("a rule when the customer is unknown")
+    {
+        CHECK(book.admit(customer_name{"nobody"}, 1, start).error().kind == error_kind::not_found);
+        CHECK(book.admit(filing, 0, start).error().kind == error_kind::invalid_argument);
+    }
+    SECTION("another VM when residency excludes this region")
+    {
+        auto published = std::make_shared<rules>(*roster(2, {"a1", "a2", "b1"}));
+        published->customers[filing].regions = {region_name{"b"}};
+        book.apply(published, seen({{"a1", 2}, {"a2", 2}, {"b1", 2}}), start);
+        CHECK(book.admit(filing, 1, start + 1h).error().kind == error_kind::no_permitted_region);
+    }
+}
+
+TEST_CASE("a loan never counts twice")
+{
+    allowance_book lender = calm_book("a1");
+    allowance_book borrower = calm_book("a2");
+    const time_point full = start + 10s;
+    auto own = borrower.admit(filing, 600, full);
+    REQUIRE(own);
+    borrower.settle(own.value(), 600, full);
+    const auto request = borrower.plan_loan(filing, 500, full);
+    REQUIRE(request);
+    const loan_answer answer = lender.lend(*request, full);
+
+    SECTION("the lender has lost it before it answers")
+    {
+        CHECK(answer.lent.level >= 500);
+        CHECK(level(lender, full) == Approx(600 - answer.lent.level));
+        CHECK(burst(lender, full) == Approx(600 - answer.lent.burst));
+    }
+    SECTION("a doubled request gets the same answer and takes nothing more")
+    {
+        const double before = level(lender, full);
+        CHECK(lender.lend(*request, full).lent.level == answer.lent.level);
+        CHECK(level(lender, full) == before);
+    }
+    SECTION("a doubled answer is used once")
+    {
+        borrower.accept(answer, full);
+        const double once = level(borrower, full);
+        borrower.accept(answer, full);
+        CHECK(level(borrower, full) == once);
+    }
+    SECTION("an answer that comes after the time limit is returned unused")
+    {
+        borrower.advance(full + 501ms);
+        borrower.accept(answer, full + 502ms);
+        CHECK(burst(borrower, full + 502ms) == Approx(600));
+        for (const loan_return& returned : borrower.take_returns()) {
+            lender.accept(returned, full + 502ms);
+            lender.accept(returned, full + 502ms);
+        }
+        CHECK(burst(lender, full + 502ms) == Approx(600));
+    }
+    SECTION("a return that overtakes its request makes the request lend nothing")
+    {
+        loan_request late = *request;
+        late.id.number += 100;
+        lender.accept(loan_return{late.id, vm_name{"a1"}, filing, 0, 0, true}, full);
+        CHECK(lender.lend(late, full).lent.level == 0);
+    }
+    SECTION("the level of a loan that ended by itself does not come back")
+    {
+        const double before = level(lender, full);
+        const double rate = lender.share(filing, full)->rate.per_second;
+        CHECK(level(lender, full + 2s) == Approx(std::min(before + rate * 2, burst(lender, full))));
+    }
+}
+
+TEST_CASE("a loan ends for its borrower before it ends for its lender")
+{
+    allowance_book lender = calm_book("a1");
+    allowance_book borrower = calm_book("a2");
+    const time_point sent = start + 10s;
+    const auto request = borrower.plan_loan(filing, 1000, sent);
+    REQUIRE(request);
+    borrower.accept(lender.lend(*request, sent + 300ms), sent + 400ms);
+    REQUIRE(burst(borrower, sent + 400ms) >= 1000);
+
+    SECTION("a process that slept past the end does not use it")
+    {
+        CHECK_FALSE(borrower.admit(filing, 1000, sent + 1900ms));
+        CHECK(burst(borrower, sent + 1900ms) == Approx(600));
+    }
+    SECTION("burst under an answer that outlives the loan stays off the lender")
+    {
+        auto open = borrower.admit(filing, 1000, sent + 1s);
+        REQUIRE(open);
+        CHECK_FALSE(borrower.admit(filing, 1, sent + 5s));
+        CHECK(burst(lender, sent + 2400ms) <= Approx(200));
+        for (const loan_return& returned : borrower.take_returns()) {
+            CHECK(returned.burst_kept == Approx(400));
+            lender.accept(returned, sent + 5s);
+        }
+        CHECK(burst(lender, sent + 5s) == Approx(200));
+        borrower.settle(open.value(), 1000, sent + 6s);
+        for (const loan_return& returned : borrower.take_returns()) {
+            lender.accept(returned, sent + 6s);
+        }
+        CHECK(burst(lender, sent + 6s) == Approx(600));
+    }
+    SECTION("without a word from the borrower it comes back after the longest answer")
+    {
+        CHECK(burst(lender, sent + 8200ms) <= Approx(200));
+        CHECK(burst(lender, sent + 8300ms) == Approx(600));
+    }
+}
+
+TEST_CASE("a restarted VM does not use what its predecessor lent")
+{
+    allowance_book predecessor = calm_book("a1", 1);
+    allowance_book borrower = calm_book("a2");
+    const time_point sent = start + 10s;
+    const auto request = borrower.plan_loan(filing, 1000, sent);
+    REQUIRE(request);
+    const loan_answer answer = predecessor.lend(*request, sent);
+    const time_point restart = sent + 100ms;
+    allowance_book successor{vm_name{"a1"}, incarnation{2}, short_limits(), restart};
+    successor.apply(roster(1, {"a1", "a2"}), seen({{"a1", 1}, {"a2", 1}}), restart);
+
+    SECTION("it holds and lends nothing while the borrower is silent for less than the longest loan")
+    {
+        CHECK(successor.restarting());
+        CHECK(burst(successor, restart) == 0);
+        CHECK(successor.settled_version(restart) == 0);
+        successor.advance(restart + 7900ms);
+        CHECK(burst(successor, restart + 7900ms) == 0);
+        CHECK(successor.lend(*request, restart + 7900ms).lent.burst == 0);
+        successor.advance(restart + 8s);
+        CHECK(burst(successor, restart + 8s) == Approx(600));
+        CHECK(level(successor, restart + 8s) == 0);
+    }
+    SECTION("it learns from the borrower what is still out")
+    {
+        borrower.accept(answer, sent + 10ms);
+        auto open = borrower.admit(filing, 1000, sent + 10ms);
+        REQUIRE(open);
+        successor.accept(borrower.answer_restart(successor.ask_restart(), restart), restart);
+        CHECK_FALSE(successor.restarting());
+        CHECK(burst(successor, restart) <= Approx(200));
+        CHECK(burst(successor, restart + 2s) + 1000 <= 1200 + 1e-6);
+        CHECK(burst(successor, restart + 9s) == Approx(600));
+    }
+    SECTION("an answer of the predecessor that arrives after the question is not used")
+    {
+        successor.accept(borrower.answer_restart(successor.ask_restart(), restart), restart);
+        borrower.accept(answer, restart + 1ms);
+        CHECK(burst(borrower, restart + 1ms) == Approx(600));
+        CHECK(burst(successor, restart + 1ms) == Approx(600));
+    }
+    SECTION("an answer to another incarnation does not count")
+    {
+        restart_answer stale = borrower.answer_restart(successor.ask_restart(), restart);
+        stale.to_process = incarnation{7};
+        successor.accept(stale, restart);
+        CHECK(successor.restarting());
+    }
+}
+
+TEST_CASE("a half delivered roster never gives the same part twice")
+{
+    allowance_book book = calm_book("a1");
+    const time_point later = start + 10s;
+
+    SECTION("the own part shrinks at once")
+    {
+        book.apply(roster(2, {"a1", "a2", "a3"}), seen({{"a1", 1}, {"a2", 1}, {"a3", 0}}), later);
+        CHECK(burst(book, later) == Approx(400));
+    }
+    SECTION("it grows when every listed VM runs the newer version")
+    {
+        book.apply(roster(2, {"a1"}), seen({{"a1", 2}, {"a2", 1}}), later);
+        CHECK(burst(book, later) == Approx(600));
+        book.apply(roster(2, {"a1"}), seen({{"a1", 2}, {"a2", 2}}), later);
+        CHECK(burst(book, later) == Approx(1200));
+    }
+    SECTION("it grows when the VM that held more is off the list")
+    {
+        book.apply(roster(2, {"a1"}), seen({{"a1", 2}}), later);
+        CHECK(burst(book, later) == Approx(1200));
+    }
+    SECTION("a VM counts as running a version only when its open answers fit into the new part")
+    {
+        auto open = book.admit(filing, 600, later);
+        REQUIRE(open);
+        book.apply(roster(2, {"a1", "a2", "a3"}), seen({{"a1", 1}, {"a2", 2}, {"a3", 2}}), later);
+        CHECK(book.settled_version(later) == 1);
+        book.settle(open.value(), 600, later + 1s);
+        CHECK(book.settled_version(later + 1s) == 2);
+    }
+    SECTION("a new VM holds nothing while another may run a version that it does not know")
+    {
+        allowance_book fresh{vm_name{"a3"}, incarnation{9}, short_limits(), later};
+        const auto published = roster(2, {"a1", "a2", "a3"});
+        fresh.apply(published, seen({{"a1", 2}, {"a2", 1}, {"a3", 0}}), later);
+        fresh.accept(book.answer_restart(fresh.ask_restart(), later), later);
+        fresh.accept(restart_answer{vm_name{"a2"}, vm_name{"a3"}, incarnation{9}, {}}, later);
+        CHECK(burst(fresh, later) == 0);
+        fresh.apply(published, seen({{"a1", 3}, {"a2", 2}, {"a3", 0}}), later);
+        CHECK(burst(fresh, later) == 0);
+        fresh.apply(published, seen({{"a1", 2}, {"a2", 2}, {"a3", 0}}), later);
+        CHECK(burst(fresh, later) == Approx(400));
+    }
+    SECTION("a new VM does not wait for versions that changed only other rules")
+    {
+        book.apply(roster(2, {"a1", "a2"}), seen({{"a1", 2}, {"a2", 1}}), later);
+        allowance_book fresh{vm_name{"a1"}, incarnation{9}, short_limits(), later};
+        applied_versions others = seen({{"a1", 2}, {"a2", 1}});
+        fresh.accept(restart_answer{vm_name{"a2"}, vm_name{"a1"}, incarnation{9}, {}}, later);
+        fresh.apply(roster(2, {"a1", "a2"}), others, later);
+        CHECK(burst(fresh, later) == 0);
+        others.stable = {book.stable()};
+        fresh.apply(roster(2, {"a1", "a2"}), others, later);
+        CHECK(burst(fresh, later) == Approx(600));
+    }
+}
+
+TEST_CASE("what a VM tells and remembers is bounded")
+{
+    auto published = std::make_shared<rules>(*roster(2, {"a1", "a2"}));
+    for (int number = 0; number < 920; ++number) {
+        published->customers[customer_name{"c" + std::to_string(number)}] = published->customers[filing];
+    }
+    allowance_book book = calm_book("a1");
+    book.apply(published, seen({{"a1", 2}, {"a2", 2}}), start);
+    CHECK(book.summarise(start + 1s).customers.size() == short_limits().max_summary_customers);
+}
+
+TEST_CASE("a request larger than one part gathers loans from several VMs")
+{
+    fleet_options options;
+    options.loans_ahead = false;
+    virtual_fleet fleet{1, short_limits(), options};
+    const std::vector<std::string> vms{"a1", "a2", "b1", "b2", "c1", "c2"};
+    fleet.meter("filing", whole_rate, whole_burst);
+    for (const std::string& vm : vms) {
+        fleet.add_vm(vm, vm.substr(0, 1));
+        fleet.deliver(vm, roster(1, vms));
+        fleet.start(vm);
+    }
+    std::optional<bool> admitted;
+    virtual_time answered{0};
+    const auto ask = [&](token_count charge) {
+        fleet_request wanted{filing, charge, charge, 10ms, 1, 1s, {}};
+        wanted.done = [&](bool value) {
+            admitted = value;
+            answered = fleet.now();
+        };
+        fleet.request("a1", wanted);
+    };
+    fleet.run_until(20s);
+
+    SECTION("the whole burst within three round trips when all are full")
+    {
+        ask(1200);
+        fleet.run_until(22s);
+        CHECK(admitted == true);
+        CHECK(answered - 20s < 500ms);
+        CHECK(fleet.meter_of("filing").received() == 1200);
+    }
+    SECTION("nothing beyond the burst")
+    {
+        ask(1201);
+        fleet.run_until(22s);
+        CHECK(admitted == false);
+    }
+}
+
+TEST_CASE("a region that is cut off goes on serving on its parts")
+{
+    virtual_fleet fleet{1, short_limits(), {}};
+    const std::vector<std::string> vms{"a1", "a2", "b1", "b2", "c1", "c2"};
+    fleet.meter("filing", whole_rate, whole_burst);
+    for (const std::string& vm : vms) {
+        fleet.add_vm(vm, vm.substr(0, 1));
+        fleet.deliver(vm, roster(1, vms));
+        fleet.start(vm);
+    }
+    fleet.run_until(10s);
+    fleet.set_group("a1", 1);
+    fleet.set_group("a2", 1);
+
+    SECTION("for longer than any loan and any answer with demand at its rate at one VM")
+    {
+        int served = 0;
+        int refused = 0;
+        for (int number = 0; number < 300; ++number) {
+            fleet.run_until(30s + 500ms * number);
+            fleet_request wanted{filing, 50, 50, 100ms, 1, 200ms, {}};
+            wanted.done = [&](bool value) { ++(value ? served : refused); };
+            fleet.request("a1", wanted);
+        }
+        fleet.run_until(200s);
+        CHECK(served == 300);
+        CHECK(refused == 0);
+    }
+    SECTION("also after one of its VMs has restarted")
+    {
+        fleet.kill("a2");
+        fleet.start("a2");
+        int served = 0;
+        fleet.run_until(40s);
+        for (int number = 0; number < 100; ++number) {
+            fleet.run_until(40s + 500ms * number);
+            fleet_request wanted{filing, 25, 25, 100ms, 1, 200ms, {}};
+            wanted.done = [&](bool value) { served += value ? 1 : 0; };
+            fleet.request("a2", wanted);
+        }
+        fleet.run_until(100s);
+        CHECK(served == 100);
+    }
+}
