--- /dev/null
+++ b/include/cardamomstream/process/line_delta.h
@@ -0,0 +1,23 @@
+/// Differences between two texts by lines. The rule file has one rule per line, so a change is small. Pure
+/// functions.
+#pragma once
+
+#include "cardamomstream/process/configuration_types.h"
+
+#include <string_view>
+
+namespace cardamomstream {
+
+/// SHA-256 of a text.
+document_digest digest_text(std::string_view text);
+
+/// Edits that turn `old_text` into `new_text`, ascending and not overlapping.
+std::vector<line_edit> diff_lines(std::string_view old_text, std::string_view new_text);
+
+/// Applies edits. Error `invalid_argument` for edits that overlap or reach past the end.
+result<std::string> apply_edits(std::string_view old_text, const std::vector<line_edit>& edits);
+
+/// Bytes of the added lines and a fixed part per edit.
+std::size_t delta_bytes(const version_delta& value);
+
+} // namespace cardamomstream
