Give requests their upstream behind one lock: routing, fair queue and adaptive limits

Cause: router, queue and limits must agree on one view over all traffic threads; a router a thread would each see part of the requests in flight.

--- a/include/cardamomstream/connection/peer_client.h
+++ b/include/cardamomstream/connection/peer_client.h
@@ -30,8 +30,8 @@
     endpoint address;
 };
 
-/// The answer to a forwarded request, read piece by piece. Destroying it before the end cancels the request at
-/// the other VM.
+/// The answer to a forwarded request, read piece by piece. Destroying it before the end cancels the request
+/// at the other VM.
 class forward_stream {
 public:
     virtual ~forward_stream() = default;
@@ -40,8 +40,8 @@
     forward_stream(forward_stream&&) = delete;
     forward_stream& operator=(forward_stream&&) = delete;
 
-    /// The next piece; blocks the calling fiber. Errors: peer_unavailable (unknown outcome: the request may have
-    /// arrived), cancelled. After `forward_end` or an error there is nothing more.
+    /// The next piece; blocks the calling fiber. Errors: peer_unavailable (unknown outcome: the request may
+    /// have arrived), cancelled. After `forward_end` or an error there is nothing more.
     virtual result<forward_reply> next() = 0;
 
 protected:
@@ -60,16 +60,24 @@
     peer_client(peer_client&&) = delete;
     peer_client& operator=(peer_client&&) = delete;
 
-    result<exchange_reply> exchange(const peer_address& to, const exchange_request& request, std::chrono::milliseconds limit);
-    result<read_configuration_reply> read_configuration(const peer_address& to, const std::optional<version_id>& held, std::chrono::milliseconds limit);
-    result<loan_answer> borrow(const peer_address& to, const loan_request& request, std::chrono::milliseconds limit);
-    result<void> return_loan(const peer_address& to, const loan_return& value, std::chrono::milliseconds limit);
-    result<restart_answer> ask_restart(const peer_address& to, const restart_query& query, std::chrono::milliseconds limit);
+    result<exchange_reply> exchange(const peer_address& to, const exchange_request& request,
+                                    std::chrono::milliseconds limit);
+    result<read_configuration_reply> read_configuration(const peer_address& to,
+                                                        const std::optional<version_id>& held,
+                                                        std::chrono::milliseconds limit);
+    result<loan_answer> borrow(const peer_address& to, const loan_request& request,
+                               std::chrono::milliseconds limit);
+    result<void> return_loan(const peer_address& to, const loan_return& value,
+                             std::chrono::milliseconds limit);
+    result<restart_answer> ask_restart(const peer_address& to, const restart_query& query,
+                                       std::chrono::milliseconds limit);
     result<hand_over_invitation> invite(const peer_address& to, std::chrono::milliseconds limit);
-    result<std::size_t> hand_over(const peer_address& to, const hand_over_value& value, std::chrono::milliseconds limit);
+    result<std::size_t> hand_over(const peer_address& to, const hand_over_value& value,
+                                  std::chrono::milliseconds limit);
 
     /// Sends a request that hops. `cancel` belongs to the calling fiber's thread.
-    result<std::unique_ptr<forward_stream>> forward(const peer_address& to, const forward_request& request, cancellation& cancel);
+    result<std::unique_ptr<forward_stream>> forward(const peer_address& to, const forward_request& request,
+                                                    cancellation& cancel);
 
     /// Drops the connection to a VM, so that the next call opens a new one.
     void reset_connection(const peer_address& to);
--- a/include/cardamomstream/connection/peer_server.h
+++ b/include/cardamomstream/connection/peer_server.h
@@ -22,10 +22,12 @@
     std::function<restart_answer(const restart_query&)> ask_restart;
     std::function<hand_over_invitation()> invite;
     std::function<result<std::size_t>(const hand_over_value&)> hand_over;
-    std::function<void(const vm_name& sender, const forward_request&, std::size_t thread, response_writer&)> forward;
+    std::function<void(const vm_name& sender, const forward_request&, std::size_t thread, response_writer&)>
+        forward;
 };
 
-/// Listens on one address; the bind is exclusive. Calls without the fleet's credential are refused and logged.
+/// Listens on one address; the bind is exclusive. Calls without the fleet's credential are refused and
+/// logged.
 class peer_server {
 public:
     peer_server(peer_identity self, traffic_thread& control, traffic_group& traffic, peer_handlers handlers);
--- /dev/null
+++ b/src/request/dispatch/dispatcher.cpp
@@ -0,0 +1,296 @@
+#include "cardamomstream/request/dispatcher.h"
+
+#include "pool_line.h"
+
+#include "cardamomstream/request/admission_slot_gate.h"
+
+#include <mutex>
+#include <random>
+#include <utility>
+#include <variant>
+
+namespace cardamomstream {
+
+class dispatcher::impl {
+public:
+    impl(region_name home, dispatcher_settings settings, std::uint64_t seed)
+        : m_home(std::move(home))
+        , m_settings(settings)
+        , m_random(seed)
+        , m_gate(settings.limit)
+    {
+        m_routers.try_emplace(m_home, m_home, m_settings.routing);
+    }
+
+    void update(const routing_view& view, time_point now);
+    result<dispatch_grant> acquire(const dispatch_query& query, cancellation& cancel);
+    void first_byte(dispatch_grant& grant, time_point now);
+    void end(const dispatch_grant& grant, std::optional<attempt_failure> failure, time_point now);
+    void tick(time_point now);
+    std::map<pool_name, pool_figures> figures();
+
+private:
+    struct line_key {
+        region_name region;
+        pool_name pool;
+        friend auto operator<=>(const line_key&, const line_key&) = default;
+    };
+
+    router& router_of(const region_name& region, time_point now);
+    pool_line& line_of(const line_key& key);
+    std::optional<result<dispatch_grant>> place(const dispatch_query& query, time_point now);
+    std::variant<result<dispatch_grant>, std::shared_ptr<waiting_request>> place_or_queue(const dispatch_query& query, time_point now);
+    void pump(const line_key& key, time_point now);
+    line_key key_of(const dispatch_query& query) const;
+    void cancel_waiting(const std::shared_ptr<waiting_request>& waiting);
+    void update_gate(const vm_list& list);
+
+    std::mutex m_mutex;
+    region_name m_home;
+    dispatcher_settings m_settings;
+    std::mt19937_64 m_random;
+    routing_view m_view;
+    std::map<region_name, router> m_routers;
+    std::map<line_key, pool_line> m_lines;
+    slot_gate m_gate;
+};
+
+void dispatcher::impl::update(const routing_view& view, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    if (view.list) {
+        update_gate(*view.list);
+    }
+    m_view = view;
+    for (auto& [region, one] : m_routers) {
+        one.update(view, now);
+    }
+    if (view.rules) {
+        for (auto& [key, line] : m_lines) {
+            for (const auto& [customer, rule] : view.rules->customers) {
+                line.queue().set_weight(customer, rule.queue_weight);
+            }
+        }
+    }
+    for (auto& [key, line] : m_lines) {
+        pump(key, now);
+    }
+}
+
+void dispatcher::impl::update_gate(const vm_list& list)
+{
+    for (const auto& [name, upstream] : list.upstreams) {
+        if (upstream.state == listed_state::live) {
+            m_gate.open(name, upstream.slots);
+        }
+        else {
+            m_gate.close(name);
+        }
+    }
+    if (m_view.list) {
+        for (const auto& [name, upstream] : m_view.list->upstreams) {
+            if (!list.upstreams.contains(name)) {
+                m_gate.close(name);
+            }
+        }
+    }
+}
+
+router& dispatcher::impl::router_of(const region_name& region, time_point now)
+{
+    const auto [found, created] = m_routers.try_emplace(region, region, m_settings.routing);
+    if (created) {
+        found->second.update(m_view, now);
+    }
+    return found->second;
+}
+
+pool_line& dispatcher::impl::line_of(const line_key& key)
+{
+    const auto [found, created] = m_lines.try_emplace(key, m_settings.queue);
+    if (created && m_view.rules) {
+        for (const auto& [customer, rule] : m_view.rules->customers) {
+            found->second.queue().set_weight(customer, rule.queue_weight);
+        }
+    }
+    return found->second;
+}
+
+dispatcher::impl::line_key dispatcher::impl::key_of(const dispatch_query& query) const
+{
+    return {query.direct_region.value_or(m_home), query.route.pool};
+}
+
+std::optional<result<dispatch_grant>> dispatcher::impl::place(const dispatch_query& query, time_point now)
+{
+    const auto region = query.direct_region.value_or(m_home);
+    auto& routing = router_of(region, now);
+    auto choice = routing.choose(query.route, now, m_random);
+    if (!choice) {
+        return result<dispatch_grant>(choice.error());
+    }
+    if (choice.value().action == route_action::wait) {
+        return std::nullopt;
+    }
+    if (choice.value().action == route_action::serve && !m_gate.try_acquire(choice.value().upstream)) {
+        return std::nullopt;
+    }
+    dispatch_grant grant{region, query.route.pool, std::move(choice).value(), {}, false};
+    grant.attempt = routing.started(grant.choice, query.route, now);
+    return result<dispatch_grant>(std::move(grant));
+}
+
+std::variant<result<dispatch_grant>, std::shared_ptr<waiting_request>>
+dispatcher::impl::place_or_queue(const dispatch_query& query, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto key = key_of(query);
+    auto& line = line_of(key);
+    auto asked = query;
+    asked.route.queue_wait = line.queue().predicted_wait(query.customer, now);
+    if (line.size() == 0) {
+        if (auto placed = place(asked, now)) {
+            return std::move(*placed);
+        }
+    }
+    auto waiting = std::make_shared<waiting_request>();
+    waiting->query = asked;
+    if (auto added = line.add(waiting, now); !added) {
+        return result<dispatch_grant>(added.error());
+    }
+    pump(key, now);
+    return waiting;
+}
+
+result<dispatch_grant> dispatcher::impl::acquire(const dispatch_query& query, cancellation& cancel)
+{
+    auto outcome = place_or_queue(query, boot_clock::now());
+    if (auto* immediate = std::get_if<result<dispatch_grant>>(&outcome)) {
+        return std::move(*immediate);
+    }
+    auto waiting = std::get<std::shared_ptr<waiting_request>>(outcome);
+    auto granted = waiting->promise.get_future();
+    cancel.set_action([this, waiting] { cancel_waiting(waiting); });
+    auto grant = granted.get();
+    cancel.clear_action();
+    if (grant) {
+        grant.value().queued = true;
+    }
+    return grant;
+}
+
+void dispatcher::impl::cancel_waiting(const std::shared_ptr<waiting_request>& waiting)
+{
+    const std::lock_guard lock(m_mutex);
+    if (line_of(key_of(waiting->query)).remove(waiting->query.id)) {
+        waiting->promise.set_value(error{error_kind::cancelled, "the caller has left", "", run_outcome::not_run, {}});
+    }
+}
+
+void dispatcher::impl::pump(const line_key& key, time_point now)
+{
+    line_of(key).pump([this, now](const dispatch_query& query) { return place(query, now); }, now);
+}
+
+void dispatcher::impl::first_byte(dispatch_grant& grant, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    router_of(grant.region, now).first_byte(grant.attempt, now);
+    if (grant.choice.action != route_action::serve) {
+        return;
+    }
+    const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - grant.attempt.started);
+    m_gate.first_byte(grant.choice.upstream, latency, grant.choice.cost.prefill, now);
+    router_of(grant.region, now).set_limit(grant.choice.upstream, m_gate.limit(grant.choice.upstream));
+}
+
+void dispatcher::impl::end(const dispatch_grant& grant, std::optional<attempt_failure> failure, time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    auto& routing = router_of(grant.region, now);
+    if (failure) {
+        routing.failed(grant.attempt, *failure, now, m_random);
+    }
+    else {
+        routing.finished(grant.attempt, now);
+    }
+    if (grant.choice.action != route_action::serve) {
+        return;
+    }
+    if (failure == attempt_failure::overloaded || failure == attempt_failure::timeout) {
+        m_gate.dropped(grant.choice.upstream);
+        routing.set_limit(grant.choice.upstream, m_gate.limit(grant.choice.upstream));
+    }
+    m_gate.release(grant.choice.upstream);
+    pump({grant.region, grant.pool}, now);
+}
+
+void dispatcher::impl::tick(time_point now)
+{
+    const std::lock_guard lock(m_mutex);
+    for (auto& [key, line] : m_lines) {
+        if (line.size() > 0) {
+            pump(key, now);
+        }
+    }
+}
+
+std::map<pool_name, pool_figures> dispatcher::impl::figures()
+{
+    const std::lock_guard lock(m_mutex);
+    std::map<pool_name, pool_figures> all;
+    if (!m_view.rules) {
+        return all;
+    }
+    for (const auto& [pool, rule] : m_view.rules->pools) {
+        auto& figures = all[pool];
+        figures.own = m_routers.at(m_home).own_load(pool);
+        const auto line = m_lines.find({m_home, pool});
+        figures.queued = line == m_lines.end() ? 0 : line->second.size();
+    }
+    return all;
+}
+
+dispatcher::dispatcher(region_name home, dispatcher_settings settings, std::uint64_t seed)
+    : m_impl(std::make_unique<impl>(std::move(home), settings, seed))
+{
+}
+
+dispatcher::~dispatcher() = default;
+
+void dispatcher::update(const routing_view& view, time_point now)
+{
+    m_impl->update(view, now);
+}
+
+result<dispatch_grant> dispatcher::acquire(const dispatch_query& query, cancellation& cancel)
+{
+    return m_impl->acquire(query, cancel);
+}
+
+void dispatcher::first_byte(dispatch_grant& grant, time_point now)
+{
+    m_impl->first_byte(grant, now);
+}
+
+void dispatcher::finish(const dispatch_grant& grant, time_point now)
+{
+    m_impl->end(grant, std::nullopt, now);
+}
+
+void dispatcher::fail(const dispatch_grant& grant, attempt_failure failure, time_point now)
+{
+    m_impl->end(grant, failure, now);
+}
+
+void dispatcher::tick(time_point now)
+{
+    m_impl->tick(now);
+}
+
+std::map<pool_name, pool_figures> dispatcher::figures() const
+{
+    return m_impl->figures();
+}
+
+} // namespace cardamomstream
--- /dev/null
+++ b/src/request/dispatch/tests/dispatcher_test.cpp
@@ -0,0 +1,104 @@
+#include "cardamomstream/connection/traffic_thread.h"
+#include "cardamomstream/request/dispatcher.h"
+
+#include <chrono>
+#include <future>
+#include <memory>
+#include <string>
+
+#include <catch2/catch.hpp>
+
+using namespace cardamomstream;
+using namespace std::chrono_literals;
+
+namespace {
+
+const region_name home{"riga"};
+const pool_name pool{"drafting"};
+
+routing_view view_with(std::uint32_t slots)
+{
+    rules published;
+    published.regions[home] = {};
+    published.pools[pool] = {};
+    published.vms[vm_name{"riga-a"}] = {home, {}, {}, {}};
+    published.customers[customer_name{"carrier"}] = {};
+    vm_list list;
+    list.version = 1;
+    list.upstreams[upstream_name{"w1"}] = {pool, home, {}, {"127.0.0.1", 9}, listed_state::live, slots, false};
+    routing_view view;
+    view.rules = std::make_shared<const rules>(published);
+    view.list = std::make_shared<const vm_list>(list);
+    return view;
+}
+
+dispatch_query query_of(const std::string& id, std::chrono::milliseconds patience)
+{
+    dispatch_query query;
+    query.id = request_id{id};
+    query.customer = customer_name{"carrier"};
+    query.deadline = boot_clock::now() + patience;
+    query.route.pool = pool;
+    return query;
+}
+
+dispatcher_settings one_at_a_time()
+{
+    dispatcher_settings settings;
+    settings.limit.initial = 1;
+    settings.limit.max = 1;
+    return settings;
+}
+
+} // namespace
+
+TEST_CASE("requests wait for the only slot and are answered in time")
+{
+    dispatcher dispatch(home, one_at_a_time(), 1);
+    dispatch.update(view_with(1), boot_clock::now());
+    cancellation first_cancel;
+    traffic_thread thread;
+
+    std::promise<result<dispatch_grant>> first;
+    thread.spawn([&] { first.set_value(dispatch.acquire(query_of("first", 1s), first_cancel)); });
+    const auto granted = first.get_future().get();
+    REQUIRE(granted);
+    CHECK(granted.value().choice.upstream == upstream_name{"w1"});
+
+    cancellation cancel;
+    std::promise<result<dispatch_grant>> second;
+    auto answer = second.get_future();
+
+    SECTION("the slot is passed on when the first request ends")
+    {
+        thread.spawn([&] { second.set_value(dispatch.acquire(query_of("second", 5s), cancel)); });
+        CHECK(answer.wait_for(50ms) == std::future_status::timeout);
+        dispatch.finish(granted.value(), boot_clock::now());
+        const auto given = answer.get();
+        REQUIRE(given);
+        CHECK(given.value().queued);
+        dispatch.finish(given.value(), boot_clock::now());
+    }
+    SECTION("a request whose time is over is refused and has not run")
+    {
+        thread.spawn([&] { second.set_value(dispatch.acquire(query_of("second", 30ms), cancel)); });
+        while (answer.wait_for(10ms) != std::future_status::ready) {
+            dispatch.tick(boot_clock::now());
+        }
+        const auto refused = answer.get();
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().kind == error_kind::overloaded);
+        CHECK(refused.error().outcome == run_outcome::not_run);
+        CHECK(refused.error().retry_after);
+        dispatch.finish(granted.value(), boot_clock::now());
+    }
+    SECTION("a caller that leaves gives up its place")
+    {
+        thread.spawn([&] { second.set_value(dispatch.acquire(query_of("second", 5s), cancel)); });
+        CHECK(answer.wait_for(50ms) == std::future_status::timeout);
+        thread.spawn([&] { cancel.cancel(); });
+        CHECK(answer.get().error().kind == error_kind::cancelled);
+        CHECK(dispatch.figures()[pool].queued == 0);
+        dispatch.finish(granted.value(), boot_clock::now());
+    }
+}
