--- a/include/cardamomstream/connection/response_writer.h
+++ b/include/cardamomstream/connection/response_writer.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cardamomstream/connection/http_types.h"
+#include "cardamomstream/core/core_types.h"
 #include "cardamomstream/core/error.h"
 
 #include <functional>
@@ -9,7 +10,7 @@
 
 namespace cardamomstream {
 
-/// Writes one answer: either `send`, or `begin_stream`, any number of `write_chunk`, then `end_stream` or
+/// Writes one answer: either `send`, or `refuse`, or `begin_stream`, any number of `write_chunk`, then `end_stream` or
 /// `abort_stream`. Every call suspends the fiber until the bytes are with the kernel.
 /// Errors: error_kind::request_timeout when the caller reads too slowly or has left.
 class response_writer {
@@ -22,6 +23,10 @@
     response_writer& operator=(response_writer&&) = delete;
 
     virtual result<void> send(const http_response& response) = 0;
+
+    /// Answers with a typed error: as JSON to a caller, as it is to another VM.
+    virtual result<void> refuse(const error& reason, const request_id& id) = 0;
+
     virtual result<void> begin_stream(const http_response_head& head) = 0;
     virtual result<void> write_chunk(std::string_view data) = 0;
     virtual result<void> end_stream() = 0;
--- /dev/null
+++ b/include/cardamomstream/request/serving_parts.h
@@ -0,0 +1,38 @@
+/// The process-wide objects that requests use.
+#pragma once
+
+#include "cardamomstream/connection/http_client.h"
+#include "cardamomstream/connection/peer_client.h"
+#include "cardamomstream/core/synchronized.h"
+#include "cardamomstream/process/allowance_book.h"
+#include "cardamomstream/process/event_recorder.h"
+#include "cardamomstream/process/fleet_view.h"
+#include "cardamomstream/process/metrics.h"
+#include "cardamomstream/process/settings_types.h"
+#include "cardamomstream/request/admission_retry_budget.h"
+#include "cardamomstream/request/dispatcher.h"
+#include "cardamomstream/request/ticket_book.h"
+
+#include <atomic>
+#include <memory>
+#include <vector>
+
+namespace cardamomstream {
+
+/// Each part is thread-safe, apart from the clients, of which each traffic thread has its own.
+struct serving_parts {
+    const settings& config;
+    incarnation process;
+    view_holder& views;
+    synchronized<allowance_book>& allowance;
+    synchronized<ticket_book>& tickets;
+    synchronized<retry_budget>& retries;
+    dispatcher& dispatch;
+    event_recorder& events;
+    metrics& counters;
+    peer_client& peers;
+    std::vector<std::unique_ptr<http_client>>& clients; ///< by traffic thread
+    std::atomic<bool>& stopping;
+};
+
+} // namespace cardamomstream
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -91,7 +91,7 @@
     m_started = false;
     m_ended = false;
     if (auto ec = read_request(incoming)) {
-        refuse(ec);
+        refuse_malformed(ec);
         return false;
     }
     answer(incoming);
@@ -139,14 +139,14 @@
     return ec;
 }
 
-void http_session::refuse(boost::beast::error_code ec)
+void http_session::refuse_malformed(boost::beast::error_code ec)
 {
     if (ec == http::error::end_of_stream || ec == boost::asio::error::connection_reset ||
         ec == boost::asio::error::operation_aborted) {
         return;
     }
     m_keep_alive = false;
-    (void)send(error_response(read_error(ec), request_id{}));
+    (void)refuse(read_error(ec), request_id{});
 }
 
 void http_session::answer(parser& incoming)
@@ -201,6 +201,15 @@
     return finish_write(ec);
 }
 
+result<void> http_session::refuse(const error& reason, const request_id& id)
+{
+    auto response = error_response(reason, id);
+    if (!id.empty()) {
+        response.head.headers.push_back({"X-Request-Id", id.str()});
+    }
+    return send(response);
+}
+
 result<void> http_session::begin_stream(const http_response_head& head)
 {
     auto message = make_head(head);
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -39,6 +39,7 @@
     void close();
 
     result<void> send(const http_response& response) override;
+    result<void> refuse(const error& reason, const request_id& id) override;
     result<void> begin_stream(const http_response_head& head) override;
     result<void> write_chunk(std::string_view data) override;
     result<void> end_stream() override;
@@ -54,7 +55,7 @@
     bool serve_one();
     boost::beast::error_code read_request(parser& incoming);
     boost::beast::error_code read_within(std::chrono::milliseconds limit, parser& incoming, read_part part);
-    void refuse(boost::beast::error_code ec);
+    void refuse_malformed(boost::beast::error_code ec);
     void answer(parser& incoming);
     bool will_close() const;
     result<void> finish_write(boost::beast::error_code ec);
--- /dev/null
+++ b/src/request/serving/answer_relay.cpp
@@ -0,0 +1,18 @@
+#include "answer_relay.h"
+
+#include "cardamomstream/connection/error_response.h"
+
+namespace cardamomstream {
+
+bool is_event_stream(const http_response_head& head)
+{
+    return header_value(head.headers, "Content-Type").starts_with("text/event-stream");
+}
+
+void abort_stream(request_context& context, const error& reason)
+{
+    (void)context.writer.write_chunk("event: error\ndata: " + error_body(reason, context.id) + "\n\n");
+    context.writer.abort_stream();
+}
+
+} // namespace cardamomstream
--- /dev/null
+++ b/src/request/serving/caller_auth.cpp
@@ -0,0 +1,116 @@
+#include "caller_auth.h"
+
+#include <algorithm>
+#include <array>
+
+#include <boost/beast/core/string.hpp>
+#include <boost/url/pct_string_view.hpp>
+
+namespace cardamomstream {
+
+namespace {
+
+constexpr std::string_view scheme = "Bearer ";
+constexpr std::size_t min_key_bytes = 8;
+
+constexpr std::array<std::string_view, 4> request_headers{"Accept", "Accept-Language", "Content-Language", "Content-Type"};
+constexpr std::array<std::string_view, 5> response_headers{"Cache-Control", "Content-Language", "Content-Type", "ETag", "Retry-After"};
+
+error unauthenticated(std::string message)
+{
+    return {error_kind::unauthenticated, std::move(message), "send Authorization: Bearer KEY with a key that is in force",
+            run_outcome::not_run, {}};
+}
+
+bool is_any(std::string_view name, const auto& names)
+{
+    return std::any_of(names.begin(), names.end(), [&](auto known) { return boost::beast::iequals(name, known); });
+}
+
+result<std::string_view> presented_key(const std::vector<http_header>& headers)
+{
+    std::string_view value;
+    for (const auto& header : headers) {
+        if (!boost::beast::iequals(header.name, "Authorization")) {
+            continue;
+        }
+        if (!value.empty()) {
+            return unauthenticated("the request has two Authorization headers");
+        }
+        value = header.value;
+    }
+    if (value.empty()) {
+        return std::string_view{};
+    }
+    if (value.size() <= scheme.size() || !boost::beast::iequals(value.substr(0, scheme.size()), scheme)) {
+        return unauthenticated("the Authorization header is no bearer key");
+    }
+    value.remove_prefix(scheme.size());
+    if (value.size() < min_key_bytes) {
+        return unauthenticated("the key is not known");
+    }
+    return value;
+}
+
+std::string decoded(std::string_view target)
+{
+    const auto view = boost::urls::make_pct_string_view(boost::urls::string_view(target.data(), target.size()));
+    if (!view) {
+        return std::string(target);
+    }
+    boost::urls::encoding_opts options;
+    options.space_as_plus = false;
+    return view->decode(options);
+}
+
+bool holds_key(const http_request& request, std::string_view key)
+{
+    return request.target.find(key) != std::string::npos || request.body.find(key) != std::string::npos ||
+           decoded(request.target).find(key) != std::string::npos;
+}
+
+} // namespace
+
+result<std::optional<caller_identity>> authenticate(const http_request& request, const fleet_view& view)
+{
+    BOOST_OUTCOME_TRY(const auto key, presented_key(request.headers));
+    if (key.empty()) {
+        return std::optional<caller_identity>{};
+    }
+    const auto digest = digest_of(key);
+    const auto owner = view.keys ? view.keys->find(digest) : std::nullopt;
+    if (!owner) {
+        return unauthenticated("the key is not known or has been withdrawn");
+    }
+    if (holds_key(request, key)) {
+        return error{error_kind::invalid_request, "the key stands in the target or the body of the request",
+                     "send the key in the Authorization header only", run_outcome::not_run, {}};
+    }
+    return std::optional<caller_identity>({owner->customer, digest});
+}
+
+std::vector<http_header> upstream_headers(const http_request& request, const request_id& id)
+{
+    const auto key = presented_key(request.headers);
+    std::vector<http_header> headers{{"X-Request-Id", id.str()}};
+    for (const auto& header : request.headers) {
+        const bool holds = key && !key.value().empty() && header.value.find(key.value()) != std::string::npos;
+        if (is_any(header.name, request_headers) && !holds) {
+            headers.push_back(header);
+        }
+    }
+    return headers;
+}
+
+std::vector<http_header> caller_headers(const std::vector<http_header>& headers, const request_id& id)
+{
+    std::vector<http_header> passed{{"X-Request-Id", id.str()}};
+    for (const auto& header : headers) {
+        if (is_any(header.name, response_headers)) {
+            passed.push_back(header);
+        }
+    }
+    return passed;
+}
+
+} // namespace cardamomstream
--- /dev/null
+++ b/src/request/serving/loan_broker.h
@@ -0,0 +1,15 @@
+/// Admission of a request, with loans where this VM's part does not suffice.
+#pragma once
+
+#include "request_context.h"
+
+namespace cardamomstream {
+
+/// Reserves the charge; waits at most `allowance.loan_wait` for loans of other VMs.
+/// Errors, not run: those of `allowance_book::admit`.
+result<reservation> admit_with_loans(request_context& context, token_count charge);
+
+/// Asks one lender and takes its answer. Gives whether something was lent.
+bool ask_for_loan(serving_parts& parts, const loan_request& request, std::chrono::milliseconds limit);
+
+} // namespace cardamomstream
--- /dev/null
+++ b/src/request/serving/tests/caller_auth_test.cpp
@@ -0,0 +1,1 @@
+#include <catch2/catch.hpp>
