--- a/include/cardamomstream/request/serving_parts.h
+++ b/include/cardamomstream/request/serving_parts.h
@@ -5,6 +5,7 @@
 #include "cardamomstream/connection/peer_client.h"
 #include "cardamomstream/core/synchronized.h"
 #include "cardamomstream/process/allowance_book.h"
+#include "cardamomstream/process/control_pulse.h"
 #include "cardamomstream/process/event_recorder.h"
 #include "cardamomstream/process/fleet_view.h"
 #include "cardamomstream/process/metrics.h"
@@ -32,6 +33,7 @@
     metrics& counters;
     peer_client& peers;
     std::vector<std::unique_ptr<http_client>>& clients; ///< by traffic thread
+    control_pulse& pulse;
     std::atomic<bool>& stopping;
 };
 
--- /dev/null
+++ b/src/app/control/allowance_controller.h
@@ -0,0 +1,28 @@
+/// Keeps the allowance of this VM in step with the fleet: versions, loans ahead of need, returns, restarts.
+#pragma once
+
+#include "control_state.h"
+
+namespace cardamomstream {
+
+class allowance_controller {
+public:
+    explicit allowance_controller(control_state& state)
+        : m_state(state)
+    {
+    }
+
+    /// One turn; call a few times a second.
+    void tick();
+
+private:
+    void apply_versions();
+    void borrow_ahead();
+    void send_returns();
+    void ask_after_restart();
+
+    control_state& m_state;
+    time_point m_next_restart_query;
+};
+
+} // namespace cardamomstream
--- a/src/request/serving/answer_relay.h
+++ b/src/request/serving/answer_relay.h
@@ -70,6 +70,10 @@
             return error{error_kind::upstream_failed, "the upstream sent more than max_tokens",
                          "report the upstream to its operators", run_outcome::unknown, {}};
         }
+        BOOST_OUTCOME_TRY(context.await_confirmation());
+        if (context.key_withdrawn) {
+            return error{error_kind::cancelled, "the key was withdrawn", "", run_outcome::unknown, {}};
+        }
         BOOST_OUTCOME_TRY(context.writer.write_chunk(*part));
     }
     return context.writer.end_stream();
--- a/src/request/serving/loan_broker.h
+++ b/src/request/serving/loan_broker.h
@@ -3,13 +3,12 @@
 
 #include "request_context.h"
 
+#include "cardamomstream/request/loan_exchange.h"
+
 namespace cardamomstream {
 
 /// Reserves the charge; waits at most `allowance.loan_wait` for loans of other VMs.
 /// Errors, not run: those of `allowance_book::admit`.
 result<reservation> admit_with_loans(request_context& context, token_count charge);
 
-/// Asks one lender and takes its answer. Gives whether something was lent.
-bool ask_for_loan(serving_parts& parts, const loan_request& request, std::chrono::milliseconds limit);
-
 } // namespace cardamomstream
--- a/src/request/serving/request_context.cpp
+++ b/src/request/serving/request_context.cpp
@@ -3,11 +3,33 @@
 #include <algorithm>
 #include <charconv>
 
+#include <boost/fiber/operations.hpp>
 #include <fmt/format.h>
 #include <openssl/rand.h>
 
 namespace cardamomstream {
 
+namespace {
+
+constexpr std::chrono::milliseconds confirmation_limit{3'000};
+constexpr std::chrono::milliseconds confirmation_poll{20};
+constexpr std::chrono::milliseconds confirmation_retry{1'000};
+
+} // namespace
+
+result<void> request_context::await_confirmation()
+{
+    const auto give_up_at = boot_clock::now() + confirmation_limit;
+    while (parts.pulse.is_stale(boot_clock::now()) || !parts.views.load()->confirmed) {
+        if (boot_clock::now() > give_up_at) {
+            return error{error_kind::stale_version, "this VM has not confirmed the rules in force",
+                         "use another VM of GET /v1/entry", run_outcome::not_run, confirmation_retry};
+        }
+        boost::this_fiber::sleep_for(confirmation_poll);
+    }
+    return boost::outcome_v2::success();
+}
+
 std::set<region_name> request_context::permitted_regions() const
 {
     if (!view->rules) {
--- a/src/request/serving/request_context.h
+++ b/src/request/serving/request_context.h
@@ -16,9 +16,18 @@
 
 /// Lives in the fiber that serves the request; every other holder is on the same thread.
 struct request_context {
+    request_context(serving_parts& process_parts, response_writer& answer, std::size_t traffic_thread)
+        : parts(process_parts)
+        , writer(answer)
+        , thread(traffic_thread)
+        , view(process_parts.views.load())
+        , received(boot_clock::now())
+    {
+    }
+
     serving_parts& parts;
     response_writer& writer;
-    std::size_t thread = 0;
+    std::size_t thread;
     request_id id;
     fleet_view_snapshot view; ///< as it was when the request came
     customer_name customer;   ///< empty on open routes
@@ -33,6 +42,10 @@
 
     http_client& client() { return *parts.clients[thread]; }
 
+    /// Waits until the control thread has confirmed the rules in force after a pause of the process.
+    /// Errors: stale_version when that takes too long.
+    result<void> await_confirmation();
+
     /// Residency of the customer; empty: every region.
     std::set<region_name> permitted_regions() const;
 
--- a/src/request/serving/request_service.cpp
+++ b/src/request/serving/request_service.cpp
@@ -81,7 +81,6 @@
     result<void> run_charged(request_context& context, const upstream_work& work, token_count charge);
     result<void> check_connections(const request_context& context) const;
     void conclude(request_context& context, const result<void>& end);
-    request_context make_context(std::size_t thread, response_writer& writer);
 
     serving_parts m_parts;
     traffic_group& m_threads;
@@ -89,18 +88,9 @@
     std::atomic<std::size_t> m_running = 0;
 };
 
-request_context request_service::impl::make_context(std::size_t thread, response_writer& writer)
-{
-    request_context context{m_parts, writer};
-    context.thread = thread;
-    context.view = m_parts.views.load();
-    context.received = boot_clock::now();
-    return context;
-}
-
 void request_service::impl::serve(const http_request& request, std::size_t thread, response_writer& writer)
 {
-    auto context = make_context(thread, writer);
+    request_context context(m_parts, writer, thread);
     context.id = new_request_id();
     context.deadline = context.received + stated_timeout(request.headers, default_timeout);
     const active_entry active(*this, context);
@@ -110,10 +100,8 @@
 
 result<void> request_service::impl::handle(request_context& context, const http_request& request)
 {
-    if (!context.view->rules || !context.view->confirmed) {
-        return error{error_kind::stale_version, "this VM has not yet confirmed the rules in force",
-                     "use another VM of GET /v1/entry", run_outcome::not_run, confirm_retry};
-    }
+    BOOST_OUTCOME_TRY(context.await_confirmation());
+    context.view = context.parts.views.load();
     BOOST_OUTCOME_TRY(const auto caller, authenticate(request, *context.view));
     BOOST_OUTCOME_TRY(const auto target, find_target(request, *context.view->rules));
     if (caller) {
@@ -240,7 +228,7 @@
 void request_service::impl::serve_forwarded(const vm_name& sender, const forward_request& request, std::size_t thread,
                                             response_writer& writer)
 {
-    auto context = make_context(thread, writer);
+    request_context context(m_parts, writer, thread);
     context.id = request.id;
     context.customer = request.customer;
     context.key = request.key;
@@ -255,10 +243,8 @@
 
 result<void> request_service::impl::handle_forwarded(request_context& context, const forward_request& request)
 {
-    if (!context.view->rules || !context.view->confirmed) {
-        return error{error_kind::stale_version, "this VM has not yet confirmed the rules in force",
-                     "send the request again", run_outcome::not_run, confirm_retry};
-    }
+    BOOST_OUTCOME_TRY(context.await_confirmation());
+    context.view = context.parts.views.load();
     const auto owner = context.view->keys->find(request.key);
     const bool open_route = request.customer.empty();
     if (!open_route && (!owner || owner->customer != request.customer)) {
