--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,59 @@
+#include "commands.h"
+
+#include <algorithm>
+#include <array>
+#include <functional>
+#include <iostream>
+#include <string_view>
+
+namespace {
+
+struct command {
+    std::string_view name;
+    std::string_view summary;
+    std::function<int(int, char**)> run;
+};
+
+const std::array<command, 5>& commands()
+{
+    static const std::array<command, 5> all{{
+        {"serve", "run the gateway process of one VM", cardamomstream::serve_command},
+        {"check", "validate settings and rules", cardamomstream::check_command},
+        {"timeline", "merge the events of several processes", cardamomstream::timeline_command},
+        {"explain", "tell what was decided for one request", cardamomstream::explain_command},
+        {"keys", "make a key or the digest that publishes it", cardamomstream::keys_command},
+    }};
+    return all;
+}
+
+void print_usage(std::ostream& out)
+{
+    out << "usage: cardamomstream COMMAND [OPTIONS]\n\ncommands:\n";
+    for (const auto& one : commands()) {
+        out << "  " << one.name << std::string(12 - one.name.size(), ' ') << one.summary << "\n";
+    }
+    out << "\n`cardamomstream COMMAND --help` shows the options of a command.\n";
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    if (argc < 2) {
+        print_usage(std::cerr);
+        return cardamomstream::exit_usage;
+    }
+    const std::string_view name = argv[1];
+    if (name == "--help" || name == "-h") {
+        print_usage(std::cout);
+        return cardamomstream::exit_ok;
+    }
+    const auto& all = commands();
+    const auto found = std::find_if(all.begin(), all.end(), [&](const auto& one) { return one.name == name; });
+    if (found == all.end()) {
+        std::cerr << "cardamomstream: unknown command \"" << name << "\"\n\n";
+        print_usage(std::cerr);
+        return cardamomstream::exit_usage;
+    }
+    return found->run(argc - 1, argv + 1);
+}
