Allowance: lend no level while answers outlive a loan; short loans for waiting requests

Cause: a part whose open reservations exceed its burst (answers outliving a loan) has negative room; lend() computed the level that would no longer fit from it and lent tokens that did not exist.

--- a/include/cardamomstream/process/allowance_book.h
+++ b/include/cardamomstream/process/allowance_book.h
@@ -71,9 +71,9 @@
     /// nothing.
     void settle(reservation& open, token_count used, time_point now);
 
-    /// The next loan to ask for so that a request of `needed` tokens can be admitted (zero: ahead of need,
-    /// from the demand seen). Call until it returns nothing: a large request gathers from several lenders at
-    /// once.
+    /// The next loan to ask for so that the waiting requests of a customer can be admitted; `needed` is the sum of
+    /// their charges (zero: ahead of need, from the demand seen). Call until it returns nothing: a large request
+    /// gathers from several lenders at once.
     std::optional<loan_request> plan_loan(const customer_name& customer, token_count needed, time_point now);
 
     /// Loans worth asking for ahead of need, over all customers; at most `max_requests`.
--- a/include/cardamomstream/process/allowance_types.h
+++ b/include/cardamomstream/process/allowance_types.h
@@ -24,8 +24,12 @@
 
 /// Bounds and policy of the allowance. The same on every VM, except for the summary sizes.
 struct allowance_limits {
-    /// Duration of every loan.
+    /// Duration of a loan ahead of need, and the longest that is granted.
     std::chrono::milliseconds loan_duration{10'000};
+    /// Duration of a loan for requests that wait.
+    std::chrono::milliseconds short_loan_duration{2'000};
+    /// Largest relative error of a clock's rate; parts refill slower by it.
+    double clock_error = 0.0005;
     /// By how much a borrower stops before the end of a loan; covers the drift of two clocks over one loan
     /// and over `longest_reservation`.
     std::chrono::milliseconds drift_margin{250};
@@ -67,7 +71,7 @@
     vm_name lender;
     customer_name customer;
     bucket_share wanted;
-    token_count needed = 0; ///< tokens of the request that waits for it; zero: ahead of need
+    token_count needed = 0; ///< tokens of the requests that wait for it; zero: ahead of need
     std::chrono::milliseconds duration{0};
 };
 
--- a/src/process/allowance/allowance_book.cpp
+++ b/src/process/allowance/allowance_book.cpp
@@ -19,8 +19,6 @@
 constexpr std::chrono::milliseconds longest_retry{60'000};
 /// A loan ahead of need is asked for when more than this fraction of the wish is missing.
 constexpr double worth_asking = 0.3;
-/// Mean requests that should fit into the free allowance.
-constexpr double spare_requests = 2;
 /// Peers hear first of the customers that were asked for within this time.
 constexpr std::chrono::seconds asked_recently{10};
 /// Tokens a second below which demand counts as none.
@@ -103,6 +101,7 @@
         return m_limits.loan_duration + m_limits.longest_reservation;
     }
     bucket_share target(customer_share& share, time_point now) const;
+    bucket_share kept_from(customer_share& share, token_count needed, time_point now) const;
     bucket_share missing(customer_share& share, token_count needed, time_point now) const;
     bool worth_a_loan(const bucket_share& wanted, const bucket_share& wish, token_count needed) const;
     std::vector<lender_candidate> candidates(const customer_name& customer) const;
@@ -352,19 +351,30 @@
     if (demand < least_demand) {
         return {};
     }
-    const double horizon = std::chrono::duration<double>(m_limits.planning_horizon).count();
     const double rate = m_limits.headroom * demand;
-    const double free = std::max(spare_requests * share.demand.charge(), rate * horizon);
+    const double free = rate * std::chrono::duration<double>(m_limits.planning_horizon).count();
     return {{rate}, free, free};
 }
 
+/// A request that waits at a peer goes before requests that may come here.
+bucket_share allowance_book::state::kept_from(customer_share& share, token_count needed, time_point now) const
+{
+    const bucket_share expected = target(share, now);
+    if (needed > 0) {
+        return {expected.rate, 0, 0};
+    }
+    return expected;
+}
+
 bucket_share allowance_book::state::missing(customer_share& share, token_count needed, time_point now) const
 {
     bucket_share wish = target(share, now);
-    const auto tokens = static_cast<double>(needed);
     if (needed > 0) {
-        wish.burst = std::max(wish.burst, tokens);
-        wish.level = std::max(wish.level, tokens);
+        wish.burst = std::min(static_cast<double>(needed), share.whole.burst);
+        wish.level = wish.burst;
+    }
+    else if (wish.burst < share.demand.charge()) {
+        return {};
     }
     const bucket_share lasting = share.bucket.lasting_share(now + m_limits.planning_horizon);
     bucket_share wanted = minus(minus(wish, lasting), share.planner.expected());
@@ -420,7 +430,7 @@
 {
     const bool full = share.planner.pending() >= m_limits.max_pending_loans ||
                       share.bucket.loans_taken() >= m_limits.max_loans;
-    if (!share.permitted || full || static_cast<double>(needed) > share.whole.burst) {
+    if (!share.permitted || full) {
         return std::nullopt;
     }
     const bucket_share wanted = missing(share, needed, now);
@@ -432,8 +442,9 @@
         return std::nullopt;
     }
     const loan_id id{m_self, m_process, ++m_last_loan};
-    share.planner.add_pending({id.number, lender->vm, lender->presumed, now, m_limits.loan_duration});
-    return loan_request{id, lender->vm, customer, wanted, needed, m_limits.loan_duration};
+    const auto duration = needed > 0 ? m_limits.short_loan_duration : m_limits.loan_duration;
+    share.planner.add_pending({id.number, lender->vm, lender->presumed, now, duration});
+    return loan_request{id, lender->vm, customer, wanted, needed, duration};
 }
 
 std::vector<loan_request> allowance_book::state::plan_ahead(std::size_t max_requests, time_point now)
@@ -470,8 +481,7 @@
         answer.lent = given->returned ? bucket_share{} : given->lent;
         return answer;
     }
-    const bool gathers = static_cast<double>(request.needed) > share->history.least().burst;
-    const bucket_share kept = gathers ? bucket_share{} : target(*share, now);
+    const bucket_share kept = kept_from(*share, request.needed, now);
     const bucket_share offer = share->bucket.lendable(request.wanted, kept, m_limits.lendable);
     const bool nothing =
         offer.burst <= least_tokens && offer.level <= least_tokens && offer.rate.per_second <= least_demand;
--- a/src/process/allowance/allowance_bucket.cpp
+++ b/src/process/allowance/allowance_bucket.cpp
@@ -35,6 +35,7 @@
     : m_customer(std::move(customer))
     , m_loan_duration(limits.loan_duration)
     , m_longest_reservation(limits.longest_reservation)
+    , m_refill_factor(1 - limits.clock_error)
     , m_refilled(start)
 {
 }
@@ -54,7 +55,7 @@
     if (to <= m_refilled) {
         return;
     }
-    m_level += usable_rate().per_second * seconds_between(m_refilled, to);
+    m_level += usable_rate().per_second * m_refill_factor * seconds_between(m_refilled, to);
     m_refilled = to;
     fit_level();
 }
@@ -188,7 +189,8 @@
 bucket_share allowance_bucket::lend(const loan_id& id, const bucket_share& share, time_point rate_ends)
 {
     bucket_share lent = share;
-    lent.level = std::max(share.level, m_level - (room() - share.burst));
+    const double fits_after = std::max(0.0, room() - share.burst);
+    lent.level = std::max(share.level, m_level - fits_after);
     m_given.push_back({id, lent, lent, rate_ends, rate_ends + m_longest_reservation, false});
     m_level -= lent.level;
     recompute();
--- a/src/process/allowance/allowance_bucket.h
+++ b/src/process/allowance/allowance_bucket.h
@@ -92,6 +92,7 @@
     customer_name m_customer;
     std::chrono::milliseconds m_loan_duration;
     std::chrono::milliseconds m_longest_reservation;
+    double m_refill_factor;
     time_point m_refilled;
     time_point m_next_end = time_point::max();
     bucket_share m_own;
--- a/src/process/allowance/tests/allowance_property_test.cpp
+++ b/src/process/allowance/tests/allowance_property_test.cpp
@@ -33,6 +33,8 @@
 {
     allowance_limits limits;
     limits.loan_duration = 2s;
+    limits.short_loan_duration = 1s;
+    limits.clock_error = 0.006;
     limits.drift_margin = 150ms;
     limits.longest_reservation = 3s;
     limits.loan_timeout = 400ms;
