--- a/src/process/allowance/allowance_book.cpp
+++ b/src/process/allowance/allowance_book.cpp
@@ -101,6 +101,7 @@
         return m_limits.loan_duration + m_limits.longest_reservation;
     }
     bucket_share target(customer_share& share, time_point now) const;
+    bucket_share kept_for_callers(customer_share& share, time_point now) const;
     bucket_share kept_from(customer_share& share, token_count needed, time_point now) const;
     bucket_share missing(customer_share& share, token_count needed, time_point now) const;
     bool worth_a_loan(const bucket_share& wanted, const bucket_share& wish, token_count needed) const;
@@ -356,6 +357,16 @@
     return {{rate}, free, free};
 }
 
+/// What is not returned to its lenders: for the demand seen and for requests that wait.
+bucket_share allowance_book::state::kept_for_callers(customer_share& share, time_point now) const
+{
+    bucket_share kept = target(share, now);
+    if (now < share.waiting_until) {
+        kept.burst = std::max(kept.burst, static_cast<double>(share.waiting));
+    }
+    return kept;
+}
+
 /// A request that waits at a peer goes before requests that may come here.
 bucket_share allowance_book::state::kept_from(customer_share& share, token_count needed, time_point now) const
 {
@@ -433,6 +444,10 @@
     if (!share.permitted || full) {
         return std::nullopt;
     }
+    if (needed > 0) {
+        share.waiting = needed;
+        share.waiting_until = now + m_limits.loan_timeout;
+    }
     const bucket_share wanted = missing(share, needed, now);
     if (wanted.burst <= 0 && wanted.level <= 0 && wanted.rate.per_second <= 0) {
         return std::nullopt;
@@ -611,6 +626,7 @@
 {
     for (auto& [customer, share] : m_customers) {
         share.bucket.advance(now);
+        share.bucket.end_surplus(kept_for_callers(share, now));
         give_up_late(customer, share, now);
         collect_returns(share);
     }
--- a/src/process/allowance/allowance_bucket.cpp
+++ b/src/process/allowance/allowance_bucket.cpp
@@ -242,6 +242,18 @@
     trim_kept();
 }
 
+void allowance_bucket::end_surplus(const bucket_share& needed)
+{
+    for (std::size_t index = m_taken.size(); index-- > 0;) {
+        const bucket_share& loan = m_taken[index].share;
+        const bool spare_burst = room() - loan.burst >= needed.burst;
+        const bool spare_rate = usable_rate().per_second - loan.rate.per_second >= needed.rate.per_second;
+        if (spare_burst && spare_rate) {
+            end_taken(index);
+        }
+    }
+}
+
 void allowance_bucket::append_held(const vm_name& lender, time_point now, std::vector<held_loan>& held) const
 {
     for (const taken_loan& loan : m_taken) {
--- a/src/process/allowance/allowance_bucket.h
+++ b/src/process/allowance/allowance_bucket.h
@@ -62,6 +62,8 @@
     void take_back(const loan_return& returned);
 
     void take(const taken_loan& loan);
+    /// Ends the loans taken that are not needed to keep `needed` beside the open reservations.
+    void end_surplus(const bucket_share& needed);
     /// Appends what is held of loans by `lender`.
     void append_held(const vm_name& lender, time_point now, std::vector<held_loan>& held) const;
     std::vector<loan_return> take_returns();
--- a/src/process/allowance/bench/allowance_bench.cpp
+++ b/src/process/allowance/bench/allowance_bench.cpp
@@ -22,6 +22,7 @@
     virtual_time length = 600s;    ///< measured time
     virtual_time patience = 400ms; ///< longest wait for a loan
     virtual_time shift = 20s;      ///< mean time for which a customer's callers stay at one VM
+    double burst_used = 1;         ///< share of its burst that a customer uses at most
     double focus = 0.7;            ///< share of a customer's requests at that VM
 };
 
@@ -81,7 +82,7 @@
         , m_customer(customer)
         , m_random(seed)
         , m_vms(vm_list(settings))
-        , m_whole(whole_bucket(customer))
+        , m_whole(whole_bucket(customer, settings.burst_used))
     {
     }
 
@@ -97,24 +98,30 @@
             arrival next{now, pick_vm(now), any_request()};
             if (fits_whole(next)) {
                 arrivals.push_back(next);
-            } else ++dropped;
+            }
+            else
+                ++dropped;
         }
-        if (getenv("DBG")) fmt::print("dropped {} of {}\n", dropped, dropped+arrivals.size());
+        if (getenv("DBG"))
+            fmt::print("dropped {} of {}\n", dropped, dropped + arrivals.size());
         return arrivals;
     }
-int dropped=0;
+    int dropped = 0;
+
 private:
     static virtual_time seconds(double value)
     {
         return std::chrono::duration_cast<virtual_time>(std::chrono::duration<double>(value));
     }
 
-    static allowance_book whole_bucket(const bench_customer& customer)
+    static allowance_book whole_bucket(const bench_customer& customer, double burst_used)
     {
         auto published = std::make_shared<rules>();
         published->version = 1;
         published->vms[vm_name{"whole"}].region = region_name{"whole"};
         published->customers[customer.name] = customer.rule;
+        customer_rule& used = published->customers[customer.name];
+        used.burst = static_cast<token_count>(burst_used * static_cast<double>(used.burst));
         allowance_book book{vm_name{"whole"}, incarnation{1}, {}, time_point{}};
         book.apply(published, {{}, {vm_name{"whole"}}, {}}, time_point{});
         return book;
@@ -238,7 +245,8 @@
         result.excess = std::max(result.excess, fleet.meter_of(customer.str()).excess());
         const double share = static_cast<double>(count.second) / static_cast<double>(count.first);
         result.worst_customer = std::max(result.worst_customer, share);
-        if (getenv("DBG")) fmt::print("   {} {} {}\n", customer.str(), count.first, count.second);
+        if (getenv("DBG"))
+            fmt::print("   {} {} {}\n", customer.str(), count.first, count.second);
     }
     const double seconds = std::chrono::duration<double>(settings.length).count();
     result.messages_per_vm_second =
@@ -263,12 +271,12 @@
         {{"fixed equal parts", fixed}, {"loans on demand", on_demand}, {"loans ahead of need", ahead}}};
     for (const auto& [label, options] : ways) {
         const outcome result = measure(settings, arrivals, options);
-        fmt::print(
-            "{:<20} load {:.2f} seed {} offered {:>6} refused {:>5} ({:.3f} %) worst customer {:.3f} % "
-            "messages/s/VM {:.2f} tokens above {:.3f}\n",
-            label, settings.load, settings.seed, result.offered, result.refused,
-            100.0 * static_cast<double>(result.refused) / static_cast<double>(result.offered),
-            100 * result.worst_customer, result.messages_per_vm_second, std::max(0.0, result.excess));
+        fmt::print("{:<20} load {:.2f} burst used {:.2f} seed {} offered {:>6} refused {:>5} ({:.3f} %) "
+                   "worst customer {:.3f} % "
+                   "messages/s/VM {:.2f} tokens above {:.3f}\n",
+                   label, settings.load, settings.burst_used, settings.seed, result.offered, result.refused,
+                   100.0 * static_cast<double>(result.refused) / static_cast<double>(result.offered),
+                   100 * result.worst_customer, result.messages_per_vm_second, std::max(0.0, result.excess));
     }
 }
 
@@ -279,13 +287,16 @@
     cxxopts::Options options{"cardamomstream_allowance_bench", "Refusals within the rate while demand moves"};
     options.add_options()("seed", "seed of the run", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "load", "mean demand against the rate", cxxopts::value<double>()->default_value("0.7"))(
-        "vms", "VMs in each of three regions", cxxopts::value<int>()->default_value("2"))(
+        "burst-used", "share of its burst that a customer uses at most",
+        cxxopts::value<double>()->default_value("1"))("vms", "VMs in each of three regions",
+                                                      cxxopts::value<int>()->default_value("2"))(
         "seconds", "measured virtual time", cxxopts::value<int>()->default_value("600"))(
         "shift", "mean seconds at one VM", cxxopts::value<int>()->default_value("20"));
     const auto parsed = options.parse(argc, argv);
     bench_settings settings;
     settings.seed = parsed["seed"].as<std::uint64_t>();
     settings.load = parsed["load"].as<double>();
+    settings.burst_used = parsed["burst-used"].as<double>();
     settings.vms_per_region = parsed["vms"].as<int>();
     settings.length = std::chrono::seconds{parsed["seconds"].as<int>()};
     settings.shift = std::chrono::seconds{parsed["shift"].as<int>()};
