--- a/src/process/allowance/allowance_bucket.h
+++ b/src/process/allowance/allowance_bucket.h
@@ -62,6 +62,8 @@
     void take_back(const loan_return& returned);
 
     void take(const taken_loan& loan);
+    /// Ends the loans taken that are not needed to keep `needed` beside the open reservations.
+    void end_surplus(const bucket_share& needed);
     /// Appends what is held of loans by `lender`.
     void append_held(const vm_name& lender, time_point now, std::vector<held_loan>& held) const;
     std::vector<loan_return> take_returns();
@@ -92,6 +94,7 @@
     customer_name m_customer;
     std::chrono::milliseconds m_loan_duration;
     std::chrono::milliseconds m_longest_reservation;
+    double m_refill_factor;
     time_point m_refilled;
     time_point m_next_end = time_point::max();
     bucket_share m_own;
