Count the uncertainty of other VMs' late load as load

Cause: in calm the slowest answers waited for a slot that the last report had shown free: between two reports the other VM of the region sent to the same upstream.

--- a/src/request/routing/upstream_model.cpp
+++ b/src/request/routing/upstream_model.cpp
@@ -1,6 +1,7 @@
 #include "upstream_model.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cardamomstream {
 
@@ -11,6 +12,8 @@
 constexpr std::size_t max_history = 128;
 constexpr token_count min_measured_prefill = 64; // fewer tokens measure the connection, not the prefill
 constexpr double prefill_rate_step = 1.05; // tracks the median, so that a wrong cache guess moves it little
+constexpr double load_uncertainty =
+    0.5; // standard deviations of the others' late load that are counted as load
 constexpr double hit_share_gain = 0.05;
 constexpr double service_time_gain = 0.1;
 
@@ -152,7 +155,7 @@
 route_cost upstream_model::predict(token_count prefill_tokens, time_point now) const
 {
     const double slots = std::max(1.0, m_listed.slots * warm_share(now));
-    double excess = load(now) - slots + 1;
+    double excess = load(now) + load_uncertainty * std::sqrt(others_in_flight(now)) - slots + 1;
     if (at_limit()) {
         excess = std::max(excess, static_cast<double>(m_own_in_flight - *m_limit) + 1);
     }
