--- a/cmake/module.cmake
+++ b/cmake/module.cmake
@@ -1,7 +1,7 @@
 include(Catch)
 
 add_library(cardamomstream_options INTERFACE)
-target_compile_options(cardamomstream_options INTERFACE -Wall -Wextra -Wshadow -Wnon-virtual-dtor -Werror)
+target_compile_options(cardamomstream_options INTERFACE -pthread -Wall -Wextra -Wshadow -Wnon-virtual-dtor -Werror)
 target_compile_definitions(cardamomstream_options INTERFACE BOOST_ASIO_NO_DEPRECATED)
 target_link_libraries(cardamomstream_options INTERFACE spdlog::spdlog)
 target_include_directories(cardamomstream_options INTERFACE ${PROJECT_SOURCE_DIR}/include)
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -40,7 +40,7 @@
         }
         return run(parsed);
     }
-    catch (const cxxopts::OptionException& failure) {
+    catch (const cxxopts::exceptions::exception& failure) {
         std::cerr << "cardamomstream: " << failure.what() << "\n\n" << options.help() << "\n";
         return exit_usage;
     }
--- a/src/app/control/stop_controller.cpp
+++ b/src/app/control/stop_controller.cpp
@@ -1,5 +1,7 @@
 #include "stop_controller.h"
 
+#include "cardamomstream/process/rendezvous.h"
+
 #include <boost/fiber/operations.hpp>
 #include <spdlog/spdlog.h>
 
