--- a/src/process/allowance/allowance_book.cpp
+++ b/src/process/allowance/allowance_book.cpp
@@ -21,6 +21,8 @@
 constexpr double worth_asking = 0.3;
 /// Peers hear first of the customers that were asked for within this time.
 constexpr std::chrono::seconds asked_recently{10};
+/// Longest loan for which a lender passes on loans that it has taken itself.
+constexpr std::chrono::milliseconds shortest_loan{1'000};
 /// Tokens a second below which demand counts as none.
 constexpr double least_demand = 1e-3;
 constexpr double least_tokens = 1e-3;
@@ -494,16 +496,23 @@
     share->asked_by_peer = now;
     if (const given_loan* given = share->bucket.find_given(request.id)) {
         answer.lent = given->returned ? bucket_share{} : given->lent;
+        answer.duration = given->duration;
         return answer;
     }
     const bucket_share kept = kept_from(*share, request.needed, now);
-    const bucket_share offer = share->bucket.lendable(request.wanted, kept, m_limits.lendable);
+    const time_point latest = now + request.duration;
+    const time_point soonest = now + std::min(shortest_loan, request.duration);
+    const time_point ends = request.needed > 0 ? share->bucket.latest_end(request.wanted.burst,
+                                                                          m_limits.lendable, soonest, latest)
+                                               : latest;
+    const bucket_share offer = share->bucket.lendable(request.wanted, kept, m_limits.lendable, ends);
     const bool nothing =
         offer.burst <= least_tokens && offer.level <= least_tokens && offer.rate.per_second <= least_demand;
     if (nothing || share->bucket.loans_given() >= m_limits.max_loans) {
         return answer;
     }
-    answer.lent = share->bucket.lend(request.id, offer, now + request.duration);
+    answer.duration = std::chrono::floor<std::chrono::milliseconds>(ends - now);
+    answer.lent = share->bucket.lend(request.id, offer, answer.duration, now);
     return answer;
 }
 
@@ -517,7 +526,8 @@
     if (!pending) {
         return;
     }
-    const time_point ends = pending->sent + pending->duration - m_limits.drift_margin;
+    const time_point ends =
+        pending->sent + std::min(answer.duration, pending->duration) - m_limits.drift_margin;
     if (ends <= now) {
         m_returns.push_back({answer.id, answer.lender, answer.customer, 0, 0, true});
         return;
@@ -578,10 +588,10 @@
     std::vector<std::pair<double, customer_demand>> ranked;
     for (auto& [customer, share] : m_customers) {
         share.bucket.advance(now);
-        const bucket_share spare = m_restarting
-                                       ? bucket_share{}
-                                       : share.bucket.lendable({{everything}, everything, everything},
-                                                               target(share, now), m_limits.lendable);
+        const bucket_share spare =
+            m_restarting ? bucket_share{}
+                         : share.bucket.lendable({{everything}, everything, everything}, target(share, now),
+                                                 m_limits.lendable, now + shortest_loan);
         const bool asked = share.asked_by_peer + asked_recently > now;
         const double rank = asked ? everything : spare.level;
         if (rank > least_tokens) {
--- a/src/process/allowance/allowance_bucket.cpp
+++ b/src/process/allowance/allowance_bucket.cpp
@@ -172,26 +172,72 @@
     trim_kept();
 }
 
-bucket_share allowance_bucket::lendable(const bucket_share& wanted, const bucket_share& kept,
-                                        double fraction) const
+bucket_share allowance_bucket::taken_until(time_point ends) const
 {
-    const double own_burst = std::max(0.0, m_own.burst * fraction - m_out.burst);
+    bucket_share sum;
+    for (const taken_loan& loan : m_taken) {
+        if (loan.ends >= ends) {
+            sum.rate.per_second += loan.share.rate.per_second;
+            sum.burst += loan.share.burst;
+        }
+    }
+    return sum;
+}
+
+bucket_share allowance_bucket::given_beyond(time_point ends) const
+{
+    bucket_share sum;
+    for (const given_loan& loan : m_given) {
+        if (loan.rate_ends > ends) {
+            sum.rate.per_second += loan.share.rate.per_second;
+            sum.burst += loan.share.burst;
+        }
+    }
+    return sum;
+}
+
+bucket_share allowance_bucket::lendable(const bucket_share& wanted, const bucket_share& kept, double fraction,
+                                        time_point ends) const
+{
+    const bucket_share lasting = taken_until(ends);
+    const double held_burst = std::max(0.0, m_own.burst * fraction + lasting.burst - m_out.burst);
     const double free_burst = std::max(0.0, room() - kept.burst);
-    const double own_rate = std::max(0.0, m_own.rate.per_second * fraction - m_out.rate.per_second);
+    const double held_rate =
+        std::max(0.0, m_own.rate.per_second * fraction + lasting.rate.per_second - m_out.rate.per_second);
     const double free_rate = std::max(0.0, usable_rate().per_second - kept.rate.per_second);
     bucket_share share;
-    share.burst = std::min({wanted.burst, own_burst, free_burst});
-    share.rate.per_second = std::min({wanted.rate.per_second, own_rate, free_rate});
+    share.burst = std::min({wanted.burst, held_burst, free_burst});
+    share.rate.per_second = std::min({wanted.rate.per_second, held_rate, free_rate});
     share.level = std::min(wanted.level, std::max(0.0, m_level - kept.level));
     return share;
 }
 
-bucket_share allowance_bucket::lend(const loan_id& id, const bucket_share& share, time_point rate_ends)
+time_point allowance_bucket::latest_end(double burst, double fraction, time_point soonest,
+                                        time_point latest) const
 {
+    const auto holds_until = [&](time_point ends) {
+        return m_own.burst * fraction + taken_until(ends).burst - m_out.burst >= burst;
+    };
+    if (holds_until(latest)) {
+        return latest;
+    }
+    time_point best = soonest;
+    for (const taken_loan& loan : m_taken) {
+        if (loan.ends > best && loan.ends < latest && holds_until(loan.ends)) {
+            best = loan.ends;
+        }
+    }
+    return best;
+}
+
+bucket_share allowance_bucket::lend(const loan_id& id, const bucket_share& share,
+                                    std::chrono::milliseconds duration, time_point now)
+{
+    const time_point rate_ends = now + duration;
     bucket_share lent = share;
     const double fits_after = std::max(0.0, room() - share.burst);
     lent.level = std::max(share.level, m_level - fits_after);
-    m_given.push_back({id, lent, lent, rate_ends, rate_ends + m_longest_reservation, false});
+    m_given.push_back({id, lent, lent, rate_ends, rate_ends + m_longest_reservation, false, duration});
     m_level -= lent.level;
     recompute();
     fit_level();
@@ -207,7 +253,7 @@
 
 void allowance_bucket::restore_given(const held_loan& loan, time_point rate_ends, time_point burst_ends)
 {
-    m_given.push_back({loan.id, loan.share, loan.share, rate_ends, burst_ends, false});
+    m_given.push_back({loan.id, loan.share, loan.share, rate_ends, burst_ends, false, {}});
     recompute();
     fit_level();
 }
@@ -218,7 +264,7 @@
                                    [&](const given_loan& given) { return given.id == returned.id; });
     if (loan == m_given.end()) {
         const time_point forgotten = m_refilled + m_loan_duration;
-        m_given.push_back({returned.id, {}, {}, forgotten, forgotten, true});
+        m_given.push_back({returned.id, {}, {}, forgotten, forgotten, true, {}});
         recompute();
         return;
     }
@@ -244,6 +290,10 @@
 
 void allowance_bucket::end_surplus(const bucket_share& needed)
 {
+    const bool passes_on = m_out.burst > m_own.burst || m_out.rate > m_own.rate;
+    if (passes_on) {
+        return;
+    }
     for (std::size_t index = m_taken.size(); index-- > 0;) {
         const bucket_share& loan = m_taken[index].share;
         const bool spare_burst = room() - loan.burst >= needed.burst;
@@ -280,13 +330,15 @@
 
 bool allowance_bucket::fits() const
 {
-    if (m_out.rate.per_second > m_own.rate.per_second + token_tolerance) {
-        return false;
-    }
-    if (m_out.burst > m_own.burst + token_tolerance) {
-        return false;
-    }
-    return m_reserved <= usable_burst() + m_kept_sum + token_tolerance;
+    const auto within = [this](const bucket_share& given, const bucket_share& taken) {
+        return given.burst <= m_own.burst + taken.burst + token_tolerance &&
+               given.rate.per_second <= m_own.rate.per_second + taken.rate.per_second + token_tolerance;
+    };
+    const bool given_fit = std::all_of(m_given.begin(), m_given.end(), [&](const given_loan& loan) {
+        const time_point before = loan.rate_ends - time_point::duration{1};
+        return within(given_beyond(before), taken_until(loan.rate_ends));
+    });
+    return given_fit && m_reserved <= usable_burst() + m_kept_sum + token_tolerance;
 }
 
 bool allowance_bucket::idle() const
@@ -315,12 +367,12 @@
 
 token_rate allowance_bucket::usable_rate() const
 {
-    return {std::max(0.0, m_own.rate.per_second - m_out.rate.per_second) + m_in.rate.per_second};
+    return {std::max(0.0, m_own.rate.per_second + m_in.rate.per_second - m_out.rate.per_second)};
 }
 
 double allowance_bucket::usable_burst() const
 {
-    return std::max(0.0, m_own.burst - m_out.burst) + m_in.burst;
+    return m_own.burst + m_in.burst - m_out.burst;
 }
 
 double allowance_bucket::room() const
--- a/src/process/allowance/allowance_bucket.h
+++ b/src/process/allowance/allowance_bucket.h
@@ -4,6 +4,7 @@
 
 #include "cardamomstream/process/allowance_types.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace cardamomstream {
@@ -11,11 +12,12 @@
 /// A loan that this VM gave.
 struct given_loan {
     loan_id id;
-    bucket_share share;    ///< what is still out; the level is what was lent
-    bucket_share lent;     ///< what the answer said
-    time_point rate_ends;  ///< the rate comes back
-    time_point burst_ends; ///< the burst comes back
-    bool returned = false; ///< a first return has arrived
+    bucket_share share;                    ///< what is still out; the level is what was lent
+    bucket_share lent;                     ///< what the answer said
+    time_point rate_ends;                  ///< the rate comes back
+    time_point burst_ends;                 ///< the burst comes back
+    bool returned = false;                 ///< a first return has arrived
+    std::chrono::milliseconds duration{0}; ///< what the answer said
 };
 
 /// A loan that this VM uses.
@@ -51,10 +53,15 @@
     /// Ends `reserved` tokens of reservation, of which `unused` were not received.
     void release(double reserved, double unused);
 
-    /// Most that can be lent, up to `wanted`, while `kept` stays and at most the `lendable` fraction is out.
-    bucket_share lendable(const bucket_share& wanted, const bucket_share& kept, double fraction) const;
+    /// Most that can be lent until `ends`, up to `wanted`, while `kept` stays. Comes from the `fraction` of
+    /// the own part and from loans taken that end no sooner.
+    bucket_share lendable(const bucket_share& wanted, const bucket_share& kept, double fraction,
+                          time_point ends) const;
+    /// The latest end, between the two, until which `burst` tokens can be lent; `soonest` if there is none.
+    time_point latest_end(double burst, double fraction, time_point soonest, time_point latest) const;
     /// Takes `share` off and returns what was lent: its level may be higher, if it would not fit any more.
-    bucket_share lend(const loan_id& id, const bucket_share& share, time_point rate_ends);
+    bucket_share lend(const loan_id& id, const bucket_share& share, std::chrono::milliseconds duration,
+                      time_point now);
     const given_loan* find_given(const loan_id& id) const;
     /// Records a loan that a predecessor gave.
     void restore_given(const held_loan& loan, time_point rate_ends, time_point burst_ends);
@@ -62,19 +69,20 @@
     void take_back(const loan_return& returned);
 
     void take(const taken_loan& loan);
-    /// Ends the loans taken that are not needed to keep `needed` beside the open reservations.
+    /// Ends the loans taken that are not needed to keep `needed` beside the open reservations. None of them
+    /// ends early while any loan is passed on.
     void end_surplus(const bucket_share& needed);
     /// Appends what is held of loans by `lender`.
     void append_held(const vm_name& lender, time_point now, std::vector<held_loan>& held) const;
     std::vector<loan_return> take_returns();
 
-    /// Whether loans given and open reservations fit into the own part.
+    /// Whether loans given and open reservations fit into the own part and the loans that back them.
     bool fits() const;
     bool idle() const;
     /// Rate, burst beyond reservations, and level.
     bucket_share free_share() const;
     /// Rate, burst and level, reservations included.
-    bucket_share usable_share() const { return {usable_rate(), usable_burst(), m_level}; }
+    bucket_share usable_share() const { return {usable_rate(), std::max(0.0, usable_burst()), m_level}; }
     /// Rate and burst without the loans taken that end by `at`.
     bucket_share lasting_share(time_point at) const;
     std::size_t loans_given() const { return m_given.size(); }
@@ -82,7 +90,9 @@
 
 private:
     token_rate usable_rate() const;
-    double usable_burst() const;
+    double usable_burst() const; ///< negative while loans given exceed a part that has shrunk
+    bucket_share taken_until(time_point ends) const;
+    bucket_share given_beyond(time_point ends) const;
     double room() const;
     void refill(time_point to);
     void process_ends(time_point at);
