Part an upstream's slots among a region's VMs for real, and let idle customers go first once

A test now holds the parts. The same count also halves each VM's part of a link's budget, as it should.

--- a/include/cardamomstream/request/admission_fair_queue.h
+++ b/include/cardamomstream/request/admission_fair_queue.h
@@ -1,4 +1,5 @@
-/// The queue of one pool: deficit round robin over customers, with deadlines.
+/// The queue of one pool: deficit round robin over customers, with deadlines. A customer that comes back
+/// with nothing queued goes first once, so that few requests don't wait for the rounds of many.
 #pragma once
 
 #include "cardamomstream/core/error.h"
@@ -7,6 +8,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -64,9 +66,9 @@
 
         std::deque<queued_request> requests;
         token_count backlog = 0; ///< tokens that wait
-        double deficit = 0;
+        double deficit = 0;      ///< tokens it may still take in this turn; below 0: debt
         bool in_round = false;
-        bool quantum_given = false; ///< for its present turn
+        std::uint64_t left_at_turn = 0;
         service_meter meter;
     };
 
@@ -74,6 +76,8 @@
     std::chrono::duration<double> wait_behind(const customer_name& customer, token_count ahead, double rate,
                                               time_point now) const;
     void advance(time_point now);
+    void enter_round(const customer_name& customer, customer_queue& queue);
+    double quantum_of(const customer_name& customer) const;
     void leave_round_if_empty(const customer_name& customer);
     error refusal(const customer_name& customer, std::chrono::duration<double> wait,
                   const std::string& reason) const;
@@ -82,6 +86,8 @@
     std::map<customer_name, double> m_weights;
     std::map<customer_name, customer_queue> m_queues;
     std::deque<customer_name> m_round;
+    std::deque<customer_name> m_fresh; ///< served before the round, once each
+    std::uint64_t m_turns = 0;
     std::size_t m_size = 0;
     service_meter m_meter;
 };
--- a/src/request/admission/fair_queue.cpp
+++ b/src/request/admission/fair_queue.cpp
@@ -50,10 +50,7 @@
         return refusal(request.customer, wait - left,
                        "the queue ahead does not leave time before the deadline");
     }
-    if (!queue.in_round) {
-        queue.in_round = true;
-        m_round.push_back(request.customer);
-    }
+    enter_round(request.customer, queue);
     queue.backlog += request.cost;
     queue.requests.push_back(std::move(request));
     ++m_size;
@@ -63,17 +60,15 @@
 std::optional<queued_request> fair_queue::pop(time_point now)
 {
     advance(now);
-    while (!m_round.empty()) {
-        const customer_name customer = m_round.front();
+    while (!empty()) {
+        auto& round = m_fresh.empty() ? m_round : m_fresh;
+        const customer_name customer = round.front();
         auto& queue = m_queues[customer];
-        if (!queue.quantum_given) {
-            queue.deficit += static_cast<double>(m_settings.quantum) * weight_of(customer);
-            queue.quantum_given = true;
-        }
-        if (queue.deficit < static_cast<double>(queue.requests.front().cost)) {
-            queue.quantum_given = false;
-            m_round.pop_front();
+        if (queue.deficit <= 0) {
+            queue.deficit += quantum_of(customer);
+            round.pop_front();
             m_round.push_back(customer);
+            ++m_turns;
             continue;
         }
         queued_request request = std::move(queue.requests.front());
@@ -93,12 +88,11 @@
 {
     const customer_name customer = request.customer;
     auto& queue = m_queues[customer];
+    queue.deficit += static_cast<double>(request.cost);
     if (!queue.in_round) {
         queue.in_round = true;
-        queue.quantum_given = true;
-        m_round.push_front(customer);
+        m_fresh.push_front(customer);
     }
-    queue.deficit += static_cast<double>(request.cost);
     queue.backlog += request.cost;
     queue.meter.returned(static_cast<double>(request.cost));
     m_meter.returned(static_cast<double>(request.cost));
@@ -211,6 +205,26 @@
     }
 }
 
+// A customer without debt goes first, for one quantum. What it took beyond that it pays off in the rounds
+// that follow, also in those in which it has nothing queued.
+void fair_queue::enter_round(const customer_name& customer, customer_queue& queue)
+{
+    if (queue.in_round) {
+        return;
+    }
+    queue.in_round = true;
+    const double quantum = quantum_of(customer);
+    const auto turns = static_cast<double>(m_turns - queue.left_at_turn);
+    const double rounds = turns / static_cast<double>(std::max<std::size_t>(1, m_round.size()));
+    queue.deficit = empty() ? 0 : std::min(0.0, queue.deficit + rounds * quantum);
+    if (queue.deficit < 0) {
+        m_round.push_back(customer);
+        return;
+    }
+    queue.deficit = quantum;
+    m_fresh.push_back(customer);
+}
+
 void fair_queue::leave_round_if_empty(const customer_name& customer)
 {
     auto& queue = m_queues[customer];
@@ -218,9 +232,14 @@
         return;
     }
     queue.in_round = false;
-    queue.quantum_given = false;
-    queue.deficit = 0;
+    queue.left_at_turn = m_turns;
     std::erase(m_round, customer);
+    std::erase(m_fresh, customer);
+}
+
+double fair_queue::quantum_of(const customer_name& customer) const
+{
+    return static_cast<double>(m_settings.quantum) * weight_of(customer);
 }
 
 error fair_queue::refusal(const customer_name& customer, std::chrono::duration<double> wait,
--- a/src/request/routing/router.cpp
+++ b/src/request/routing/router.cpp
@@ -168,8 +168,8 @@
 {
     const auto in_home = [&](const auto& entry) { return entry.second.region == m_home; };
     const auto vms = std::count_if(current.vms.begin(), current.vms.end(), in_home);
-    const double parts =
-        static_cast<double>(std::max<std::ptrdiff_t>(1, vms)) * std::max(1U, m_settings.thread_share);
+    m_home_vms = static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(1, vms));
+    const double parts = static_cast<double>(m_home_vms) * std::max(1U, m_settings.thread_share);
     std::map<region_name, double> rates;
     for (const auto& [name, link] : current.links) {
         if (link.from == m_home) {
--- a/src/request/routing/tests/router_test.cpp
+++ b/src/request/routing/tests/router_test.cpp
@@ -225,3 +225,39 @@
         CHECK(here.in_flight(first) == 5);
     }
 }
+
+TEST_CASE_METHOD(fleet_fixture, "VMs before one upstream share its slots")
+{
+    current.vms[vm_name{"vm-riga-2"}].region = riga;
+    const auto upstream = add("r1", riga, 8);
+    router here{riga, {}};
+
+    SECTION("without a report each may fill its equal part")
+    {
+        publish(here);
+        CHECK(here.open_slots(upstream, now) == 4);
+    }
+    SECTION("what the others leave free is open too")
+    {
+        view.upstream_loads[upstream] = {0, std::chrono::milliseconds{0}};
+        publish(here);
+        CHECK(here.open_slots(upstream, now) == 8);
+        AND_THEN("until the report is old")
+        {
+            now += std::chrono::seconds{60};
+            CHECK(here.open_slots(upstream, now) == 4);
+        }
+    }
+    SECTION("others that fill theirs leave the equal part")
+    {
+        view.upstream_loads[upstream] = {7, std::chrono::milliseconds{0}};
+        publish(here);
+        CHECK(here.open_slots(upstream, now) == 4);
+    }
+    SECTION("a leaving upstream has none")
+    {
+        list.upstreams[upstream].state = listed_state::leaving;
+        publish(here);
+        CHECK(here.open_slots(upstream, now) == 0);
+    }
+}
--- a/src/request/routing/upstream_model.cpp
+++ b/src/request/routing/upstream_model.cpp
@@ -133,8 +133,9 @@
     if (!m_others_at || now - *m_others_at > m_settings.load_max_age) {
         return part;
     }
-    const double left = slots - std::min<double>(slots, m_others_in_flight);
-    return std::max(part, static_cast<std::uint32_t>(left));
+    // Late by a report, two VMs must not both take the slot that one of them sees free.
+    const double taken = m_others_in_flight + load_uncertainty * std::sqrt(m_others_in_flight);
+    return std::max(part, static_cast<std::uint32_t>(slots - std::min<double>(slots, taken)));
 }
 
 double upstream_model::warm_share(time_point now) const
