Prove the example settings, and mend what the mutation runs showed

The check that the comment stands on the rule's own line is idle since rules are read line by line, and is gone. A negative fraction was only caught where another check stood behind it; links and weights below 0 now have their own cases, and the same fault turns the tests red. examples/settings.toml shows every key with its default; a test compares it with the code.

--- a/src/process/settings/tests/settings_reader_test.cpp
+++ b/src/process/settings/tests/settings_reader_test.cpp
@@ -2,6 +2,7 @@
 
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 
 #include <catch2/catch.hpp>
 
@@ -129,6 +130,36 @@
     CHECK(value.tickets.max_kept_answer_bytes == 13);
 }
 
+TEST_CASE("the example settings are valid and show the defaults")
+{
+    std::ifstream file{EXAMPLES_DIRECTORY "/settings.toml"};
+    std::ostringstream text;
+    text << file.rdbuf();
+    const auto read = read_settings(text.str());
+    INFO((read ? "" : describe(read.error())));
+    REQUIRE(read);
+    const settings& value = read.value();
+    CHECK(value.platform.reads_per_hour == platform_settings{}.reads_per_hour);
+    CHECK(value.traffic.threads == traffic_settings{}.threads);
+    CHECK(value.limits.max_header_bytes == limit_settings{}.max_header_bytes);
+    CHECK(value.limits.max_body_bytes == limit_settings{}.max_body_bytes);
+    CHECK(value.limits.header_timeout == limit_settings{}.header_timeout);
+    CHECK(value.limits.body_timeout == limit_settings{}.body_timeout);
+    CHECK(value.limits.idle_timeout == limit_settings{}.idle_timeout);
+    CHECK(value.limits.max_connections == limit_settings{}.max_connections);
+    CHECK(value.stop.drain_limit == stop_settings{}.drain_limit);
+    CHECK(value.log.level == log_settings{}.level);
+    CHECK(value.log.format == log_settings{}.format);
+    CHECK(value.events.capacity == event_settings{}.capacity);
+    CHECK(value.allowance.loan_duration == allowance_settings{}.loan_duration);
+    CHECK(value.allowance.drift_margin == allowance_settings{}.drift_margin);
+    CHECK(value.allowance.lendable_fraction == allowance_settings{}.lendable_fraction);
+    CHECK(value.allowance.loan_wait == allowance_settings{}.loan_wait);
+    CHECK(value.tickets.lifetime == ticket_limits{}.lifetime);
+    CHECK(value.tickets.run_by == ticket_limits{}.run_by);
+    CHECK(value.tickets.max_kept_answer_bytes == ticket_limits{}.max_kept_answer_bytes);
+}
+
 TEST_CASE("a fault in the settings is refused with line and key and remedy")
 {
     SECTION("unknown keys with the nearest known name")
--- a/src/version/rules/rule_line.cpp
+++ b/src/version/rules/rule_line.cpp
@@ -126,16 +126,14 @@
     return rule.is_table() && start < location.line_str().size() && location.line_str()[start] == '{';
 }
 
-/// Whether the comment on the rule's own line names somebody. A comment on the line before is not enough,
-/// since it would stay behind when the rule moves.
+/// Whether the comment on the rule's line names somebody.
 bool names_who_asked(const toml_value& rule)
 {
     if (rule.comments().empty()) {
         return false;
     }
-    const std::string line = boost::algorithm::trim_right_copy(rule.location().line_str());
     const std::string comment = boost::algorithm::trim_copy(rule.comments().back());
-    return line.ends_with(comment) && comment.starts_with(asked_by) && comment.size() > asked_by.size();
+    return comment.starts_with(asked_by) && comment.size() > asked_by.size();
 }
 
 result<void> check_form(const toml_value& rule, const std::string& path, std::size_t line)
--- a/src/version/rules/rule_lines.h
+++ b/src/version/rules/rule_line_numbers.h
@@ -8,6 +8,6 @@
 namespace cardamomstream {
 
 /// Line of each rule by its dotted key, such as "customers.carrier".
-using rule_lines = std::map<std::string, std::size_t>;
+using rule_line_numbers = std::map<std::string, std::size_t>;
 
 } // namespace cardamomstream
--- a/src/version/rules/rules_checker.cpp
+++ b/src/version/rules/rules_checker.cpp
@@ -41,7 +41,7 @@
 
 } // namespace
 
-rules_checker::rules_checker(const rules& checked, const rule_lines& lines)
+rules_checker::rules_checker(const rules& checked, const rule_line_numbers& lines)
     : m_rules(&checked)
     , m_lines(&lines)
 {
--- a/src/version/rules/rules_checker.h
+++ b/src/version/rules/rules_checker.h
@@ -3,7 +3,7 @@
 
 #include "cardamomstream/core/error.h"
 #include "cardamomstream/version/rules_types.h"
-#include "rule_lines.h"
+#include "rule_line_numbers.h"
 
 #include <map>
 #include <optional>
@@ -15,7 +15,7 @@
 /// Checks one version of the rules whose fields have been read.
 class rules_checker {
 public:
-    rules_checker(const rules& checked, const rule_lines& lines);
+    rules_checker(const rules& checked, const rule_line_numbers& lines);
 
     /// The first fault found, as `invalid_rules`.
     result<void> check();
@@ -43,7 +43,7 @@
     void refuse(const std::string& rule, const std::string& message, std::string remedy);
 
     const rules* m_rules;
-    const rule_lines* m_lines;
+    const rule_line_numbers* m_lines;
     std::optional<error> m_error;
 };
 
--- a/src/version/rules/rules_reader.cpp
+++ b/src/version/rules/rules_reader.cpp
@@ -2,13 +2,11 @@
 
 #include "cardamomstream/version/toml_document.h"
 #include "rule_line.h"
-#include "rule_lines.h"
+#include "rule_line_numbers.h"
 #include "rules_checker.h"
 
 #include <utility>
 
-#include <boost/algorithm/string/trim.hpp>
-
 namespace cardamomstream {
 namespace {
 
@@ -107,7 +105,7 @@
 
 private:
     rules m_rules;
-    rule_lines m_lines;
+    rule_line_numbers m_lines;
 };
 
 } // namespace
--- a/src/version/rules/tests/rules_reader_test.cpp
+++ b/src/version/rules/tests/rules_reader_test.cpp
@@ -178,6 +178,9 @@
                       .find("line 6: customers.small.burst") == 0);
         }
         CHECK(refusal_after("{ riga = 1 }", "{ riga = -1 }").find("line 5: ") == 0);
+        CHECK(refusal_after("per_second = 50", "per_second = -1").find("line 12: links.riga-kurzeme.req") ==
+              0);
+        CHECK(refusal_after("queue_weight = 2", "queue_weight = -2.5").find("line 5: ") == 0);
         CHECK(refusal_after("{ riga = 1 }", "{ riga = 0 }").find("line 5: ") == 0);
         CHECK(refusal_after("version = 12", "version = 0").find("line 1: version is too small") == 0);
         CHECK(refusal_after("version = 12", "").find("version is missing") != std::string::npos);
