--- a/include/cardamomstream/process/heartbeat_types.h
+++ b/include/cardamomstream/process/heartbeat_types.h
@@ -38,6 +38,7 @@
 struct allowance_report {
     customer_name customer;
     token_rate spare_rate;
+    double spare_burst = 0; ///< tokens
     token_count spare_level = 0;
     token_rate wanted_rate;
 };
@@ -79,7 +80,7 @@
     version_number lowest_version = 0;    ///< every member in the digest has applied at least this
     std::uint64_t members_digest = 0;     ///< over names, incarnations, leaving flags and successors
     std::vector<member_record> members;   ///< empty: as last sent under this digest
-    std::map<pool_name, pool_load> loads; ///< sum over the data centre, at most `max_pools_per_summary`
+    std::map<pool_name, pool_load> loads; ///< sum over the data centre; empty: as last sent
 };
 
 /// One message from VM to VM.
