--- a/include/cardamomstream/connection/peer_types.h
+++ b/include/cardamomstream/connection/peer_types.h
@@ -38,8 +38,8 @@
     std::string ticket;
     std::uint32_t hop_count = 1;
     std::vector<region_name> regions_passed;
-    std::chrono::milliseconds time_left{0};
-    token_count cost = 0; ///< charged by the sender
+    std::chrono::milliseconds time_left{0}; ///< until the answer has to begin
+    token_count cost = 0;                   ///< charged by the sender
     std::optional<event_ref> cause;
 };
 
@@ -59,7 +59,7 @@
 
 struct read_configuration_reply {
     std::optional<version_id> version;    ///< held by the receiver
-    std::optional<version_update> update; ///< set when the receiver holds a newer version
+    std::optional<version_update> update; ///< set when the receiver holds a newer version; leads to `version`
     std::optional<std::chrono::milliseconds> confirmed_age;
 };
 
