--- a/src/connection/peer/channel_pool.cpp
+++ b/src/connection/peer/channel_pool.cpp
@@ -1,5 +1,6 @@
 #include "channel_pool.h"
 
+#include "grpc_library.h"
 #include "grpc_values.h"
 
 #include <chrono>
@@ -65,6 +66,7 @@
 channel_pool::channel_pool(std::shared_ptr<grpc::ChannelCredentials> security)
     : m_security(std::move(security))
 {
+    keep_grpc_loaded();
 }
 
 std::shared_ptr<peer_channel> channel_pool::take(const endpoint& address, time_point now)
--- a/src/connection/peer/fleet_credential.cpp
+++ b/src/connection/peer/fleet_credential.cpp
@@ -2,6 +2,7 @@
 
 #include <optional>
 #include <string_view>
+#include <utility>
 
 #include <grpc/grpc.h>
 #include <grpc/slice.h>
@@ -50,9 +51,9 @@
 
 } // namespace
 
-fleet_credential::fleet_credential(const peer_identity& self)
+fleet_credential::fleet_credential(peer_identity self)
     : m_vm(self.vm.str())
-    , m_credential(self.credential)
+    , m_credential(std::move(self.credential))
     , m_sendable(is_sendable(m_vm) && is_sendable(m_credential))
 {
 }
--- a/src/connection/peer/fleet_credential.h
+++ b/src/connection/peer/fleet_credential.h
@@ -16,7 +16,7 @@
 /// Sent with every call by a client.
 class fleet_credential {
 public:
-    explicit fleet_credential(const peer_identity& self);
+    explicit fleet_credential(peer_identity self);
 
     /// Error `invalid_settings`: the credential or the VM's name has characters that metadata can't hold.
     result<void> attach(grpc::ClientContext& context) const;
--- a/src/connection/peer/forward_call.cpp
+++ b/src/connection/peer/forward_call.cpp
@@ -27,20 +27,24 @@
 
 forward_call::read_future forward_call::read()
 {
-    boost::fibers::promise<bool> reader;
-    auto future = reader.get_future();
-    {
-        const std::lock_guard lock(m_mutex);
-        if (!m_done) {
-            m_reader = std::move(reader);
-        }
+    auto future = expect_reply();
+    if (future) {
+        StartRead(&m_message);
+        return std::move(*future);
     }
+    boost::fibers::promise<bool> ended;
+    ended.set_value(false);
+    return ended.get_future();
+}
+
+std::optional<forward_call::read_future> forward_call::expect_reply()
+{
+    const std::lock_guard lock(m_mutex);
     if (m_done) {
-        reader.set_value(false);
-        return future;
+        return std::nullopt;
     }
-    StartRead(&m_message);
-    return future;
+    m_reader.emplace();
+    return m_reader->get_future();
 }
 
 void forward_call::cancel()
--- a/src/connection/peer/forward_call.h
+++ b/src/connection/peer/forward_call.h
@@ -47,6 +47,7 @@
     void OnReadDone(bool ok) override;
     void OnDone(const grpc::Status& status) override;
 
+    std::optional<read_future> expect_reply();
     void remove_hold();
     void finish_read(bool has_message);
 
--- a/src/connection/peer/membership_codec.cpp
+++ b/src/connection/peer/membership_codec.cpp
@@ -53,7 +53,7 @@
 {
     std::map<pool_name, pool_load> loads;
     for (const auto& load : from) {
-        loads[pool_name{load.pool()}] = {load.in_flight(), load.queued(), load.slots()};
+        loads.emplace(load.pool(), pool_load{load.in_flight(), load.queued(), load.slots()});
     }
     return loads;
 }
--- a/src/connection/peer/peer_client.cpp
+++ b/src/connection/peer/peer_client.cpp
@@ -45,9 +45,9 @@
 
 class peer_client::impl {
 public:
-    explicit impl(const peer_identity& self)
-        : m_credential(self)
-        , m_channels(std::make_shared<channel_pool>(client_security(self)))
+    explicit impl(peer_identity self)
+        : m_channels(std::make_shared<channel_pool>(client_security(self)))
+        , m_credential(std::move(self))
         , m_counters(std::make_shared<call_counters>())
     {
     }
@@ -128,8 +128,8 @@
         return boost::outcome_v2::success();
     }
 
-    fleet_credential m_credential;
     std::shared_ptr<channel_pool> m_channels;
+    fleet_credential m_credential;
     std::shared_ptr<call_counters> m_counters;
 };
 
@@ -154,7 +154,7 @@
 } // namespace
 
 peer_client::peer_client(peer_identity self)
-    : m_impl(std::make_unique<impl>(self))
+    : m_impl(std::make_unique<impl>(std::move(self)))
 {
 }
 
@@ -209,8 +209,8 @@
 result<std::size_t> peer_client::hand_over(const peer_address& to, const hand_over_value& value,
                                            std::chrono::milliseconds limit)
 {
-    const auto reply = m_impl->call<wire::HandOverRequest, wire::HandOverReply>(to, encode(value), limit,
-                                                                                &method::HandOver);
+    const auto reply =
+        m_impl->call<wire::HandOverRequest, wire::HandOverReply>(to, encode(value), limit, &method::HandOver);
     if (!reply) {
         return reply.error();
     }
--- a/src/connection/peer/peer_server.cpp
+++ b/src/connection/peer/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "cardamomstream/connection/peer_server.h"
 
+#include "grpc_library.h"
 #include "grpc_values.h"
 #include "peer_service.h"
 #include "transport_security.h"
@@ -21,6 +22,8 @@
 /// A connection with running calls is pinged after this much silence and closed if the ping gets no answer.
 constexpr milliseconds keepalive_time{10'000};
 constexpr milliseconds keepalive_timeout{5'000};
+/// A client closes its idle connections earlier; what is left belongs to VMs that are gone.
+constexpr milliseconds idle_timeout{300'000};
 /// Clients that ping more often are disconnected.
 constexpr milliseconds shortest_ping_interval{5'000};
 
@@ -29,6 +32,7 @@
     builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
     builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIME_MS, count_of(keepalive_time));
     builder.AddChannelArgument(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, count_of(keepalive_timeout));
+    builder.AddChannelArgument(GRPC_ARG_MAX_CONNECTION_IDLE_MS, count_of(idle_timeout));
     builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PINGS_WITHOUT_DATA, 0);
     builder.AddChannelArgument(GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS,
                                count_of(shortest_ping_interval));
@@ -54,6 +58,7 @@
         : m_self(std::move(self))
         , m_service(m_self, control, traffic, std::move(handlers))
     {
+        keep_grpc_loaded();
     }
 
     result<endpoint> listen(const endpoint& address)
--- a/src/connection/peer/tests/forward_test.cpp
+++ b/src/connection/peer/tests/forward_test.cpp
@@ -307,14 +307,28 @@
         CHECK(answer.failure->kind == error_kind::peer_unavailable);
         CHECK(answer.failure->outcome == run_outcome::unknown);
     }
-    SECTION("a fiber of the control thread may stop it")
+    SECTION("a fiber of the control thread may stop it while calls run there")
     {
-        running_peer peer(quiet_handlers());
+        std::promise<void> begun;
+        auto handlers = quiet_handlers();
+        handlers.exchange = [&](const vm_name&, const exchange_request&) {
+            begun.set_value();
+            boost::this_fiber::sleep_for(300ms);
+            return exchange_reply{version_id{9, {}}};
+        };
+        running_peer peer(handlers);
         calling_peer caller;
-        CHECK(in_fiber(caller.thread, [&] { return caller.client.invite(peer.address, call_limit); }));
+        auto running = std::async(std::launch::async, [&] {
+            return in_fiber(caller.thread,
+                            [&] { return caller.client.exchange(peer.address, {}, call_limit); });
+        });
+        begun.get_future().wait();
         CHECK(in_fiber(peer.control, [&] {
-            peer.server.stop(100ms);
+            peer.server.stop(5s);
             return true;
         }));
+        const auto reply = running.get();
+        REQUIRE(reply);
+        CHECK(reply.value().version->number == 9);
     }
 }
