--- a/include/cardamomstream/request/ticket_book.h
+++ b/include/cardamomstream/request/ticket_book.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <set>
 #include <string_view>
+#include <unordered_map>
 
 namespace cardamomstream {
 
@@ -95,15 +96,21 @@
                                const route_name& route, const request_digest& digest, time_point now);
     begin_decision begin_absent(const ticket& value) const;
     std::optional<error> check_use(const entry& found, const customer_name& customer, const route_name& route,
-                                   const request_digest& digest) const;
+                                   const request_digest& digest, time_point now) const;
     begin_decision answer_done(const entry& found, time_point now) const;
+    std::chrono::milliseconds settle_left(const entry& found, time_point now) const;
     error unknown_error(const entry& found, time_point now) const;
     std::optional<error> check_room(const customer_name& customer, time_point now) const;
+    entry* find(const ticket_id& id);
     void insert(const ticket_id& id, entry value);
+    void take(const handed_ticket& handed, time_point base);
+    void forget_end(const ticket_id& id, const entry& found);
+    void set_end(const ticket_id& id, entry& found, time_point end);
     void erase(const ticket_id& id);
+    void end_run(entry& found, ticket_state state);
     void keep(const ticket_id& id, entry& found, kept_answer answer);
-    void evict_answers();
-    entry* find(const ticket_id& id);
+    void drop_answer(entry& found);
+    bool has_answer(const ticket_id& id) const;
 
     ticket_holder m_self;
     ticket_key m_key;
@@ -112,10 +119,10 @@
     std::uint64_t m_last_number = 0;
     std::uint64_t m_last_invitation = 0;
     bool m_issuing = true;
-    std::map<ticket_id, entry> m_entries;
-    std::set<std::pair<time_point, ticket_id>> m_by_end;
-    std::map<customer_name, std::multiset<time_point>> m_ends_by_customer;
-    std::map<ticket_id, moved_ticket> m_moved;
+    std::unordered_map<ticket_id, entry> m_entries;
+    std::multimap<time_point, ticket_id> m_by_end;
+    std::unordered_map<customer_name, std::multiset<time_point>> m_ends_by_customer;
+    std::unordered_map<ticket_id, moved_ticket> m_moved;
     std::map<std::uint64_t, open_invitation> m_invitations;
     std::deque<ticket_id> m_answers_by_age;
     std::size_t m_answer_bytes = 0;
--- a/include/cardamomstream/request/ticket_types.h
+++ b/include/cardamomstream/request/ticket_types.h
@@ -10,9 +10,9 @@
 
 #include <array>
 #include <chrono>
-#include <compare>
+#include <cstddef>
 #include <cstdint>
-#include <map>
+#include <functional>
 #include <optional>
 #include <string>
 #include <utility>
@@ -34,14 +34,14 @@
 struct ticket_holder {
     vm_name vm;
     incarnation process;
-    friend auto operator<=>(const ticket_holder&, const ticket_holder&) = default;
+    friend bool operator==(const ticket_holder&, const ticket_holder&) = default;
 };
 
 /// Names one ticket in the whole fleet.
 struct ticket_id {
     ticket_holder issuer;
     std::uint64_t number = 0;
-    friend auto operator<=>(const ticket_id&, const ticket_id&) = default;
+    friend bool operator==(const ticket_id&, const ticket_id&) = default;
 };
 
 /// What a ticket says. Nothing of it is trusted before the issuer has checked the MAC.
@@ -132,3 +132,11 @@
 };
 
 } // namespace cardamomstream
+
+template <>
+struct std::hash<cardamomstream::ticket_id> {
+    std::size_t operator()(const cardamomstream::ticket_id& value) const noexcept
+    {
+        return std::hash<std::uint64_t>{}(value.issuer.process.value * 31U + value.number);
+    }
+};
