--- a/include/cardamomstream/process/configuration_types.h
+++ b/include/cardamomstream/process/configuration_types.h
@@ -24,7 +24,8 @@
 struct version_id {
     version_number number = 0;
     document_digest digest{};
-    friend auto operator<=>(const version_id&, const version_id&) = default;
+    // The check takes the zero inside the generated comparison for a pointer.
+    friend auto operator<=>(const version_id&, const version_id&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// One published version.
--- a/include/cardamomstream/process/heartbeat_types.h
+++ b/include/cardamomstream/process/heartbeat_types.h
@@ -23,7 +23,9 @@
     std::uint32_t generation = 1;
     incarnation process;
     std::uint64_t counter = 0;
-    friend auto operator<=>(const heartbeat_stamp&, const heartbeat_stamp&) = default;
+    // The check takes the zero inside the generated comparison for a pointer.
+    friend auto operator<=>(const heartbeat_stamp&,
+                            const heartbeat_stamp&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Load of one upstream pool in one region.
@@ -31,7 +33,7 @@
     std::uint32_t in_flight = 0;
     std::uint32_t queued = 0;
     std::uint32_t slots = 0;
-    friend auto operator<=>(const pool_load&, const pool_load&) = default;
+    friend bool operator==(const pool_load&, const pool_load&) = default;
 };
 
 /// What a VM could lend of one customer's allowance, and what it is short of.
@@ -46,7 +48,7 @@
 struct named_successor {
     vm_name vm;
     incarnation process;
-    friend auto operator<=>(const named_successor&, const named_successor&) = default;
+    friend bool operator==(const named_successor&, const named_successor&) = default;
 };
 
 /// What a VM says about itself; full within a data centre.
@@ -79,7 +81,7 @@
     version_number lowest_version = 0;    ///< every member in the digest has applied at least this
     std::uint64_t members_digest = 0;     ///< over names, incarnations, leaving flags and successors
     std::vector<member_record> members;   ///< empty: as last sent under this digest
-    std::map<pool_name, pool_load> loads; ///< sum over the data centre, at most `max_pools_per_summary`
+    std::map<pool_name, pool_load> loads; ///< sum over the data centre; empty: as last sent
 };
 
 /// One message from VM to VM.
--- a/include/cardamomstream/process/member_table.h
+++ b/include/cardamomstream/process/member_table.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "cardamomstream/process/heartbeat_types.h"
+#include "cardamomstream/process/summary_store.h"
 #include "cardamomstream/version/vm_list_types.h"
 
 #include <chrono>
@@ -13,7 +14,6 @@
 #include <optional>
 #include <random>
 #include <set>
-#include <string_view>
 #include <vector>
 
 namespace cardamomstream {
@@ -28,14 +28,19 @@
 
 struct membership_settings {
     std::chrono::milliseconds heartbeat_interval{1'000}; ///< the shortest; stretched by `bytes_per_second`
-    std::size_t bytes_per_second = 1'150;     ///< sent by one VM, `message_overhead_bytes` included
+    std::size_t bytes_per_second = 1'050;     ///< sent by one VM, `message_overhead_bytes` included
     std::size_t message_overhead_bytes = 110; ///< gRPC, TCP and IP around one message
-    std::size_t max_summary_bytes = 1'200;    ///< summaries in one message
+    std::size_t max_summary_bytes = 900;      ///< summaries in a message to another data centre
+    std::size_t max_relay_bytes = 500;        ///< summaries in a message within the data centre
+    std::size_t max_answer_bytes = 1'500;     ///< member lists for a VM that lacks them
+    std::size_t direct_targets = 3;           ///< VMs of the data centre in one round, in turn
+    std::uint64_t rounds_per_load = 4;        ///< a summary in so many carries loads
     std::size_t max_allowance_reports = 4;
     std::size_t max_pools_per_summary = 6;
     std::size_t delegates_per_data_centre = 2;
-    std::chrono::milliseconds silence_limit{5'000};  ///< then a new connection is to be tried
-    std::chrono::milliseconds probe_interval{2'000}; ///< between new connections to a suspected VM
+    std::chrono::milliseconds silence_limit{15'000};     ///< then a new connection is to be tried
+    std::chrono::milliseconds probe_interval{2'000};     ///< between new connections to a suspected VM
+    std::chrono::milliseconds summary_freshness{30'000}; ///< a VM not heard for longer leaves the summary
     std::chrono::milliseconds pause_limit{2'000}; ///< a longer gap between ticks means that the process slept
     std::chrono::milliseconds forget_gone{600'000}; ///< how long a VM that left the list stays known as gone
 };
@@ -49,7 +54,11 @@
     member_state state = member_state::listed;
     std::optional<heartbeat_stamp> stamp; ///< greatest seen
     version_number applied_version = 0;
-    bool leaving = false; ///< by its own word
+    bool leaving = false;        ///< by its own word
+    bool listed = false;         ///< in the list's last version
+    bool listed_leaving = false; ///< by the list's word
+    bool suspected = false;
+    time_point listed_since;
     std::optional<named_successor> successor;
     std::optional<time_point> last_heard;        ///< by any path; the time of receipt
     std::optional<time_point> last_heard_direct; ///< from the VM itself
@@ -125,30 +134,20 @@
     const heartbeat_stamp& own_stamp() const noexcept;
 
 private:
-    struct held_summary {
-        data_centre_summary value;
-        time_point received;
-        unsigned times_sent = 0;
-    };
-    struct data_centre_state {
-        std::map<vm_name, held_summary> by_origin;                        ///< at most `max_origins`
-        std::map<std::uint64_t, std::vector<member_record>> member_lists; ///< by digest, at most `max_lists`
-        bool members_wanted = false; ///< a summary came without its members
-        unsigned members_asked = 0;  ///< sends that must carry members
-    };
-
     void note_own_name(const heartbeat_stamp& seen);
     bool merge_heartbeat(const heartbeat& value, time_point now);
-    void merge_summary(const data_centre_summary& value, time_point now);
-    void merge_record(const member_record& value, version_number version, time_point now);
-    void refresh_state(member& value) const;
-    heartbeat own_heartbeat() const;
-    data_centre_summary own_summary() const;
-    membership_message message_to(const vm_name& receiver) const;
-    void add_summaries(membership_message& message, const data_centre_name& receiver_centre,
-                       const std::optional<data_centre_summary>& own);
-    std::vector<vm_name> summary_targets(std::mt19937_64& random) const;
-    std::vector<data_centre_name> wanted_members() const;
+    void merge_record(const member_record& value, time_point now);
+    void drop_forgotten(time_point now);
+    bool is_in_summary(const member& value, time_point now) const;
+    data_centre_summary own_summary(time_point now) const;
+    heartbeat_target target_of(const vm_name& receiver);
+    std::optional<vm_name> first_asker(bool in_own_centre) const;
+    std::vector<vm_name> direct_targets();
+    std::optional<vm_name> summary_target(std::mt19937_64& random) const;
+    std::optional<vm_name> random_delegate(const std::vector<data_centre_name>& centres,
+                                           std::mt19937_64& random) const;
+    std::optional<data_centre_name> own_data_centre() const;
+    std::vector<data_centre_name> other_data_centres(bool own_region_only) const;
 
     vm_name m_self;
     membership_settings m_settings;
@@ -159,16 +158,11 @@
     std::map<vm_name, member> m_members;
     std::map<vm_name, time_point> m_gone_since;
     std::map<vm_name, time_point> m_last_probe;
-    std::map<data_centre_name, data_centre_state> m_data_centres;
+    std::map<vm_name, std::vector<data_centre_name>> m_wanted_by;
+    summary_store m_summaries;
     std::optional<time_point> m_last_tick;
-    time_point m_next_round;
+    std::optional<time_point> m_next_round;
+    std::optional<vm_name> m_last_direct;
 };
 
-/// Names in the order of their rendezvous weight for `key`, best first. The same on every VM for the same
-/// input.
-std::vector<vm_name> rank_by_rendezvous(std::string_view key, std::vector<vm_name> names);
-
-/// Upper bound of the encoded size of a message in bytes, without transport overhead.
-std::size_t encoded_size_bound(const membership_message& message);
-
 } // namespace cardamomstream
--- a/include/cardamomstream/process/start_decision.h
+++ b/include/cardamomstream/process/start_decision.h
@@ -52,7 +52,8 @@
     /// nullopt: the peer has started as well and holds none.
     void peer_answered(const vm_name& vm, const std::optional<version_id>& id);
     void peer_failed(const vm_name& vm);
-    /// The version could not be taken (its holder failed, or its text was refused): look at the next one.
+    /// The text of the version was refused here: look at the next one. (A holder that fails is
+    /// `peer_failed`.)
     void could_not_take(const version_id& id);
 
     start_step next(const std::optional<version_id>& held, time_point now) const;
--- a/include/cardamomstream/process/version_store.h
+++ b/include/cardamomstream/process/version_store.h
@@ -3,6 +3,7 @@
 
 #include "cardamomstream/process/configuration_types.h"
 #include "cardamomstream/process/line_delta.h"
+#include "cardamomstream/process/version_record.h"
 
 #include <concepts>
 #include <deque>
@@ -13,13 +14,6 @@
 
 namespace cardamomstream {
 
-struct version_store_settings {
-    std::size_t max_deltas = 64;                ///< versions that a peer may lag behind and still get deltas
-    std::size_t max_delta_bytes = 256UL * 1024; ///< over all kept deltas
-    std::size_t max_refused = 16;               ///< refused versions that are remembered
-    std::size_t max_text_bytes = 1024UL * 1024;
-};
-
 /// Reads a document; the verdict must depend on the bytes alone.
 template <class Parser>
 concept document_parser = requires(const Parser& parser, const version_document& document)
@@ -30,38 +24,6 @@
         } -> std::same_as<result<typename Parser::value_type>>;
 };
 
-/// The text, deltas and refusals of versions, without the parsed value.
-class version_record {
-public:
-    explicit version_record(version_store_settings settings);
-
-    /// What can be said before the text is read; nullopt: it has to be read.
-    std::optional<offer_result> judge(const version_id& id, std::size_t bytes, time_point now);
-    /// Text after the deltas, or why they can't be used.
-    std::variant<version_document, offer_result> apply(const std::vector<version_delta>& deltas) const;
-    void accept(const version_id& id, std::string text, time_point now);
-    void refuse(const version_id& id, const error& reason, time_point now);
-    void confirm(time_point now);
-
-    const std::optional<version_id>& current() const noexcept;
-    const std::string& text() const noexcept;
-    /// Time of the last confirmation: acceptance, or an offer of the same version.
-    std::optional<time_point> confirmed_at() const noexcept;
-    const std::deque<refused_version>& refused() const noexcept;
-    std::optional<version_update> update_for(const std::optional<version_id>& held) const;
-
-private:
-    void trim_deltas();
-
-    version_store_settings m_settings;
-    std::optional<version_id> m_current;
-    std::string m_text;
-    std::optional<time_point> m_confirmed_at;
-    std::deque<version_delta> m_deltas;
-    std::size_t m_delta_bytes = 0;
-    std::deque<refused_version> m_refused;
-};
-
 /// Holds the last accepted version and its parsed value. Not thread-safe; publish `value()` as a snapshot.
 template <document_parser Parser>
 class version_store {
@@ -99,7 +61,7 @@
         }
         auto applied = m_record.apply(std::get<std::vector<version_delta>>(update));
         if (auto* failed = std::get_if<offer_result>(&applied)) {
-            return *std::move(failed);
+            return std::move(*failed);
         }
         return offer(std::get<version_document>(applied), now);
     }
