--- a/src/connection/peer/membership_codec.cpp
+++ b/src/connection/peer/membership_codec.cpp
@@ -63,6 +63,7 @@
     wire::AllowanceReport to;
     to.set_customer(value.customer.str());
     to.set_spare_rate(value.spare_rate.per_second);
+    to.set_spare_burst(value.spare_burst);
     to.set_spare_level(value.spare_level);
     to.set_wanted_rate(value.wanted_rate.per_second);
     return to;
@@ -71,10 +72,12 @@
 result<allowance_report> decode(const wire::AllowanceReport& from)
 {
     BOOST_OUTCOME_TRY(const auto spare_rate, decode_number(from.spare_rate(), "spare_rate"));
+    BOOST_OUTCOME_TRY(const auto spare_burst, decode_number(from.spare_burst(), "spare_burst"));
     BOOST_OUTCOME_TRY(const auto wanted_rate, decode_number(from.wanted_rate(), "wanted_rate"));
     allowance_report value;
     value.customer = customer_name{from.customer()};
     value.spare_rate.per_second = spare_rate;
+    value.spare_burst = spare_burst;
     value.spare_level = from.spare_level();
     value.wanted_rate.per_second = wanted_rate;
     return value;
--- a/src/connection/peer/peer_response_writer.cpp
+++ b/src/connection/peer/peer_response_writer.cpp
@@ -44,6 +44,13 @@
     return end_stream();
 }
 
+result<void> peer_response_writer::refuse(const error& reason, const request_id& /*id*/)
+{
+    m_started = true;
+    m_ended = true;
+    return write(reason);
+}
+
 result<void> peer_response_writer::begin_stream(const http_response_head& head)
 {
     m_started = true;
--- a/src/connection/peer/peer_response_writer.h
+++ b/src/connection/peer/peer_response_writer.h
@@ -16,6 +16,7 @@
     explicit peer_response_writer(std::shared_ptr<reply_stream> stream);
 
     result<void> send(const http_response& response) override;
+    result<void> refuse(const error& reason, const request_id& id) override;
     result<void> begin_stream(const http_response_head& head) override;
     result<void> write_chunk(std::string_view data) override;
     result<void> end_stream() override;
--- a/src/process/membership/summary_store.cpp
+++ b/src/process/membership/summary_store.cpp
@@ -12,7 +12,11 @@
 constexpr std::size_t max_origins = 4;     // of one data centre
 constexpr std::size_t max_lists = 4;       // of one data centre
 constexpr unsigned max_sends = 4;          // of one summary by one VM
+<<<<<<< HEAD
 constexpr unsigned sends_with_members = 2; // of a member list that is new here
+=======
+constexpr unsigned sends_with_members = 1; // of a member list that is new here
+>>>>>>> tickets
 constexpr std::size_t max_wanted = 8;      // data centres named in one message
 
 } // namespace
@@ -108,6 +112,7 @@
     return own;
 }
 
+<<<<<<< HEAD
 void summary_store::answer(membership_message& message, const std::vector<data_centre_name>& wanted)
 {
     for (const auto& data_centre : wanted) {
@@ -124,6 +129,39 @@
             }
         }
     }
+=======
+void summary_store::answer(membership_message& message, const std::vector<data_centre_name>& wanted,
+                           std::size_t max_bytes)
+{
+    std::size_t bytes = 0;
+    for (const auto& data_centre : wanted) {
+        auto value = newest_with_members(data_centre);
+        if (!value) {
+            continue;
+        }
+        bytes += encoded_size_bound(*value);
+        if (bytes > max_bytes && !message.summaries.empty()) {
+            return;
+        }
+        message.summaries.push_back(*std::move(value));
+    }
+}
+
+std::optional<data_centre_summary> summary_store::newest_with_members(const data_centre_name& data_centre)
+{
+    const auto found = m_data_centres.find(data_centre);
+    if (found == m_data_centres.end()) {
+        return std::nullopt;
+    }
+    for (const auto& [origin, held] : found->second.by_origin) {
+        if (const member_list* list = find_list(found->second, held.value.members_digest)) {
+            auto value = held.value;
+            value.members = list->members;
+            return value;
+        }
+    }
+    return std::nullopt;
+>>>>>>> tickets
 }
 
 std::vector<data_centre_name> summary_store::wanted_members()
