--- a/include/cardamomstream/process/member_table.h
+++ b/include/cardamomstream/process/member_table.h
@@ -32,10 +32,7 @@
     std::size_t message_overhead_bytes = 110; ///< gRPC, TCP and IP around one message
     std::size_t max_summary_bytes = 900;      ///< summaries in a message to another data centre
     std::size_t max_relay_bytes = 500;        ///< summaries in a message within the data centre
-<<<<<<< HEAD
-=======
     std::size_t max_answer_bytes = 1'500;     ///< member lists for a VM that lacks them
->>>>>>> tickets
     std::size_t direct_targets = 3;           ///< VMs of the data centre in one round, in turn
     std::uint64_t rounds_per_load = 4;        ///< a summary in so many carries loads
     std::size_t max_allowance_reports = 4;
@@ -144,11 +141,7 @@
     bool is_in_summary(const member& value, time_point now) const;
     data_centre_summary own_summary(time_point now) const;
     heartbeat_target target_of(const vm_name& receiver);
-<<<<<<< HEAD
-    std::optional<vm_name> distant_asker() const;
-=======
     std::optional<vm_name> first_asker(bool in_own_centre) const;
->>>>>>> tickets
     std::vector<vm_name> direct_targets();
     std::optional<vm_name> summary_target(std::mt19937_64& random) const;
     std::optional<vm_name> random_delegate(const std::vector<data_centre_name>& centres,
--- a/include/cardamomstream/process/summary_store.h
+++ b/include/cardamomstream/process/summary_store.h
@@ -24,15 +24,10 @@
     /// Decides whether the own summary goes out with its members and counts that.
     data_centre_summary prepare_own(data_centre_summary own);
 
-<<<<<<< HEAD
-    /// Adds the summary of one of these data centres with its members, for a receiver that lacks them.
-    void answer(membership_message& message, const std::vector<data_centre_name>& wanted);
-=======
     /// Adds summaries of these data centres with their members, for a receiver that lacks them; at least one
     /// that is known here, and more up to `max_bytes`.
     void answer(membership_message& message, const std::vector<data_centre_name>& wanted,
                 std::size_t max_bytes);
->>>>>>> tickets
     /// Some of the data centres whose members are not known here, in turn.
     std::vector<data_centre_name> wanted_members();
 
@@ -63,10 +58,7 @@
         time_point loads_received;
     };
 
-<<<<<<< HEAD
-=======
     std::optional<data_centre_summary> newest_with_members(const data_centre_name& data_centre);
->>>>>>> tickets
     static member_list* find_list(data_centre_state& state, std::uint64_t digest);
     static void remember_list(data_centre_state& state, std::uint64_t digest,
                               std::vector<member_record> members);
--- a/src/process/membership/member_table.cpp
+++ b/src/process/membership/member_table.cpp
@@ -258,12 +258,8 @@
         m_summaries.fill(message, m_settings.max_summary_bytes);
     }
     if (!round.empty()) {
-<<<<<<< HEAD
-        round.back().message.wanted_members = m_summaries.wanted_members();
-=======
         auto& asked = m_own.stamp.counter % 2 == 0 ? round.front() : round.back();
         asked.message.wanted_members = m_summaries.wanted_members();
->>>>>>> tickets
     }
     std::size_t bytes = 0;
     for (const auto& target : round) {
@@ -279,11 +275,7 @@
     const member& held = m_members.at(receiver);
     heartbeat_target target{receiver, held.peer, {m_own, held.stamp, {}, {}}};
     if (const auto wanted = m_wanted_by.find(receiver); wanted != m_wanted_by.end()) {
-<<<<<<< HEAD
-        m_summaries.answer(target.message, wanted->second);
-=======
         m_summaries.answer(target.message, wanted->second, m_settings.max_answer_bytes);
->>>>>>> tickets
         m_wanted_by.erase(wanted);
     }
     return target;
@@ -307,13 +299,10 @@
     if (!targets.empty()) {
         m_last_direct = targets.back();
     }
-<<<<<<< HEAD
-=======
     const auto asker = first_asker(true);
     if (asker && std::find(targets.begin(), targets.end(), *asker) == targets.end()) {
         targets.push_back(*asker);
     }
->>>>>>> tickets
     return targets;
 }
 
@@ -322,11 +311,7 @@
     if (!is_delegate()) {
         return std::nullopt;
     }
-<<<<<<< HEAD
-    if (auto asker = distant_asker()) {
-=======
     if (auto asker = first_asker(false)) {
->>>>>>> tickets
         return asker;
     }
     const bool own_region_first = m_own.stamp.counter % 2 == 0;
@@ -338,21 +323,13 @@
     return random_delegate(other_data_centres(false), random);
 }
 
-<<<<<<< HEAD
-std::optional<vm_name> member_table::distant_asker() const
-=======
 std::optional<vm_name> member_table::first_asker(bool in_own_centre) const
->>>>>>> tickets
 {
     const auto centre = own_data_centre();
     for (const auto& [vm, wanted] : m_wanted_by) {
         const auto found = m_members.find(vm);
-<<<<<<< HEAD
-        if (found != m_members.end() && found->second.listed && found->second.data_centre != centre) {
-=======
         if (found != m_members.end() && found->second.listed &&
             (found->second.data_centre == centre) == in_own_centre) {
->>>>>>> tickets
             return vm;
         }
     }
--- a/src/process/membership/rendezvous.cpp
+++ b/src/process/membership/rendezvous.cpp
@@ -62,11 +62,7 @@
                         number_bytes(static_cast<std::uint64_t>(value.confirmed_age.count())) + tag_bytes +
                         1 + successor_bytes(value.successor) + loads_bytes(value.loads);
     for (const auto& report : value.allowance) {
-<<<<<<< HEAD
         bytes += block_bytes(block_bytes(report.customer.str().size()) + 3 * double_bytes +
-=======
-        bytes += block_bytes(block_bytes(report.customer.str().size()) + 2 * double_bytes +
->>>>>>> tickets
                              number_bytes(static_cast<std::uint64_t>(report.spare_level)));
     }
     return block_bytes(bytes);
--- a/src/process/membership/summary_store.cpp
+++ b/src/process/membership/summary_store.cpp
@@ -12,11 +12,7 @@
 constexpr std::size_t max_origins = 4;     // of one data centre
 constexpr std::size_t max_lists = 4;       // of one data centre
 constexpr unsigned max_sends = 4;          // of one summary by one VM
-<<<<<<< HEAD
-constexpr unsigned sends_with_members = 2; // of a member list that is new here
-=======
 constexpr unsigned sends_with_members = 1; // of a member list that is new here
->>>>>>> tickets
 constexpr std::size_t max_wanted = 8;      // data centres named in one message
 
 } // namespace
@@ -112,24 +108,6 @@
     return own;
 }
 
-<<<<<<< HEAD
-void summary_store::answer(membership_message& message, const std::vector<data_centre_name>& wanted)
-{
-    for (const auto& data_centre : wanted) {
-        const auto found = m_data_centres.find(data_centre);
-        if (found == m_data_centres.end()) {
-            continue;
-        }
-        for (const auto& [origin, held] : found->second.by_origin) {
-            const member_list* list = find_list(found->second, held.value.members_digest);
-            if (list != nullptr) {
-                message.summaries.push_back(held.value);
-                message.summaries.back().members = list->members;
-                return;
-            }
-        }
-    }
-=======
 void summary_store::answer(membership_message& message, const std::vector<data_centre_name>& wanted,
                            std::size_t max_bytes)
 {
@@ -161,7 +139,6 @@
         }
     }
     return std::nullopt;
->>>>>>> tickets
 }
 
 std::vector<data_centre_name> summary_store::wanted_members()
--- a/src/process/membership/tests/member_table_test.cpp
+++ b/src/process/membership/tests/member_table_test.cpp
@@ -178,10 +178,7 @@
 TEST_CASE("rendezvous ranks agree on every VM and move few names")
 {
     std::vector<vm_name> names;
-<<<<<<< HEAD
-=======
     names.reserve(10);
->>>>>>> tickets
     for (int i = 0; i < 10; ++i) {
         names.emplace_back("vm-" + std::to_string(i));
     }
--- a/src/process/membership/tests/membership_spread_test.cpp
+++ b/src/process/membership/tests/membership_spread_test.cpp
@@ -88,18 +88,11 @@
     {
         std::size_t count = 0;
         for (const auto& [holder, table] : m_tables) {
-<<<<<<< HEAD
-            const auto versions = table.applied_versions(m_now);
-            count += static_cast<std::size_t>(
-                std::count_if(versions.begin(), versions.end(),
-                              [&](const auto& entry) { return entry.second.version >= version; }));
-=======
             count += 1; // itself
             count += static_cast<std::size_t>(
                 std::count_if(table.members().begin(), table.members().end(), [&](const auto& entry) {
                     return entry.second.last_heard && entry.second.applied_version >= version;
                 }));
->>>>>>> tickets
         }
         return static_cast<double>(count) / static_cast<double>(m_tables.size() * m_tables.size());
     }
@@ -165,13 +158,8 @@
 {
     double seconds = 0;
     while (tested.known(version) < 0.99 && seconds < limit) {
-<<<<<<< HEAD
-        tested.run(1s);
-        seconds += 1;
-=======
         tested.run(3s);
         seconds += 3;
->>>>>>> tickets
     }
     return seconds;
 }
@@ -218,17 +206,6 @@
 {
     for (const std::size_t data_centres : {12, 24, 48, 97}) {
         fleet tested(data_centres, 0, 7);
-<<<<<<< HEAD
-        tested.run(120s);
-        const double first = tested.known(1);
-        tested.reset_counts();
-        set_all(tested, 2);
-        const double seconds = seconds_to_know(tested, 2, 600);
-        const auto found = tested.measured();
-        WARN(data_centres << " data centres: known at start " << first << ", busiest " << found.busiest
-                          << " B/s, mean " << found.mean << " B/s, " << found.messages
-                          << " messages/s sent; a version is known to 99 in 100 after " << seconds << " s");
-=======
         const double cold = seconds_to_know(tested, 1, 900);
         tested.run(60s);
         tested.reset_counts();
@@ -238,6 +215,5 @@
         WARN(data_centres << " data centres: all started at once, 99 in 100 pairs known after " << cold
                           << " s; then a version after " << warm << " s; busiest " << found.busiest
                           << " B/s, mean " << found.mean << " B/s, " << found.messages << " messages/s sent");
->>>>>>> tickets
     }
 }
