--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -38,8 +38,8 @@
     std::function<result<void>()> before_write;
 };
 
-/// The answer of one call, read piece by piece. Destroying it before the end closes the connection, which tells
-/// the server to stop.
+/// The answer of one call, read piece by piece. Destroying it before the end closes the connection, which
+/// tells the server to stop.
 class http_exchange {
 public:
     virtual ~http_exchange() = default;
@@ -50,8 +50,8 @@
 
     virtual const http_response_head& head() const = 0;
 
-    /// The next part of the body; empty optional at its end. Errors: upstream_timeout, upstream_failed (closed
-    /// in the middle), cancelled; all with outcome unknown.
+    /// The next part of the body; empty optional at its end. Errors: upstream_timeout, upstream_failed
+    /// (closed in the middle), cancelled; all with outcome unknown.
     virtual result<std::optional<std::string>> next() = 0;
 
 protected:
@@ -59,8 +59,8 @@
 };
 
 struct http_client_settings {
-    std::chrono::milliseconds max_idle{15'000}; ///< pooled connections that idled longer are closed
-    std::size_t max_idle_connections = 32;      ///< kept for one server
+    std::chrono::milliseconds max_idle{15'000};     ///< pooled connections that idled longer are closed
+    std::size_t max_idle_connections = 32;          ///< kept for one server
     std::chrono::milliseconds user_timeout{10'000}; ///< unacknowledged bytes for longer end the connection
 };
 
@@ -74,8 +74,8 @@
     http_client(http_client&&) = delete;
     http_client& operator=(http_client&&) = delete;
 
-    /// Sends the request and reads the head of the answer. Errors: upstream_unavailable (no connection, not run),
-    /// upstream_timeout and upstream_failed (after the first byte may have left: unknown), cancelled.
+    /// Sends the request and reads the head of the answer. Errors: upstream_unavailable (no connection, not
+    /// run), upstream_timeout and upstream_failed (after the first byte may have left: unknown), cancelled.
     result<std::unique_ptr<http_exchange>> send(const http_call& call, cancellation& cancel);
 
     /// Sends the request and reads the whole answer, at most `max_body_bytes` of it.
--- a/src/connection/client/client_connection.cpp
+++ b/src/connection/client/client_connection.cpp
@@ -16,8 +16,11 @@
 
 error unavailable(const endpoint& address, const std::string& reason)
 {
-    return {error_kind::upstream_unavailable, "cannot connect to " + address.str() + ": " + reason,
-            "try again; the request has not run", {}, {}};
+    return {error_kind::upstream_unavailable,
+            "cannot connect to " + address.str() + ": " + reason,
+            "try again; the request has not run",
+            {},
+            {}};
 }
 
 } // namespace
--- a/src/connection/client/client_connection.h
+++ b/src/connection/client/client_connection.h
@@ -15,10 +15,14 @@
 
 class client_connection {
 public:
-    explicit client_connection(boost::asio::io_context& io) : m_socket(io) {}
+    explicit client_connection(boost::asio::io_context& io)
+        : m_socket(io)
+    {
+    }
 
     /// Errors: upstream_unavailable, not run.
-    result<void> connect(const endpoint& address, std::chrono::milliseconds limit, std::chrono::milliseconds user_timeout);
+    result<void> connect(const endpoint& address, std::chrono::milliseconds limit,
+                         std::chrono::milliseconds user_timeout);
 
     /// False when the server has closed it or has sent bytes that nobody asked for.
     bool usable();
--- a/src/connection/client/http_client.cpp
+++ b/src/connection/client/http_client.cpp
@@ -11,7 +11,11 @@
 
 class http_client::pool : public std::enable_shared_from_this<http_client::pool> {
 public:
-    pool(boost::asio::io_context& io, http_client_settings settings) : m_io(io), m_settings(settings) {}
+    pool(boost::asio::io_context& io, http_client_settings settings)
+        : m_io(io)
+        , m_settings(settings)
+    {
+    }
 
     result<std::shared_ptr<client_connection>> take(const http_call& call, cancellation& cancel)
     {
@@ -85,7 +89,8 @@
     return std::unique_ptr<http_exchange>(std::move(exchange));
 }
 
-result<http_response> http_client::fetch(const http_call& call, cancellation& cancel, std::size_t max_body_bytes)
+result<http_response> http_client::fetch(const http_call& call, cancellation& cancel,
+                                         std::size_t max_body_bytes)
 {
     BOOST_OUTCOME_TRY(auto exchange, send(call, cancel));
     http_response response;
@@ -96,8 +101,11 @@
             return response;
         }
         if (response.body.size() + part->size() > max_body_bytes) {
-            return error{error_kind::upstream_failed, "the answer of " + call.address.str() + " is too large",
-                         "ask for less in one request", run_outcome::unknown, {}};
+            return error{error_kind::upstream_failed,
+                         "the answer of " + call.address.str() + " is too large",
+                         "ask for less in one request",
+                         run_outcome::unknown,
+                         {}};
         }
         response.body += *part;
     }
--- a/src/connection/client/pooled_exchange.cpp
+++ b/src/connection/client/pooled_exchange.cpp
@@ -33,7 +33,9 @@
 
 pooled_exchange::pooled_exchange(std::shared_ptr<client_connection> connection, cancellation& cancel,
                                  give_back_action give_back)
-    : m_connection(std::move(connection)), m_cancel(cancel), m_give_back(std::move(give_back))
+    : m_connection(std::move(connection))
+    , m_cancel(cancel)
+    , m_give_back(std::move(give_back))
 {
     m_parser.body_limit(boost::none);
     m_parser.header_limit(max_response_header_bytes);
@@ -77,7 +79,8 @@
 {
     io_deadline deadline(m_connection->socket(), limit);
     do {
-        auto [ec, n] = http::async_read_header(m_connection->socket(), m_connection->buffer(), m_parser, use_fiber);
+        auto [ec, n] =
+            http::async_read_header(m_connection->socket(), m_connection->buffer(), m_parser, use_fiber);
         if (ec) {
             return failure(ec, deadline.expired());
         }
@@ -93,7 +96,8 @@
 result<std::optional<std::string>> pooled_exchange::next()
 {
     while (!m_parser.is_done()) {
-        const auto spent = std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - m_started);
+        const auto spent =
+            std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - m_started);
         const auto left = std::min(m_limits.chunk_gap, m_limits.total - spent);
         if (left <= std::chrono::milliseconds::zero()) {
             return failure({}, true);
@@ -103,7 +107,8 @@
         body.size = m_data.size();
         body.more = true;
         io_deadline deadline(m_connection->socket(), left);
-        auto [ec, n] = http::async_read_some(m_connection->socket(), m_connection->buffer(), m_parser, use_fiber);
+        auto [ec, n] =
+            http::async_read_some(m_connection->socket(), m_connection->buffer(), m_parser, use_fiber);
         if (ec && ec != http::error::need_buffer) {
             return failure(ec, deadline.expired());
         }
@@ -122,11 +127,17 @@
         return {error_kind::cancelled, "the caller has left", "", run_outcome::unknown, {}};
     }
     if (timed_out) {
-        return {error_kind::upstream_timeout, "the upstream gave no answer in time",
-                "read the status before you submit again", run_outcome::unknown, {}};
+        return {error_kind::upstream_timeout,
+                "the upstream gave no answer in time",
+                "read the status before you submit again",
+                run_outcome::unknown,
+                {}};
     }
-    return {error_kind::upstream_failed, "the connection to the upstream broke: " + ec.message(),
-            "read the status before you submit again", run_outcome::unknown, {}};
+    return {error_kind::upstream_failed,
+            "the connection to the upstream broke: " + ec.message(),
+            "read the status before you submit again",
+            run_outcome::unknown,
+            {}};
 }
 
 void pooled_exchange::finish()
--- a/src/connection/client/pooled_exchange.h
+++ b/src/connection/client/pooled_exchange.h
@@ -20,7 +20,8 @@
 public:
     using give_back_action = std::function<void(std::shared_ptr<client_connection>)>;
 
-    pooled_exchange(std::shared_ptr<client_connection> connection, cancellation& cancel, give_back_action give_back);
+    pooled_exchange(std::shared_ptr<client_connection> connection, cancellation& cancel,
+                    give_back_action give_back);
     ~pooled_exchange() override;
     pooled_exchange(const pooled_exchange&) = delete;
     pooled_exchange& operator=(const pooled_exchange&) = delete;
