--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -103,6 +103,11 @@
     return m_vms.at(vm).operators;
 }
 
+endpoint fleet::peer(const std::string& vm) const
+{
+    return m_vms.at(vm).peer;
+}
+
 endpoint fleet::upstream(const std::string& name) const
 {
     return m_upstreams.at(name);
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -33,6 +33,8 @@
 
     endpoint entry(const std::string& vm) const;
     endpoint operators(const std::string& vm) const;
+    /// Where other VMs reach it, behind no proxy.
+    endpoint peer(const std::string& vm) const;
     /// The upstream's own address, behind no proxy.
     endpoint upstream(const std::string& name) const;
     endpoint platform() const { return m_platform; }
