--- a/src/app/control/allowance_controller.cpp
+++ b/src/app/control/allowance_controller.cpp
@@ -12,30 +12,21 @@
 
 } // namespace
 
-void allowance_controller::tick()
-{
-    apply_versions();
-    m_state.parts.allowance.with_lock([](allowance_book& book) { book.advance(boot_clock::now()); });
-    borrow_ahead();
-    send_returns();
-    ask_after_restart();
-}
-
-void allowance_controller::apply_versions()
+void apply_versions(control_state& state)
 {
-    const auto rules = m_state.versions.value();
+    const auto rules = state.versions.value();
     if (!rules) {
         return;
     }
     const auto now = boot_clock::now();
     applied_versions others;
-    for (const auto& [vm, applied] : m_state.members.applied_versions(now)) {
-        if (vm != m_state.parts.config.vm) {
+    for (const auto& [vm, applied] : state.members.applied_versions(now)) {
+        if (vm != state.parts.config.vm) {
             others.seen[vm] = applied.version;
         }
     }
-    if (m_state.list) {
-        for (const auto& [vm, known] : m_state.members.members()) {
+    if (state.list) {
+        for (const auto& [vm, known] : state.members.members()) {
             others.listed.insert(vm);
         }
     }
@@ -44,7 +35,16 @@
             others.listed.insert(vm);
         }
     }
-    m_state.parts.allowance.with_lock([&](allowance_book& book) { book.apply(rules, others, now); });
+    state.parts.allowance.with_lock([&](allowance_book& book) { book.apply(rules, others, now); });
+}
+
+void allowance_controller::tick()
+{
+    apply_versions(m_state);
+    m_state.parts.allowance.with_lock([](allowance_book& book) { book.advance(boot_clock::now()); });
+    borrow_ahead();
+    send_returns();
+    ask_after_restart();
 }
 
 void allowance_controller::borrow_ahead()
--- a/src/app/control/allowance_controller.h
+++ b/src/app/control/allowance_controller.h
@@ -5,6 +5,9 @@
 
 namespace cardamomstream {
 
+/// Tells the allowance which rules are in force, here and at the other VMs.
+void apply_versions(control_state& state);
+
 class allowance_controller {
 public:
     explicit allowance_controller(control_state& state)
@@ -16,7 +19,6 @@
     void tick();
 
 private:
-    void apply_versions();
     void borrow_ahead();
     void send_returns();
     void ask_after_restart();
--- a/src/app/control/view_publisher.cpp
+++ b/src/app/control/view_publisher.cpp
@@ -1,5 +1,7 @@
 #include "view_publisher.h"
 
+#include "allowance_controller.h"
+
 namespace cardamomstream {
 
 namespace {
@@ -70,6 +72,7 @@
     view->list = state.list;
     view->vms = contacts_of(state);
     view->confirmed = state.confirmed && view->rules && view->list && !state.members.name_taken();
+    apply_versions(state); // before a request can name a customer of the new version
     const bool keys_changed = view->keys != before->keys;
     state.parts.views.store(std::move(view));
     state.parts.dispatch.update(routing_view_of(state, now), now);
--- a/src/app/operators_handler.cpp
+++ b/src/app/operators_handler.cpp
@@ -43,6 +43,10 @@
     if (!parts.views.load()->confirmed) {
         return text_answer(unavailable, "waiting for rules and the list of VMs\n");
     }
+    const bool restarting = parts.allowance.with_lock([](allowance_book& book) { return book.restarting(); });
+    if (restarting) {
+        return text_answer(unavailable, "waiting for the other VMs to say which loans they hold\n");
+    }
     return text_answer(200, "ready\n");
 }
 
--- a/src/app/timeline_command.cpp
+++ b/src/app/timeline_command.cpp
@@ -47,10 +47,10 @@
         for (const auto& text : operators) {
             const auto address = parse_endpoint(text);
             if (!address) {
-                report(address.error(), exit_usage);
+                std::cerr << "cardamomstream: \"" << text << "\" is no IP:PORT; give an operators' listener\n";
                 continue;
             }
-            auto events = read_events(client, address.value());
+            auto events = read_events(client, *address);
             if (!events) {
                 report(events.error(), exit_failed);
                 continue;
