--- a/src/request/admission/tests/retry_budget_test.cpp
+++ b/src/request/admission/tests/retry_budget_test.cpp
@@ -1,3 +1,4 @@
+#include "cardamomstream/request/admission_hedge.h"
 #include "cardamomstream/request/admission_retry_budget.h"
 
 #include <catch2/catch.hpp>
@@ -61,3 +62,19 @@
     CHECK(retries <= 110);
     CHECK(budget.next(failed, now, random).verdict == retry_verdict::budget_exhausted);
 }
+
+TEST_CASE("hedges are for idempotent calls and stay a fraction of the traffic")
+{
+    hedge_policy hedges{{}};
+    CHECK_FALSE(hedges.try_hedge(repeat_policy::idempotent));
+    int hedged = 0;
+    for (int i = 0; i < 1'000; ++i) {
+        hedges.on_request();
+        CHECK_FALSE(hedges.try_hedge(repeat_policy::at_most_once));
+        hedged += hedges.try_hedge(repeat_policy::idempotent) ? 1 : 0;
+    }
+    CHECK(hedged >= 49);
+    CHECK(hedged <= 50);
+    CHECK(hedges.delay(200ms) == 600ms);
+    CHECK(hedges.delay(0ms) == 300ms);
+}
--- a/src/request/bench/fleet_model.cpp
+++ b/src/request/bench/fleet_model.cpp
@@ -25,16 +25,33 @@
 {
 }
 
-void worker_model::submit(const call& request, attempt_events events)
+std::uint64_t worker_model::submit(const call& request, attempt_events events)
 {
     if (!m_alive) {
         m_time.after(seconds{0.001}, std::move(events.failed));
-        return;
+        return m_next_id++;
+    }
+    const auto id = m_next_id++;
+    m_waiting.push_back({id, request, std::move(events), {}});
+    start_waiting();
+    return id;
+}
+
+void worker_model::cancel(std::uint64_t id)
+{
+    if (auto node = m_running.extract(id)) {
+        account(node.mapped());
     }
-    m_waiting.push_back({m_next_id++, request, std::move(events)});
+    std::erase_if(m_waiting, [id](const job& each) { return each.id == id; });
     start_waiting();
 }
 
+void worker_model::stall(seconds length)
+{
+    m_prefill_free =
+        std::max(m_prefill_free, m_time.now()) + std::chrono::duration_cast<boot_clock::duration>(length);
+}
+
 void worker_model::lose()
 {
     m_alive = false;
@@ -43,6 +60,7 @@
     auto running = std::exchange(m_running, {});
     auto waiting = std::exchange(m_waiting, {});
     for (auto& [id, lost] : running) {
+        account(lost);
         m_time.after(seconds{0.001}, std::move(lost.events.failed));
     }
     for (auto& lost : waiting) {
@@ -64,13 +82,14 @@
         const seconds to_first = m_prefill_free - now;
         const seconds held = to_first + static_cast<double>(next.request.answer) * m_shape.token_gap;
         const auto id = next.id;
+        next.started = now;
         m_running.emplace(id, std::move(next));
         m_time.after(to_first, [this, id] {
             if (const auto found = m_running.find(id); found != m_running.end()) {
                 found->second.events.first_token();
             }
         });
-        m_time.after(held, [this, id, held] { end(id, held); });
+        m_time.after(held, [this, id] { end(id); });
     }
 }
 
@@ -88,14 +107,19 @@
     return cached;
 }
 
-void worker_model::end(std::uint64_t id, seconds held)
+void worker_model::account(const job& ended)
+{
+    const seconds held = m_time.now() - ended.started;
+    m_token_seconds += static_cast<double>(ended.request.prompt + ended.request.answer) * held.count();
+}
+
+void worker_model::end(std::uint64_t id)
 {
     auto node = m_running.extract(id);
     if (node.empty()) {
         return;
     }
-    const auto& request = node.mapped().request;
-    m_token_seconds += static_cast<double>(request.prompt + request.answer) * held.count();
+    account(node.mapped());
     node.mapped().events.finished();
     start_waiting();
 }
--- a/src/request/bench/fleet_model.h
+++ b/src/request/bench/fleet_model.h
@@ -66,7 +66,11 @@
     std::size_t in_flight() const noexcept { return m_running.size() + m_waiting.size(); }
     double token_seconds() const noexcept { return m_token_seconds; }
 
-    void submit(const call& request, attempt_events events);
+    std::uint64_t submit(const call& request, attempt_events events);
+    /// Frees the slot of a call whose answer nobody waits for any more.
+    void cancel(std::uint64_t id);
+    /// Computes no prompt for this long.
+    void stall(seconds length);
     /// Breaks all its calls and empties its cache; nothing can be submitted until `come_back`.
     void lose();
     void come_back() { m_alive = true; }
@@ -76,11 +80,13 @@
         std::uint64_t id = 0;
         call request;
         attempt_events events;
+        time_point started;
     };
 
     void start_waiting();
     bool use_cache(std::uint64_t digest);
-    void end(std::uint64_t id, seconds held);
+    void account(const job& ended);
+    void end(std::uint64_t id);
 
     virtual_time& m_time;
     worker_shape m_shape;
--- a/src/request/bench/gateway_model.cpp
+++ b/src/request/bench/gateway_model.cpp
@@ -33,12 +33,11 @@
     return upstream_name{std::to_string(index)};
 }
 
-gateway_model::gateway_model(fleet& shared, std::size_t region, std::size_t vms_per_region, policy chosen)
+gateway_model::gateway_model(fleet& shared, std::size_t region, policy chosen)
     : m_shared(shared)
     , m_region(region)
     , m_policy(chosen)
     , m_router(shared.regions[region], settings_of(chosen))
-    , m_vms_per_region(vms_per_region)
 {
 }
 
@@ -196,7 +195,8 @@
 void gateway_model::act(const call& request, const route_choice& choice, const route_query& query)
 {
     if (choice.action == route_action::serve) {
-        serve(request, choice, query);
+        m_hedges.on_request();
+        serve(request, choice, query, std::make_shared<race>());
         return;
     }
     const auto peer = std::find_if(m_peers.begin(), m_peers.end(), [&](const auto* each) {
@@ -210,9 +210,11 @@
     m_shared.time.after(seconds{5}, [=, this] { m_router.finished(attempt, m_shared.time.now()); });
 }
 
-void gateway_model::serve(const call& request, const route_choice& choice, const route_query& query)
+void gateway_model::serve(const call& request, const route_choice& choice, const route_query& query,
+                          const std::shared_ptr<race>& attempts)
 {
     const auto upstream = choice.upstream;
+    const auto index = attempts->cancels.size();
     const auto attempt =
         std::make_shared<route_attempt>(m_router.started(choice, query, m_shared.time.now()));
     const auto first_token = [=, this] {
@@ -221,25 +223,68 @@
         const auto latency = std::chrono::duration_cast<std::chrono::microseconds>(now - attempt->started);
         m_gate.first_byte(upstream, latency, choice.cost.prefill, now);
         m_router.set_limit(upstream, m_gate.limit(upstream));
+        attempts->won = true;
         served(request, now);
+        for (std::size_t i = 0; i < attempts->cancels.size(); ++i) {
+            if (i != index) {
+                std::exchange(attempts->cancels[i], [] {})();
+            }
+        }
     };
     const auto finished = [=, this] {
         m_router.finished(*attempt, m_shared.time.now());
         m_gate.release(upstream);
+        attempts->cancels[index] = [] {};
         dispatch();
     };
     const auto failed = [=, this] {
         m_router.failed(*attempt, attempt_failure::reset, m_shared.time.now(), m_shared.random);
         m_gate.release(upstream);
-        if (!attempt->first_byte_at) {
-            retry(request, upstream);
+        attempts->cancels[index] = [] {};
+        if (--attempts->running == 0 && !attempts->won) {
+            retry(request);
         }
         dispatch();
     };
-    m_shared.workers[index_of(upstream)]->submit(request, {first_token, finished, failed});
+    ++attempts->running;
+    attempts->cancels.emplace_back([] {});
+    auto& worker = *m_shared.workers[index_of(upstream)];
+    const auto id = worker.submit(request, {first_token, finished, failed});
+    attempts->cancels[index] = [=, this, &worker] {
+        m_router.failed(*attempt, attempt_failure::cancelled, m_shared.time.now(), m_shared.random);
+        m_gate.release(upstream);
+        worker.cancel(id);
+        dispatch();
+    };
+    if (m_policy == policy::hedged && index == 0) {
+        const auto expected = choice.cost.queue + choice.cost.prefill;
+        m_shared.time.after(m_hedges.delay(expected), [=, this] { hedge(request, upstream, attempts); });
+    }
+}
+
+void gateway_model::hedge(const call& request, const upstream_name& slow,
+                          const std::shared_ptr<race>& attempts)
+{
+    if (attempts->won || attempts->running != 1) {
+        return;
+    }
+    auto query = query_for(request);
+    query.origin = request_origin::peer; // stays in the region
+    query.hop_count = 0;
+    query.regions_passed.clear();
+    query.tried = {slow};
+    const auto choice = m_router.choose(query, m_shared.time.now(), m_shared.random);
+    const bool serves =
+        choice && choice.value().action == route_action::serve && choice.value().upstream != slow;
+    if (!serves || !m_hedges.try_hedge(repeat_policy::idempotent)) {
+        return;
+    }
+    if (m_gate.try_acquire(choice.value().upstream)) {
+        serve(request, choice.value(), query, attempts);
+    }
 }
 
-void gateway_model::retry(const call& request, const upstream_name& /*failed*/)
+void gateway_model::retry(const call& request)
 {
     auto again = request;
     ++again.attempts;
--- a/src/request/bench/gateway_model.h
+++ b/src/request/bench/gateway_model.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cardamomstream/request/admission_fair_queue.h"
+#include "cardamomstream/request/admission_hedge.h"
 #include "cardamomstream/request/admission_retry_budget.h"
 #include "cardamomstream/request/admission_slot_gate.h"
 #include "cardamomstream/request/routing.h"
@@ -17,7 +18,7 @@
 
 namespace cardamomstream::bench {
 
-enum class policy { random, least_loaded, full, no_affinity, no_send_away };
+enum class policy { random, least_loaded, full, no_affinity, no_send_away, hedged };
 
 /// How one call ended; no first token: refused or lost.
 struct call_end {
@@ -43,7 +44,7 @@
 /// One entry VM.
 class gateway_model {
 public:
-    gateway_model(fleet& shared, std::size_t region, std::size_t vms_per_region, policy chosen);
+    gateway_model(fleet& shared, std::size_t region, policy chosen);
 
     void set_peers(std::vector<gateway_model*> peers) { m_peers = std::move(peers); }
     void publish(const routing_view& view);
@@ -58,8 +59,16 @@
     void enqueue(const call& request);
     void dispatch();
     void act(const call& request, const route_choice& choice, const route_query& query);
-    void serve(const call& request, const route_choice& choice, const route_query& query);
-    void retry(const call& request, const upstream_name& failed);
+    /// Attempts of one call; the first token of one ends the others.
+    struct race {
+        bool won = false;
+        std::size_t running = 0;
+        std::vector<std::function<void()>> cancels;
+    };
+    void serve(const call& request, const route_choice& choice, const route_query& query,
+               const std::shared_ptr<race>& attempts);
+    void hedge(const call& request, const upstream_name& slow, const std::shared_ptr<race>& attempts);
+    void retry(const call& request);
     void refuse(const call& request);
     void served(const call& request, time_point at);
 
@@ -70,7 +79,7 @@
     fair_queue m_queue{{}};
     slot_gate m_gate{{}};
     retry_budget m_retries{{}};
-    std::size_t m_vms_per_region;
+    hedge_policy m_hedges{{}};
     std::vector<gateway_model*> m_peers;
     routing_view m_view;
     std::map<std::string, call> m_waiting;
--- a/src/request/bench/routing_bench.cpp
+++ b/src/request/bench/routing_bench.cpp
@@ -13,7 +13,7 @@
 namespace cardamomstream::bench {
 namespace {
 
-enum class scenario { calm, wandering_peak, five_times, five_times_with_allowance, half_region_lost };
+enum class scenario { calm, wandering_peak, five_times, five_times_with_allowance, half_region_lost, stalls };
 
 struct fleet_shape {
     std::string name;
@@ -28,11 +28,14 @@
                            std::pair{scenario::wandering_peak, "wandering peak"},
                            std::pair{scenario::five_times, "5x, no allowance"},
                            std::pair{scenario::five_times_with_allowance, "5x behind allowance"},
-                           std::pair{scenario::half_region_lost, "half region lost"}};
+                           std::pair{scenario::half_region_lost, "half region lost"},
+                           std::pair{scenario::stalls, "workers stall"}};
 const std::array policies{std::pair{policy::random, "random"},
-                          std::pair{policy::least_loaded, "least loaded"}, std::pair{policy::full, "ours"},
+                          std::pair{policy::least_loaded, "least loaded"},
+                          std::pair{policy::full, "ours"},
                           std::pair{policy::no_affinity, "no affinity"},
-                          std::pair{policy::no_send_away, "no send away"}};
+                          std::pair{policy::no_send_away, "no send away"},
+                          std::pair{policy::hedged, "ours, hedged"}};
 
 constexpr std::array customer_shares{0.4, 0.3, 0.15, 0.1, 0.05};
 constexpr std::size_t heavy_customer = 1;
@@ -86,7 +89,7 @@
             }
         }
         for (std::size_t i = 0; i < shape.workers.size() * vms_per_region; ++i) {
-            m_vms.push_back(std::make_unique<gateway_model>(m_fleet, i / vms_per_region, vms_per_region, by));
+            m_vms.push_back(std::make_unique<gateway_model>(m_fleet, i / vms_per_region, by));
         }
         make_rules();
     }
@@ -110,6 +113,11 @@
             m_fleet.time.after(m_length * 2 / 3,
                                [this] { change_half([](worker_model& worker) { worker.come_back(); }); });
         }
+        if (m_scenario == scenario::stalls) {
+            for (auto& worker : m_fleet.workers) {
+                next_stall(*worker);
+            }
+        }
         const seconds drain{60};
         m_fleet.time.run_until(time_point{} +
                                std::chrono::duration_cast<boot_clock::duration>(m_length + drain));
@@ -175,6 +183,15 @@
         m_fleet.time.after(report_interval, [this] { report(); });
     }
 
+    void next_stall(worker_model& worker)
+    {
+        std::exponential_distribution<double> gap{1.0 / 60};
+        m_fleet.time.after(seconds{gap(m_stalls)}, [this, &worker] {
+            worker.stall(seconds{2});
+            next_stall(worker);
+        });
+    }
+
     double rate_of(std::size_t region) const
     {
         const double capacity = static_cast<double>(m_shape.workers[region]) * worker_requests_per_second;
@@ -273,6 +290,7 @@
     scenario m_scenario;
     seconds m_length;
     std::mt19937_64 m_load;
+    std::mt19937_64 m_stalls{3};
     fleet m_fleet;
     std::vector<std::unique_ptr<gateway_model>> m_vms;
     rules_snapshot m_rules;
@@ -299,16 +317,16 @@
     std::map<policy, double> calm_others;
     for (const auto& [chosen, scenario_name] : scenarios) {
         fmt::print("\n{}, {}\n", shape.name, scenario_name);
-        fmt::print("{:<14}{:>8}{:>8}{:>8}{:>8}{:>9}{:>9}{:>8}{:>11}{:>9}{:>7}\n", "policy", "p50 ms",
+        fmt::print("{:<14}{:>8}{:>8}{:>8}{:>8}{:>9}{:>9}{:>8}{:>11}{:>9}{:>7}{:>7}\n", "policy", "p50 ms",
                    "p99 ms", "p99.9", "sent %", "refused%", "others%", "late %", "others p99", "to calm",
-                   "worst");
+                   "worst", "cost");
         for (const auto& [by, name] : policies) {
             run one{shape, chosen, by, length, seed};
             auto result = one.measure();
             const double others = percentile(result.others, 0.99);
             calm_others.try_emplace(by, others);
             fmt::print("{:<14}{:>8.0f}{:>8.0f}{:>8.0f}{:>8.2f}{:>9.2f}{:>9.2f}{:>8.2f}{:>11.0f}{:>9.2f}{:>7."
-                       "2f}  cost {:.2f}\n",
+                       "2f}{:>7.3f}\n",
                        name, percentile(result.first_token, 0.5), percentile(result.first_token, 0.99),
                        percentile(result.first_token, 0.999), 100 * result.sent / result.ended,
                        100 * result.refused / result.ended, 100 * result.refused_others / result.ended,
--- a/src/request/routing/upstream_model.cpp
+++ b/src/request/routing/upstream_model.cpp
@@ -78,8 +78,8 @@
 {
     if (attempt.credited_tokens >= min_measured_prefill) {
         const double computed = latency.count() * m_prefill_rate;
-        const double if_missed = static_cast<double>(attempt.prompt_tokens);
-        const double if_hit = static_cast<double>(attempt.prompt_tokens - attempt.credited_tokens);
+        const auto if_missed = static_cast<double>(attempt.prompt_tokens);
+        const auto if_hit = static_cast<double>(attempt.prompt_tokens - attempt.credited_tokens);
         const double hit = computed < (if_hit + if_missed) / 2 ? 1 : 0;
         m_hit_share += hit_share_gain * (hit - m_hit_share);
         return;
