--- a/src/request/admission/tests/concurrency_test.cpp
+++ b/src/request/admission/tests/concurrency_test.cpp
@@ -76,6 +76,7 @@
     {
         CHECK(gate.dispatch(queue, now, pick).size() == 2);
         CHECK(gate.free() == 0);
+        CHECK_FALSE(gate.try_acquire(worker));
         CHECK(queue.size() == 1);
         AND_THEN("a slot that is released takes the third")
         {
--- a/src/request/routing/tests/router_failure_test.cpp
+++ b/src/request/routing/tests/router_failure_test.cpp
@@ -48,6 +48,11 @@
         route_choice choice;
         choice.upstream = first;
         const auto running = here.started(choice, query(), now);
+        choice.upstream = second;
+        for (int i = 0; i < 3; ++i) {
+            here.started(choice, query(), now);
+        }
+        REQUIRE(next() == first);
         list.upstreams.erase(first);
         publish(here);
         CHECK(times_chosen(first, 20) == 0);
@@ -148,11 +153,8 @@
     publish(here);
     list.upstreams[warm.upstream] = listed;
     publish(here);
+    repeated.tried = {warm.upstream == first ? second : first};
     const auto again = choose(here, repeated).value();
-    if (again.upstream == warm.upstream) {
-        CHECK(noted(again, route_reason::slow_start));
-    }
-    else {
-        CHECK(here.in_flight(warm.upstream) == 1);
-    }
+    REQUIRE(again.upstream == warm.upstream);
+    CHECK(noted(again, route_reason::slow_start));
 }
--- a/src/request/routing/tests/router_test.cpp
+++ b/src/request/routing/tests/router_test.cpp
@@ -181,6 +181,16 @@
         CHECK(choose(other, repeated).value().upstream == first.upstream);
         CHECK(first.prefill_tokens == 500);
     }
+    SECTION("an upstream that others load above the bound loses the preference")
+    {
+        for (const auto* name : {"r1", "r2", "r3", "r4"}) {
+            const bool loaded = upstream_name{name} == first.upstream;
+            view.upstream_loads[upstream_name{name}] = {loaded ? 4.0 : 0.0, 0ms};
+        }
+        router other{riga, {}};
+        publish(other);
+        CHECK(choose(other, repeated).value().upstream != first.upstream);
+    }
     SECTION("a popular prefix spills over to more upstreams")
     {
         std::map<upstream_name, int> spread;
