--- a/src/request/routing/home_candidates.cpp
+++ b/src/request/routing/home_candidates.cpp
@@ -37,10 +37,9 @@
 {
 }
 
-std::optional<home_candidate> home_candidates::best(upstream_models& models, const region_name& home,
-                                                    std::mt19937_64& random)
+std::optional<home_candidate> home_candidates::best(const upstream_group& upstreams, std::mt19937_64& random)
 {
-    collect(models, home);
+    collect(upstreams);
     if (m_candidates.empty()) {
         return std::nullopt;
     }
@@ -58,12 +57,10 @@
     return chosen;
 }
 
-void home_candidates::collect(upstream_models& models, const region_name& home)
+void home_candidates::collect(const upstream_group& upstreams)
 {
-    for (auto& [name, model] : models) {
-        if (model.listed().pool != m_query.pool || model.listed().region != home) {
-            continue;
-        }
+    for (auto* entry : upstreams) {
+        auto& [name, model] = *entry;
         if (!model.usable()) {
             note(route_reason::upstream_leaving, name.str());
             continue;
--- a/src/request/routing/home_candidates.h
+++ b/src/request/routing/home_candidates.h
@@ -13,6 +13,7 @@
 namespace cardamomstream {
 
 using upstream_models = std::map<upstream_name, upstream_model>;
+using upstream_group = std::vector<upstream_models::value_type*>;
 
 /// An upstream that may serve the request, with its prediction.
 struct home_candidate {
@@ -30,12 +31,11 @@
     home_candidates(const router_settings& settings, const route_query& query, time_point now,
                     std::vector<route_note>& notes);
 
-    /// The best upstream of the region, at its limit or not; nothing where none is live.
-    std::optional<home_candidate> best(upstream_models& models, const region_name& home,
-                                       std::mt19937_64& random);
+    /// The best of the pool's upstreams at home, at its limit or not; nothing where none is live.
+    std::optional<home_candidate> best(const upstream_group& upstreams, std::mt19937_64& random);
 
 private:
-    void collect(upstream_models& models, const region_name& home);
+    void collect(const upstream_group& upstreams);
     void drop_tried();
     /// Leaves suspected upstreams out, but for a due probe, and never all of them.
     void drop_suspected();
--- a/src/request/routing/router.cpp
+++ b/src/request/routing/router.cpp
@@ -80,7 +80,9 @@
 
     result<void> check_hops(const route_query& query) const;
     result<void> check_residency(const route_query& query) const;
-    std::set<region_name> regions_of(const pool_name& pool) const;
+    void index_upstreams();
+    /// Upstreams of the pool by region; empty where none is known.
+    const std::map<region_name, upstream_group>& groups_of(const pool_name& pool) const;
 
     std::optional<route_choice> send_away(const route_query& query, time_point now, bool home_can_serve,
                                           std::chrono::microseconds target, std::mt19937_64& random,
@@ -101,6 +103,7 @@
     routing_view m_view;
     time_point m_view_at;
     bool m_has_view = false;
+    std::map<pool_name, std::map<region_name, upstream_group>> m_groups;
     std::map<region_name, link_budget> m_links;
 };
 
@@ -108,6 +111,7 @@
 {
     if (view.list) {
         update_upstreams(*view.list, now);
+        index_upstreams();
     }
     if (view.rules) {
         update_links(*view.rules, now);
@@ -191,7 +195,11 @@
     const bool home_permitted = query.permitted.empty() || query.permitted.contains(m_home);
     std::optional<home_candidate> best;
     if (home_permitted) {
-        best = home_candidates{m_settings, query, now, choice.notes}.best(m_upstreams, m_home, random);
+        const auto& groups = groups_of(query.pool);
+        const auto home = groups.find(m_home);
+        if (home != groups.end()) {
+            best = home_candidates{m_settings, query, now, choice.notes}.best(home->second, random);
+        }
     }
     else {
         choice.notes.push_back({route_reason::region_not_permitted, m_home.str(), 0});
@@ -250,26 +258,32 @@
     return wrong;
 }
 
-std::set<region_name> router::impl::regions_of(const pool_name& pool) const
+void router::impl::index_upstreams()
 {
-    std::set<region_name> regions;
-    for (const auto& [name, model] : m_upstreams) {
-        if (model.listed().pool == pool) {
-            regions.insert(model.listed().region);
-        }
+    m_groups.clear();
+    for (auto& entry : m_upstreams) {
+        const auto& listed = entry.second.listed();
+        m_groups[listed.pool][listed.region].push_back(&entry);
     }
-    return regions;
+}
+
+const std::map<region_name, upstream_group>& router::impl::groups_of(const pool_name& pool) const
+{
+    static const std::map<region_name, upstream_group> none;
+    const auto found = m_groups.find(pool);
+    return found == m_groups.end() ? none : found->second;
 }
 
 result<void> router::impl::check_residency(const route_query& query) const
 {
-    const auto regions = regions_of(query.pool);
+    const auto& groups = groups_of(query.pool);
     const bool local_only = query.origin == request_origin::peer;
     const auto fits = [&](const region_name& region) {
         return query.permitted.empty() || query.permitted.contains(region);
     };
-    const bool any = local_only ? fits(m_home) : std::any_of(regions.begin(), regions.end(), fits);
-    if (any || (!local_only && regions.empty())) {
+    const auto group_fits = [&](const auto& group) { return fits(group.first); };
+    const bool any = local_only ? fits(m_home) : std::any_of(groups.begin(), groups.end(), group_fits);
+    if (any || (!local_only && groups.empty())) {
         return boost::outcome_v2::success();
     }
     error refused;
@@ -298,7 +312,7 @@
                                                        std::vector<route_note>& notes) const
 {
     std::vector<region_option> options;
-    for (const auto& region : regions_of(query.pool)) {
+    for (const auto& [region, group] : groups_of(query.pool)) {
         if (region == m_home) {
             continue;
         }
@@ -346,10 +360,11 @@
     }
     std::chrono::duration<double> service_time = m_settings.default_service_time;
     double prefill_rate = m_settings.default_prefill_rate;
-    for (const auto& [name, model] : m_upstreams) {
-        if (model.listed().pool == query.pool && model.listed().region == m_home) {
-            service_time = std::max(service_time, model.service_time());
-            prefill_rate = model.prefill_rate();
+    const auto& groups = groups_of(query.pool);
+    if (const auto home = groups.find(m_home); home != groups.end()) {
+        for (const auto* entry : home->second) {
+            service_time = std::max(service_time, entry->second.service_time());
+            prefill_rate = entry->second.prefill_rate();
         }
     }
     const double slots = std::max(1.0, load.slots);
