Membership: count sends within a data centre apart from those between

Cause: a delegate used up a summary's sends on its neighbours, so that few were left for other data centres.

--- a/include/cardamomstream/process/summary_store.h
+++ b/include/cardamomstream/process/summary_store.h
@@ -3,12 +3,15 @@
 
 #include "cardamomstream/process/heartbeat_types.h"
 
+#include <array>
 #include <map>
 #include <optional>
 #include <vector>
 
 namespace cardamomstream {
 
+enum class summary_path : std::size_t { within_data_centre, between_data_centres };
+
 /// The newest summary of each delegate, the member lists that their digests stand for, and what is still to
 /// be passed on. Each summary is passed on a bounded number of times. Not thread-safe.
 class summary_store {
@@ -18,8 +21,10 @@
     /// yet.
     std::vector<member_record> merge(const data_centre_summary& value, time_point now);
 
-    /// Adds summaries to a message, those passed on least first, up to `max_bytes`.
-    void fill(membership_message& message, std::size_t max_bytes);
+    /// Adds summaries to a message, those passed on least first, up to `max_bytes`. Sends within the data
+    /// centre and to others are counted apart: the first must not use up those that carry the news from
+    /// centre to centre.
+    void fill(membership_message& message, std::size_t max_bytes, summary_path path);
 
     /// Decides whether the own summary goes out with its members and counts that.
     data_centre_summary prepare_own(data_centre_summary own);
@@ -42,7 +47,7 @@
     struct held_summary {
         data_centre_summary value; ///< without its members
         time_point received;
-        unsigned times_sent = 0;
+        std::array<unsigned, 2> times_sent{}; ///< by path
     };
     struct member_list {
         std::uint64_t digest = 0;
--- a/src/process/membership/member_table.cpp
+++ b/src/process/membership/member_table.cpp
@@ -249,13 +249,13 @@
     std::vector<heartbeat_target> round;
     for (const auto& vm : direct_targets()) {
         round.push_back(target_of(vm));
-        m_summaries.fill(round.back().message, m_settings.max_relay_bytes);
+        m_summaries.fill(round.back().message, m_settings.max_relay_bytes, summary_path::within_data_centre);
     }
     if (const auto vm = summary_target(random)) {
         round.push_back(target_of(*vm));
         auto& message = round.back().message;
         message.summaries.push_back(m_summaries.prepare_own(own_summary(now)));
-        m_summaries.fill(message, m_settings.max_summary_bytes);
+        m_summaries.fill(message, m_settings.max_summary_bytes, summary_path::between_data_centres);
     }
     if (!round.empty()) {
         auto& asked = m_own.stamp.counter % 2 == 0 ? round.front() : round.back();
--- a/src/process/membership/summary_store.cpp
+++ b/src/process/membership/summary_store.cpp
@@ -11,7 +11,7 @@
 
 constexpr std::size_t max_origins = 4;     // of one data centre
 constexpr std::size_t max_lists = 4;       // of one data centre
-constexpr unsigned max_sends = 4;          // of one summary by one VM
+constexpr unsigned max_sends = 4;          // of one summary by one VM on one path
 constexpr unsigned sends_with_members = 1; // of a member list that is new here
 constexpr std::size_t max_wanted = 8;      // data centres named in one message
 
@@ -30,7 +30,7 @@
         return {};
     }
     auto& kept = state.by_origin[value.origin];
-    kept = {value, now, 0};
+    kept = {value, now, {}};
     kept.value.members.clear();
     state.region = value.region;
     if (!value.loads.empty()) {
@@ -52,8 +52,9 @@
     return members;
 }
 
-void summary_store::fill(membership_message& message, std::size_t max_bytes)
+void summary_store::fill(membership_message& message, std::size_t max_bytes, summary_path path)
 {
+    const auto counter = static_cast<std::size_t>(path);
     std::vector<held_summary*> candidates;
     for (auto& [data_centre, state] : m_data_centres) {
         held_summary* newest = nullptr;
@@ -62,14 +63,16 @@
                 newest = &held;
             }
         }
-        if (newest != nullptr && newest->times_sent < max_sends) {
+        if (newest != nullptr && newest->times_sent[counter] < max_sends) {
             candidates.push_back(newest);
         }
     }
-    std::sort(candidates.begin(), candidates.end(), [](const held_summary* left, const held_summary* right) {
-        return left->times_sent != right->times_sent ? left->times_sent < right->times_sent
-                                                     : left->received > right->received;
-    });
+    std::sort(candidates.begin(), candidates.end(),
+              [counter](const held_summary* left, const held_summary* right) {
+                  const unsigned left_sent = left->times_sent[counter];
+                  const unsigned right_sent = right->times_sent[counter];
+                  return left_sent != right_sent ? left_sent < right_sent : left->received > right->received;
+              });
     std::size_t bytes = 0;
     for (const auto& own : message.summaries) {
         bytes += encoded_size_bound(own);
@@ -88,7 +91,7 @@
         if (has_members) {
             --list->sends_left;
         }
-        ++held->times_sent;
+        ++held->times_sent[counter];
         message.summaries.push_back(std::move(value));
     }
 }
