--- a/src/process/membership/tests/membership_spread_test.cpp
+++ b/src/process/membership/tests/membership_spread_test.cpp
@@ -174,6 +174,16 @@
     CHECK(tested.known(2) < 0.2);
     CHECK(seconds_to_know(tested, 2, 120) < 120);
 
+    SECTION("the load of a region is the sum over its data centres for those inside and outside")
+    {
+        tested.run(60s);
+        // 40 VMs, each with 80 slots of the pool as its share.
+        for (const vm_name& holder : {vm_name{"entry-1000"}, vm_name{"entry-1059"}}) {
+            const auto loads = tested.tables().at(holder).loads(region_name{"region-0"}, tested.now());
+            REQUIRE(loads.contains(pool_name{"drafting-0"}));
+            CHECK(loads.at(pool_name{"drafting-0"}).load.slots == 40 * 80);
+        }
+    }
     SECTION("a restarted VM replaces its predecessor everywhere")
     {
         const vm_name restarted{"entry-1003"};
