--- a/src/connection/peer/peer_response_writer.cpp
+++ b/src/connection/peer/peer_response_writer.cpp
@@ -62,9 +62,10 @@
 
 result<void> peer_response_writer::end_stream()
 {
+    // The other VM may close the call as soon as it has the end, before this fiber hears that it is written.
+    m_stream->watch(nullptr);
     BOOST_OUTCOME_TRY(write(forward_end{}));
     m_ended = true;
-    m_stream->watch(nullptr);
     return boost::outcome_v2::success();
 }
 
