Prove that the engine notices a client that leaves before a whole answer

With the watch for a leaving client taken out, all tests still passed: a stream ends anyway at the first failed write. The new section has no write to fail on.

--- a/tests/standins/upstream_test.cpp
+++ b/tests/standins/upstream_test.cpp
@@ -66,10 +66,21 @@
 {
     const standin engine("engine", {"--name", "e1", "--tokens-per-second", "20", "--slots", "1"});
     http_caller leaver(engine.address());
-    REQUIRE(leaver.begin(chat_call("", "ledger", 10'000, true)));
-    REQUIRE(leaver.next_event());
-    CHECK(cancels_of(engine) == 0);
-    leaver.abandon();
+
+    SECTION("in the middle of a stream")
+    {
+        REQUIRE(leaver.begin(chat_call("", "ledger", 10'000, true)));
+        REQUIRE(leaver.next_event());
+        CHECK(cancels_of(engine) == 0);
+        leaver.abandon();
+    }
+    SECTION("before its whole answer is ready")
+    {
+        REQUIRE(leaver.start(chat_call("", "ledger", 10'000, false)));
+        std::this_thread::sleep_for(std::chrono::milliseconds(300));
+        CHECK(cancels_of(engine) == 0);
+        leaver.abandon();
+    }
     CHECK(send_once(engine.address(), chat_call("", "next", 1, false)));
     CHECK(cancels_of(engine) == 1);
 }
