--- a/tests/demo/demo.cpp
+++ b/tests/demo/demo.cpp
@@ -62,7 +62,8 @@
     if (!entry || entry.value().status != 200) {
         return fail("riga-a does not answer GET /v1/entry");
     }
-    for (const auto& vm : entry.value().json().at("entries").as_array()) {
+    const boost::json::value body = entry.value().json();
+    for (const auto& vm : body.at("entries").as_array()) {
         say(boost::json::serialize(vm));
     }
     m_ticket = ticket_in_entry(entry.value(), "submit");
