--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -208,13 +208,16 @@
     }
     std::ofstream file(m_directory / (vm.name + ".toml"));
     file << "vm = " << quoted(vm.name) << "\nregion = " << quoted(vm.region)
-         << "\ndata_centre = " << quoted(vm.data_centre) << "\nseeds = [" << join(seeds)
-         << "]\nlisteners = { entry = " << quoted(own.entry.str()) << ", peer = " << quoted(own.peer.str())
+         << "\ndata_centre = " << quoted(vm.data_centre)
+         << "\nlisteners = { entry = " << quoted(own.entry.str()) << ", peer = " << quoted(own.peer.str())
          << ", operators = " << quoted(own.operators.str())
          << " }\nplatform = { configuration_address = " << quoted(own.platform.str())
          << ", list_address = " << quoted(own.platform.str())
          << ", reads_per_hour = " << m_plan.reads_per_hour
          << " }\nfleet.credential = \"credential-of-the-test-fleet\"\n";
+    if (!seeds.empty()) {
+        file << "seeds = [" << join(seeds) << "]\n";
+    }
     for (const auto& line : m_plan.settings) {
         file << line << '\n';
     }
