--- a/include/cardamomstream/connection/response_writer.h
+++ b/include/cardamomstream/connection/response_writer.h
@@ -10,9 +10,9 @@
 
 namespace cardamomstream {
 
-/// Writes one answer: either `send`, or `refuse`, or `begin_stream`, any number of `write_chunk`, then `end_stream` or
-/// `abort_stream`. Every call suspends the fiber until the bytes are with the kernel.
-/// Errors: error_kind::request_timeout when the caller reads too slowly or has left.
+/// Writes one answer: either `send`, or `refuse`, or `begin_stream`, any number of `write_chunk`, then
+/// `end_stream` or `abort_stream`. Every call suspends the fiber until the bytes are with the kernel. Errors:
+/// error_kind::request_timeout when the caller reads too slowly or has left.
 class response_writer {
 public:
     response_writer() = default;
--- a/include/cardamomstream/core/core_types.h
+++ b/include/cardamomstream/core/core_types.h
@@ -56,7 +56,8 @@
 /// Random number that a process draws at its start; tells a restarted VM from its predecessor.
 struct incarnation {
     std::uint64_t value = 0;
-    friend auto operator<=>(const incarnation&, const incarnation&) = default; // NOLINT(modernize-use-nullptr)
+    friend auto operator<=>(const incarnation&,
+                            const incarnation&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// An IP number with a port.
--- a/include/cardamomstream/core/synchronized.h
+++ b/include/cardamomstream/core/synchronized.h
@@ -6,7 +6,8 @@
 
 namespace cardamomstream {
 
-/// The value can be reached only while the mutex is held. Hold it for a decision, never across a fiber switch.
+/// The value can be reached only while the mutex is held. Hold it for a decision, never across a fiber
+/// switch.
 template <class Value>
 class synchronized {
 public:
--- a/include/cardamomstream/process/control_pulse.h
+++ b/include/cardamomstream/process/control_pulse.h
@@ -8,8 +8,8 @@
 
 namespace cardamomstream {
 
-/// A process that was paused finds its pulse old. Traffic then waits until the control thread has looked whether
-/// keys and rules have changed meanwhile. Thread-safe.
+/// A process that was paused finds its pulse old. Traffic then waits until the control thread has looked
+/// whether keys and rules have changed meanwhile. Thread-safe.
 class control_pulse {
 public:
     explicit control_pulse(std::chrono::milliseconds limit)
--- a/include/cardamomstream/process/event_recorder.h
+++ b/include/cardamomstream/process/event_recorder.h
@@ -19,7 +19,10 @@
     {
     }
 
-    event_ref record(event_kind kind, std::vector<event_field> fields = {}) { return record(kind, {}, std::move(fields)); }
+    event_ref record(event_kind kind, std::vector<event_field> fields = {})
+    {
+        return record(kind, {}, std::move(fields));
+    }
 
     event_ref record(event_kind kind, const request_id& request, std::vector<event_field> fields,
                      std::optional<event_ref> cause = std::nullopt)
--- a/include/cardamomstream/process/fleet_view.h
+++ b/include/cardamomstream/process/fleet_view.h
@@ -33,7 +33,8 @@
     key_index_snapshot keys;
     vm_list_snapshot list;
     std::map<vm_name, vm_contact> vms; ///< this VM excluded
-    bool confirmed = false; ///< false until the version in force has been confirmed since the start or a pause
+    bool confirmed =
+        false; ///< false until the version in force has been confirmed since the start or a pause
 };
 
 using fleet_view_snapshot = std::shared_ptr<const fleet_view>;
--- a/include/cardamomstream/request/dispatcher.h
+++ b/include/cardamomstream/request/dispatcher.h
@@ -57,8 +57,8 @@
     /// Takes a new view of the fleet.
     void update(const routing_view& view, time_point now);
 
-    /// Routes the request; suspends the calling fiber while it waits in the queue. Errors are final answers, not
-    /// run: those of `router::choose`, overloaded with the time to come back, cancelled.
+    /// Routes the request; suspends the calling fiber while it waits in the queue. Errors are final answers,
+    /// not run: those of `router::choose`, overloaded with the time to come back, cancelled.
     result<dispatch_grant> acquire(const dispatch_query& query, cancellation& cancel);
 
     void first_byte(dispatch_grant& grant, time_point now);
--- a/src/app/check_command.cpp
+++ b/src/app/check_command.cpp
@@ -13,7 +13,8 @@
     BOOST_OUTCOME_TRY(const auto text, read_text_file(path));
     BOOST_OUTCOME_TRY(const auto read, read_settings(text));
     BOOST_OUTCOME_TRY(load_fleet_credential(read.fleet));
-    std::cout << path << ": settings of VM " << read.vm.str() << " in region " << read.region.str() << " are valid\n";
+    std::cout << path << ": settings of VM " << read.vm.str() << " in region " << read.region.str()
+              << " are valid\n";
     return boost::outcome_v2::success();
 }
 
@@ -21,9 +22,10 @@
 {
     BOOST_OUTCOME_TRY(const auto text, read_text_file(path));
     BOOST_OUTCOME_TRY(const auto published, read_rules(text));
-    std::cout << path << ": version " << published.version << " is valid: " << published.regions.size() << " regions, "
-              << published.vms.size() << " VMs, " << published.customers.size() << " customers, " << published.keys.size()
-              << " keys, " << published.routes.size() << " routes, " << published.models.size() << " models\n";
+    std::cout << path << ": version " << published.version << " is valid: " << published.regions.size()
+              << " regions, " << published.vms.size() << " VMs, " << published.customers.size()
+              << " customers, " << published.keys.size() << " keys, " << published.routes.size()
+              << " routes, " << published.models.size() << " models\n";
     return boost::outcome_v2::success();
 }
 
@@ -31,7 +33,8 @@
 
 int check_command(int argc, char** argv)
 {
-    cxxopts::Options options("cardamomstream check", "Validates settings and rules; exits with 2 when one is refused.");
+    cxxopts::Options options("cardamomstream check",
+                             "Validates settings and rules; exits with 2 when one is refused.");
     options.add_options()("settings", "settings of one process", cxxopts::value<std::string>(),
                           "FILE")("rules", "the operators' rule file", cxxopts::value<std::string>(), "FILE");
     return run_command(options, argc, argv, [&](const cxxopts::ParseResult& parsed) {
--- a/src/app/commands.h
+++ b/src/app/commands.h
@@ -1,4 +1,5 @@
-/// The commands of the program. Each takes its own arguments, the command's name first, and gives the exit code.
+/// The commands of the program. Each takes its own arguments, the command's name first, and gives the exit
+/// code.
 #pragma once
 
 #include "cardamomstream/core/error.h"
--- a/src/app/control/allowance_controller.cpp
+++ b/src/app/control/allowance_controller.cpp
@@ -58,7 +58,8 @@
 
 void allowance_controller::send_returns()
 {
-    const auto returns = m_state.parts.allowance.with_lock([](allowance_book& book) { return book.take_returns(); });
+    const auto returns =
+        m_state.parts.allowance.with_lock([](allowance_book& book) { return book.take_returns(); });
     for (const auto& value : returns) {
         const auto* lender = m_state.members.find(value.lender);
         if (lender == nullptr) {
@@ -74,9 +75,10 @@
 void allowance_controller::ask_after_restart()
 {
     const auto now = boot_clock::now();
-    const auto query = m_state.parts.allowance.with_lock([](allowance_book& book) -> std::optional<restart_query> {
-        return book.restarting() ? std::optional(book.ask_restart()) : std::nullopt;
-    });
+    const auto query =
+        m_state.parts.allowance.with_lock([](allowance_book& book) -> std::optional<restart_query> {
+            return book.restarting() ? std::optional(book.ask_restart()) : std::nullopt;
+        });
     if (!query || now < m_next_restart_query) {
         return;
     }
@@ -88,7 +90,8 @@
         m_state.thread.spawn([this, query = *query, peer = peer_address{vm, known.peer}] {
             const auto answer = m_state.parts.peers.ask_restart(peer, query, call_limit);
             if (answer) {
-                m_state.parts.allowance.with_lock([&](allowance_book& book) { book.accept(answer.value(), boot_clock::now()); });
+                m_state.parts.allowance.with_lock(
+                    [&](allowance_book& book) { book.accept(answer.value(), boot_clock::now()); });
             }
         });
     }
--- a/src/app/control/configuration_controller.cpp
+++ b/src/app/control/configuration_controller.cpp
@@ -25,13 +25,16 @@
     while (!m_state.stopped) {
         const auto decision = m_state.schedule.next(is_reader(), boot_clock::now(), m_state.random);
         if (decision.action == read_action::wait) {
-            const auto pause = std::clamp<boot_clock::duration>(decision.at - boot_clock::now(), std::chrono::milliseconds{1}, longest_pause);
+            const auto pause = std::clamp<boot_clock::duration>(decision.at - boot_clock::now(),
+                                                                std::chrono::milliseconds{1}, longest_pause);
             boost::this_fiber::sleep_for(pause);
             continue;
         }
         const auto held = m_state.versions.current();
-        const auto wait = decision.action == read_action::watch ? watch_time : std::chrono::milliseconds::zero();
-        auto answer = read_platform(m_state, platform_service::configuration, "rules", held ? held->number : 0, wait);
+        const auto wait =
+            decision.action == read_action::watch ? watch_time : std::chrono::milliseconds::zero();
+        auto answer =
+            read_platform(m_state, platform_service::configuration, "rules", held ? held->number : 0, wait);
         if (!answer) {
             spdlog::warn("configuration read failed message=\"{}\"", answer.error().message);
             m_state.schedule.read_failed(boot_clock::now(), m_state.random);
@@ -39,7 +42,10 @@
         }
         m_state.schedule.read_succeeded(boot_clock::now());
         if (answer.value()) {
-            take(m_state.versions.offer(version_document{answer.value()->version, std::move(answer.value()->text)}, boot_clock::now()), "service");
+            take(m_state.versions.offer(
+                     version_document{answer.value()->version, std::move(answer.value()->text)},
+                     boot_clock::now()),
+                 "service");
         }
         else if (held) {
             m_state.versions.confirm(*held, boot_clock::now());
@@ -89,7 +95,9 @@
     if (!m_asking.insert(peer.vm).second) {
         return;
     }
-    m_state.parts.events.record(event_kind::configuration_behind, {{"vm", peer.vm.str()}, {"version", static_cast<std::int64_t>(held->number)}});
+    m_state.parts.events.record(
+        event_kind::configuration_behind,
+        {{"vm", peer.vm.str()}, {"version", static_cast<std::int64_t>(held->number)}});
     m_state.thread.spawn([this, peer] {
         fetch_from(peer, m_state.versions.current());
         m_asking.erase(peer.vm);
@@ -108,7 +116,8 @@
     }
     const auto verdict = m_state.versions.offer(*reply.value().update, boot_clock::now());
     take(verdict, peer.vm.str());
-    const bool needs_text = verdict.verdict == offer_verdict::base_not_held || verdict.verdict == offer_verdict::does_not_match;
+    const bool needs_text =
+        verdict.verdict == offer_verdict::base_not_held || verdict.verdict == offer_verdict::does_not_match;
     if (needs_text && held) {
         fetch_from(peer, std::nullopt);
     }
@@ -128,7 +137,8 @@
     if (verdict.verdict == offer_verdict::accepted) {
         const auto number = static_cast<std::int64_t>(m_state.versions.current()->number);
         spdlog::info("configuration accepted version={} source={}", number, source);
-        m_state.parts.events.record(event_kind::configuration_accepted, {{"version", number}, {"source", source}});
+        m_state.parts.events.record(event_kind::configuration_accepted,
+                                    {{"version", number}, {"source", source}});
         m_state.parts.counters.configuration_version.set(static_cast<double>(number));
         m_state.confirmed = true;
         publish_view(m_state);
@@ -140,7 +150,8 @@
     }
     if (verdict.verdict == offer_verdict::refused && verdict.reason) {
         spdlog::error("configuration refused source={} message=\"{}\"", source, describe(*verdict.reason));
-        m_state.parts.events.record(event_kind::configuration_refused, {{"source", source}, {"reason", describe(*verdict.reason)}});
+        m_state.parts.events.record(event_kind::configuration_refused,
+                                    {{"source", source}, {"reason", describe(*verdict.reason)}});
     }
 }
 
@@ -172,7 +183,8 @@
         }
     }
     const auto readers = choose_readers(live, reader_settings{});
-    return readers.empty() || std::find(readers.begin(), readers.end(), m_state.parts.config.vm) != readers.end();
+    return readers.empty() ||
+           std::find(readers.begin(), readers.end(), m_state.parts.config.vm) != readers.end();
 }
 
 } // namespace cardamomstream
--- a/src/app/control/control_loop.cpp
+++ b/src/app/control/control_loop.cpp
@@ -23,7 +23,8 @@
 
 } // namespace
 
-control_state::control_state(serving_parts process_parts, traffic_thread& control_thread, request_service& requests)
+control_state::control_state(serving_parts process_parts, traffic_thread& control_thread,
+                             request_service& requests)
     : parts(process_parts)
     , thread(control_thread)
     , service(requests)
@@ -86,22 +87,25 @@
         return self->m_configuration.answer(held);
     };
     handlers.borrow = [&parts](const loan_request& request) {
-        return parts.allowance.with_lock([&](allowance_book& book) { return book.lend(request, boot_clock::now()); });
+        return parts.allowance.with_lock(
+            [&](allowance_book& book) { return book.lend(request, boot_clock::now()); });
     };
     handlers.return_loan = [&parts](const loan_return& value) {
         parts.allowance.with_lock([&](allowance_book& book) { book.accept(value, boot_clock::now()); });
     };
     handlers.ask_restart = [&parts](const restart_query& query) {
-        return parts.allowance.with_lock([&](allowance_book& book) { return book.answer_restart(query, boot_clock::now()); });
+        return parts.allowance.with_lock(
+            [&](allowance_book& book) { return book.answer_restart(query, boot_clock::now()); });
     };
     handlers.invite = [&parts] {
         return parts.tickets.with_lock([](ticket_book& book) { return book.invite(boot_clock::now()); });
     };
     handlers.hand_over = [&parts](const hand_over_value& value) {
-        return parts.tickets.with_lock([&](ticket_book& book) { return book.take_over(value, boot_clock::now()); });
+        return parts.tickets.with_lock(
+            [&](ticket_book& book) { return book.take_over(value, boot_clock::now()); });
     };
-    handlers.forward = [&service = m_state.service](const vm_name& sender, const forward_request& request, std::size_t thread,
-                                                    response_writer& writer) {
+    handlers.forward = [&service = m_state.service](const vm_name& sender, const forward_request& request,
+                                                    std::size_t thread, response_writer& writer) {
         service.serve_forwarded(sender, request, thread, writer);
     };
     return handlers;
--- a/src/app/control/control_state.h
+++ b/src/app/control/control_state.h
@@ -1,4 +1,5 @@
-/// What the control thread knows and works with. Touched on the control thread only, apart from the shared parts.
+/// What the control thread knows and works with. Touched on the control thread only, apart from the shared
+/// parts.
 #pragma once
 
 #include "rules_parser.h"
--- a/src/app/control/membership_controller.cpp
+++ b/src/app/control/membership_controller.cpp
@@ -80,8 +80,10 @@
 {
     const peer_address peer{target.vm, target.address};
     const auto started = boot_clock::now();
-    const auto reply = m_state.parts.peers.exchange(peer, {target.message, m_state.versions.current()}, exchange_limit);
-    note_answer(peer, reply, std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - started));
+    const auto reply =
+        m_state.parts.peers.exchange(peer, {target.message, m_state.versions.current()}, exchange_limit);
+    note_answer(peer, reply,
+                std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - started));
 }
 
 void membership_controller::try_connection(const vm_name& vm)
@@ -159,7 +161,8 @@
         const auto before = m_published.find(name);
         const bool changed = before != m_published.end() && before->second != seen;
         if (changed) {
-            spdlog::info("vm {} vm={}", std::string(seen == member_state::suspected ? "suspected" : "changed"), name.str());
+            spdlog::info("vm {} vm={}",
+                         std::string(seen == member_state::suspected ? "suspected" : "changed"), name.str());
             m_state.parts.events.record(event_of(seen), {{"vm", name.str()}});
         }
     }
--- a/src/app/control/membership_controller.h
+++ b/src/app/control/membership_controller.h
@@ -30,7 +30,8 @@
 private:
     void send(const heartbeat_target& target);
     void try_connection(const vm_name& vm);
-    void note_answer(const peer_address& peer, const result<exchange_reply>& reply, std::chrono::milliseconds took);
+    void note_answer(const peer_address& peer, const result<exchange_reply>& reply,
+                     std::chrono::milliseconds took);
     heartbeat own_heartbeat();
     void publish_changes();
 
--- a/src/app/control/platform_reader.cpp
+++ b/src/app/control/platform_reader.cpp
@@ -16,8 +16,11 @@
 
 error unavailable(const endpoint& address, const std::string& reason)
 {
-    return {error_kind::platform_unavailable, "the platform at " + address.str() + " " + reason,
-            "the last accepted version stays in force; see to the platform", run_outcome::not_run, {}};
+    return {error_kind::platform_unavailable,
+            "the platform at " + address.str() + " " + reason,
+            "the last accepted version stays in force; see to the platform",
+            run_outcome::not_run,
+            {}};
 }
 
 std::optional<version_number> version_of(const http_response_head& head)
@@ -39,7 +42,8 @@
 {
     const auto& platform = state.parts.config.platform;
     http_call call;
-    call.address = service == platform_service::configuration ? platform.configuration_address : platform.list_address;
+    call.address =
+        service == platform_service::configuration ? platform.configuration_address : platform.list_address;
     call.target = "/v1/values/" + key;
     if (wait > std::chrono::milliseconds::zero()) {
         call.target += fmt::format("?after={}&wait_ms={}", after, wait.count());
@@ -58,7 +62,8 @@
     }
     const auto version = version_of(answer.value().head);
     if (status != ok || !version) {
-        return unavailable(call.address, fmt::format("answered with status {} and no valid X-Version", status));
+        return unavailable(call.address,
+                           fmt::format("answered with status {} and no valid X-Version", status));
     }
     return std::optional<published_value>({*version, std::move(answer.value().body)});
 }
--- a/src/app/control/stop_controller.cpp
+++ b/src/app/control/stop_controller.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds announce_time{1'500}; ///< other VMs and callers learn of the stop meanwhile
+constexpr std::chrono::milliseconds announce_time{
+    1'500}; ///< other VMs and callers learn of the stop meanwhile
 constexpr std::chrono::milliseconds drain_poll{20};
 constexpr std::chrono::milliseconds call_limit{2'000};
 
@@ -20,7 +21,8 @@
     const auto drain_until = boot_clock::now() + m_state.parts.config.stop.drain_limit;
     m_state.parts.stopping = true;
     m_state.parts.tickets.with_lock([](ticket_book& book) { book.stop_issuing(); });
-    m_state.parts.events.record(event_kind::process_stopping, {{"running", static_cast<std::int64_t>(m_state.service.running())}});
+    m_state.parts.events.record(event_kind::process_stopping,
+                                {{"running", static_cast<std::int64_t>(m_state.service.running())}});
     spdlog::info("stopping running={}", m_state.service.running());
     boost::this_fiber::sleep_for(announce_time);
     m_entry.stop_accepting();
@@ -62,16 +64,18 @@
     }
     const auto invitation = m_state.parts.peers.invite(*successor, call_limit);
     if (!invitation) {
-        spdlog::warn("ticket hand-over failed vm={} message=\"{}\"", successor->vm.str(), invitation.error().message);
+        spdlog::warn("ticket hand-over failed vm={} message=\"{}\"", successor->vm.str(),
+                     invitation.error().message);
         return;
     }
     const auto value = m_state.parts.tickets.with_lock(
         [&](ticket_book& book) { return book.hand_over(invitation.value(), boot_clock::now()); });
     m_members.set_successor({invitation.value().successor.vm, invitation.value().successor.process});
     const auto taken = m_state.parts.peers.hand_over(*successor, value, call_limit);
-    m_state.parts.events.record(event_kind::ticket_handed_over, {{"vm", successor->vm.str()},
-                                                                 {"tickets", static_cast<std::int64_t>(value.tickets.size())},
-                                                                 {"taken", taken.has_value()}});
+    m_state.parts.events.record(event_kind::ticket_handed_over,
+                                {{"vm", successor->vm.str()},
+                                 {"tickets", static_cast<std::int64_t>(value.tickets.size())},
+                                 {"taken", taken.has_value()}});
 }
 
 void stop_controller::wait_for_requests(time_point until)
--- a/src/app/control/stop_controller.h
+++ b/src/app/control/stop_controller.h
@@ -17,8 +17,8 @@
     {
     }
 
-    /// Announces the stop, lets running requests end within the drain limit, and hands unused tickets and kept
-    /// answers to a successor. Runs in a fiber; returns when the process may exit.
+    /// Announces the stop, lets running requests end within the drain limit, and hands unused tickets and
+    /// kept answers to a successor. Runs in a fiber; returns when the process may exit.
     void run();
 
 private:
--- a/src/app/control/view_publisher.cpp
+++ b/src/app/control/view_publisher.cpp
@@ -35,7 +35,8 @@
     view.rules = state.versions.value();
     view.list = state.list;
     for (const auto& [name, known] : state.members.members()) {
-        if (name != state.parts.config.vm && known.region != state.parts.config.region && state.members.is_usable(name)) {
+        if (name != state.parts.config.vm && known.region != state.parts.config.region &&
+            state.members.is_usable(name)) {
             view.peers.push_back({name, known.region});
         }
     }
--- a/src/app/gateway_process.cpp
+++ b/src/app/gateway_process.cpp
@@ -80,14 +80,16 @@
         , log(config.vm, process, config.events.capacity)
         , events(log)
         , allowance(config.vm, process, allowance_limits_of(config), boot_clock::now())
-        , tickets(ticket_holder{config.vm, process}, random_value<ticket_key>(), ticket_settings_of(config), boot_clock::now())
+        , tickets(ticket_holder{config.vm, process}, random_value<ticket_key>(), ticket_settings_of(config),
+                  boot_clock::now())
         , retries(retry_settings{})
         , dispatch(config.region, {}, process.value)
         , peers(identity)
         , pulse(pulse_limit)
         , traffic(config.traffic.threads)
         , clients(make_clients(traffic))
-        , parts{config, process, views, allowance, tickets, retries, dispatch, events, counters, peers, clients, pulse, stopping}
+        , parts{config, process,  views, allowance, tickets, retries, dispatch,
+                events, counters, peers, clients,   pulse,   stopping}
         , service(parts, traffic)
         , control(parts, control_thread, service)
         , peer_listener(identity, control_thread, traffic, control.handlers())
@@ -164,7 +166,8 @@
 result<std::unique_ptr<gateway_process>> gateway_process::create(const settings& config)
 {
     BOOST_OUTCOME_TRY(auto identity, identity_of(config));
-    return std::unique_ptr<gateway_process>(new gateway_process(std::make_unique<impl>(config, std::move(identity))));
+    return std::unique_ptr<gateway_process>(
+        new gateway_process(std::make_unique<impl>(config, std::move(identity))));
 }
 
 result<void> gateway_process::start()
--- a/src/app/keys_command.cpp
+++ b/src/app/keys_command.cpp
@@ -40,10 +40,13 @@
 
 int keys_command(int argc, char** argv)
 {
-    cxxopts::Options options("cardamomstream keys", "Makes a key (new), or reads one from standard input (hash), and prints the line that publishes it.");
+    cxxopts::Options options(
+        "cardamomstream keys",
+        "Makes a key (new), or reads one from standard input (hash), and prints the line that publishes it.");
     options.positional_help("new|hash");
     options.add_options()("action", "new or hash", cxxopts::value<std::string>())(
-        "customer", "customer that the key belongs to", cxxopts::value<std::string>()->default_value("CUSTOMER"), "NAME");
+        "customer", "customer that the key belongs to",
+        cxxopts::value<std::string>()->default_value("CUSTOMER"), "NAME");
     options.parse_positional({"action"});
     return run_command(options, argc, argv, [&](const cxxopts::ParseResult& parsed) {
         const auto action = parsed.count("action") > 0 ? parsed["action"].as<std::string>() : std::string{};
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -49,7 +49,8 @@
         return cardamomstream::exit_ok;
     }
     const auto& all = commands();
-    const auto found = std::find_if(all.begin(), all.end(), [&](const auto& one) { return one.name == name; });
+    const auto found =
+        std::find_if(all.begin(), all.end(), [&](const auto& one) { return one.name == name; });
     if (found == all.end()) {
         std::cerr << "cardamomstream: unknown command \"" << name << "\"\n\n";
         print_usage(std::cerr);
--- a/src/app/timeline_command.cpp
+++ b/src/app/timeline_command.cpp
@@ -47,7 +47,8 @@
         for (const auto& text : operators) {
             const auto address = parse_endpoint(text);
             if (!address) {
-                std::cerr << "cardamomstream: \"" << text << "\" is no IP:PORT; give an operators' listener\n";
+                std::cerr << "cardamomstream: \"" << text
+                          << "\" is no IP:PORT; give an operators' listener\n";
                 continue;
             }
             auto events = read_events(client, *address);
@@ -78,9 +79,11 @@
 
 int timeline_command(int argc, char** argv)
 {
-    cxxopts::Options options("cardamomstream timeline", "Merges the events of several processes in causal order.");
+    cxxopts::Options options("cardamomstream timeline",
+                             "Merges the events of several processes in causal order.");
     add_sources(options);
-    options.add_options()("format", "text or trace (Chrome trace JSON)", cxxopts::value<std::string>()->default_value("text"), "FORMAT");
+    options.add_options()("format", "text or trace (Chrome trace JSON)",
+                          cxxopts::value<std::string>()->default_value("text"), "FORMAT");
     return run_command(options, argc, argv, [&](const cxxopts::ParseResult& parsed) {
         if (parsed.count("from") == 0) {
             return missing_sources();
@@ -101,7 +104,8 @@
     cxxopts::Options options("cardamomstream explain", "Tells what was decided for one request, and why.");
     options.positional_help("REQUEST_ID");
     add_sources(options);
-    options.add_options()("request", "identity of the request, from the answer's X-Request-Id", cxxopts::value<std::string>(), "REQUEST_ID");
+    options.add_options()("request", "identity of the request, from the answer's X-Request-Id",
+                          cxxopts::value<std::string>(), "REQUEST_ID");
     options.parse_positional({"request"});
     return run_command(options, argc, argv, [&](const cxxopts::ParseResult& parsed) {
         if (parsed.count("from") == 0) {
--- a/src/request/dispatch/dispatcher.cpp
+++ b/src/request/dispatch/dispatcher.cpp
@@ -39,7 +39,8 @@
     router& router_of(const region_name& region, time_point now);
     pool_line& line_of(const line_key& key);
     std::optional<result<dispatch_grant>> place(const dispatch_query& query, time_point now);
-    std::variant<result<dispatch_grant>, std::shared_ptr<waiting_request>> place_or_queue(const dispatch_query& query, time_point now);
+    std::variant<result<dispatch_grant>, std::shared_ptr<waiting_request>>
+    place_or_queue(const dispatch_query& query, time_point now);
     void pump(const line_key& key, time_point now);
     line_key key_of(const dispatch_query& query) const;
     void cancel_waiting(const std::shared_ptr<waiting_request>& waiting);
@@ -183,7 +184,8 @@
 {
     const std::lock_guard lock(m_mutex);
     if (line_of(key_of(waiting->query)).remove(waiting->query.id)) {
-        waiting->promise.set_value(error{error_kind::cancelled, "the caller has left", "", run_outcome::not_run, {}});
+        waiting->promise.set_value(
+            error{error_kind::cancelled, "the caller has left", "", run_outcome::not_run, {}});
     }
 }
 
@@ -204,7 +206,8 @@
     router_of(grant.region, now).set_limit(grant.choice.upstream, m_gate.limit(grant.choice.upstream));
 }
 
-void dispatcher::impl::end(const dispatch_grant& grant, std::optional<attempt_failure> failure, time_point now)
+void dispatcher::impl::end(const dispatch_grant& grant, std::optional<attempt_failure> failure,
+                           time_point now)
 {
     const std::lock_guard lock(m_mutex);
     auto& routing = router_of(grant.region, now);
--- a/src/request/dispatch/tests/dispatcher_test.cpp
+++ b/src/request/dispatch/tests/dispatcher_test.cpp
@@ -25,7 +25,8 @@
     published.customers[customer_name{"carrier"}] = {};
     vm_list list;
     list.version = 1;
-    list.upstreams[upstream_name{"w1"}] = {pool, home, {}, {"127.0.0.1", 9}, listed_state::live, slots, false};
+    list.upstreams[upstream_name{"w1"}] = {pool,  home, {}, {"127.0.0.1", 9}, listed_state::live,
+                                           slots, false};
     routing_view view;
     view.rules = std::make_shared<const rules>(published);
     view.list = std::make_shared<const vm_list>(list);
--- a/src/request/serving/answer_relay.h
+++ b/src/request/serving/answer_relay.h
@@ -47,8 +47,11 @@
         }
         body += *part;
         if (body.size() > max_whole_answer_bytes) {
-            return error{error_kind::upstream_failed, "the answer of the upstream is too large",
-                         "ask for less in one request", run_outcome::unknown, {}};
+            return error{error_kind::upstream_failed,
+                         "the answer of the upstream is too large",
+                         "ask for less in one request",
+                         run_outcome::unknown,
+                         {}};
         }
     }
 }
@@ -56,7 +59,8 @@
 /// Passes a stream on part by part, at most `max_tokens` of it where that is set. The stream is whole once
 /// its source has ended it.
 template <answer_source Source>
-result<void> pass_stream(request_context& context, Source& source, answer_meter& meter, token_count max_tokens)
+result<void> pass_stream(request_context& context, Source& source, answer_meter& meter,
+                         token_count max_tokens)
 {
     BOOST_OUTCOME_TRY(context.writer.begin_stream(
         {source.head().status, caller_headers(source.head().headers, context.id)}));
@@ -67,13 +71,19 @@
         }
         meter.feed_stream(*part);
         if (max_tokens > 0 && meter.answer_tokens() > max_tokens) {
-            return error{error_kind::upstream_failed, "the upstream sent more than max_tokens",
-                         "report the upstream to its operators", run_outcome::unknown, {}};
+            return error{error_kind::upstream_failed,
+                         "the upstream sent more than max_tokens",
+                         "report the upstream to its operators",
+                         run_outcome::unknown,
+                         {}};
         }
         BOOST_OUTCOME_TRY(context.await_confirmation());
         if (boot_clock::now() >= context.deadline) {
-            return error{error_kind::upstream_timeout, "the answer took longer than the request allows",
-                         "ask for less, or allow more time", run_outcome::unknown, {}};
+            return error{error_kind::upstream_timeout,
+                         "the answer took longer than the request allows",
+                         "ask for less, or allow more time",
+                         run_outcome::unknown,
+                         {}};
         }
         if (context.key_withdrawn) {
             return error{error_kind::cancelled, "the key was withdrawn", "", run_outcome::unknown, {}};
--- a/src/request/serving/attempt_runner.cpp
+++ b/src/request/serving/attempt_runner.cpp
@@ -46,7 +46,8 @@
         fields.push_back({"upstream", choice.upstream.str()});
     }
     for (const auto& note : choice.notes) {
-        fields.push_back({std::string(code_of(note.reason)), fmt::format("{} {:.1f}", note.subject, note.figure)});
+        fields.push_back(
+            {std::string(code_of(note.reason)), fmt::format("{} {:.1f}", note.subject, note.figure)});
     }
     return fields;
 }
@@ -89,8 +90,11 @@
         if (const auto* failed = std::get_if<error>(&reply)) {
             return *failed;
         }
-        return {error_kind::peer_unavailable, "the answer of the other VM broke off",
-                "read the status before you submit again", run_outcome::unknown, {}};
+        return {error_kind::peer_unavailable,
+                "the answer of the other VM broke off",
+                "read the status before you submit again",
+                run_outcome::unknown,
+                {}};
     }
 
     std::unique_ptr<forward_stream> m_stream;
@@ -201,7 +205,8 @@
 
 result<attempt_end> attempt_runner::serve(dispatch_grant& grant)
 {
-    BOOST_OUTCOME_TRY(auto exchange, m_context.client().send(call_to(grant.choice.address), m_context.cancel));
+    BOOST_OUTCOME_TRY(auto exchange,
+                      m_context.client().send(call_to(grant.choice.address), m_context.cancel));
     return relay(grant, *exchange);
 }
 
@@ -210,7 +215,11 @@
     const auto view = m_context.parts.views.load();
     const auto peer = view->vms.find(grant.choice.peer);
     if (peer == view->vms.end()) {
-        return error{error_kind::peer_unavailable, "the chosen VM has left", "send the request again", run_outcome::not_run, {}};
+        return error{error_kind::peer_unavailable,
+                     "the chosen VM has left",
+                     "send the request again",
+                     run_outcome::not_run,
+                     {}};
     }
     forward_request request;
     request.id = m_context.id;
@@ -229,8 +238,8 @@
     request.cost = m_work.cost;
     request.cause = m_context.record(event_kind::request_forwarded, {{"vm", grant.choice.peer.str()}});
     m_context.parts.counters.sent_away.increment(m_context.parts.config.region, grant.choice.region);
-    BOOST_OUTCOME_TRY(auto stream, m_context.parts.peers.forward({grant.choice.peer, peer->second.peer}, request,
-                                                                 m_context.cancel));
+    BOOST_OUTCOME_TRY(auto stream, m_context.parts.peers.forward({grant.choice.peer, peer->second.peer},
+                                                                 request, m_context.cancel));
     forwarded_answer answer(std::move(stream));
     BOOST_OUTCOME_TRY(answer.read_head());
     return relay(grant, answer);
@@ -242,12 +251,15 @@
     const auto& head = source.head();
     note_first_byte(grant);
     if (head.status == too_many_requests || head.status == service_unavailable) {
-        return error{error_kind::overloaded, "the upstream is overloaded", "send the request again", run_outcome::unknown,
-                     std::chrono::seconds{1}};
+        return error{error_kind::overloaded, "the upstream is overloaded", "send the request again",
+                     run_outcome::unknown, std::chrono::seconds{1}};
     }
     if (head.status >= first_server_error) {
-        return error{error_kind::upstream_failed, fmt::format("the upstream answered with status {}", head.status),
-                     "send the request again if it may be repeated", run_outcome::unknown, {}};
+        return error{error_kind::upstream_failed,
+                     fmt::format("the upstream answered with status {}", head.status),
+                     "send the request again if it may be repeated",
+                     run_outcome::unknown,
+                     {}};
     }
     if (is_event_stream(head)) {
         BOOST_OUTCOME_TRY(pass_stream(m_context, source, m_meter, m_work.max_tokens));
@@ -257,7 +269,8 @@
     if (m_work.max_tokens > 0) {
         m_meter.feed_whole(body);
     }
-    BOOST_OUTCOME_TRY(m_context.writer.send({{head.status, caller_headers(head.headers, m_context.id)}, body}));
+    BOOST_OUTCOME_TRY(
+        m_context.writer.send({{head.status, caller_headers(head.headers, m_context.id)}, body}));
     return attempt_end{head.status, {}, {}};
 }
 
--- a/src/request/serving/caller_auth.cpp
+++ b/src/request/serving/caller_auth.cpp
@@ -13,18 +13,24 @@
 constexpr std::string_view scheme = "Bearer ";
 constexpr std::size_t min_key_bytes = 8;
 
-constexpr std::array<std::string_view, 4> request_headers{"Accept", "Accept-Language", "Content-Language", "Content-Type"};
-constexpr std::array<std::string_view, 5> response_headers{"Cache-Control", "Content-Language", "Content-Type", "ETag", "Retry-After"};
+constexpr std::array<std::string_view, 4> request_headers{"Accept", "Accept-Language", "Content-Language",
+                                                          "Content-Type"};
+constexpr std::array<std::string_view, 5> response_headers{"Cache-Control", "Content-Language",
+                                                           "Content-Type", "ETag", "Retry-After"};
 
 error unauthenticated(std::string message)
 {
-    return {error_kind::unauthenticated, std::move(message), "send Authorization: Bearer KEY with a key that is in force",
-            run_outcome::not_run, {}};
+    return {error_kind::unauthenticated,
+            std::move(message),
+            "send Authorization: Bearer KEY with a key that is in force",
+            run_outcome::not_run,
+            {}};
 }
 
 bool is_any(std::string_view name, const auto& names)
 {
-    return std::any_of(names.begin(), names.end(), [&](auto known) { return boost::beast::iequals(name, known); });
+    return std::any_of(names.begin(), names.end(),
+                       [&](auto known) { return boost::beast::iequals(name, known); });
 }
 
 result<std::string_view> presented_key(const std::vector<http_header>& headers)
@@ -54,7 +60,8 @@
 
 std::string decoded(std::string_view target)
 {
-    const auto view = boost::urls::make_pct_string_view(boost::urls::string_view(target.data(), target.size()));
+    const auto view =
+        boost::urls::make_pct_string_view(boost::urls::string_view(target.data(), target.size()));
     if (!view) {
         return std::string(target);
     }
@@ -83,8 +90,11 @@
         return unauthenticated("the key is not known or has been withdrawn");
     }
     if (holds_key(request, key)) {
-        return error{error_kind::invalid_request, "the key stands in the target or the body of the request",
-                     "send the key in the Authorization header only", run_outcome::not_run, {}};
+        return error{error_kind::invalid_request,
+                     "the key stands in the target or the body of the request",
+                     "send the key in the Authorization header only",
+                     run_outcome::not_run,
+                     {}};
     }
     return std::optional<caller_identity>({owner->customer, digest});
 }
--- a/src/request/serving/guarded_call.cpp
+++ b/src/request/serving/guarded_call.cpp
@@ -70,9 +70,11 @@
                       }));
     m_context.record(event_kind::ticket_issued, {{"number", static_cast<std::int64_t>(issued.id.number)}});
     m_context.parts.counters.tickets.increment(ticket_step::issued);
-    const error required{error_kind::ticket_required, "this route runs a call at most once and needs a ticket",
+    const error required{error_kind::ticket_required,
+                         "this route runs a call at most once and needs a ticket",
                          "send the same request again with the ticket of this answer in the header X-Ticket",
-                         run_outcome::not_run, {}};
+                         run_outcome::not_run,
+                         {}};
     auto response = error_response(required, m_context.id, issued.text);
     response.head.headers.push_back({"X-Request-Id", m_context.id.str()});
     return m_context.writer.send(response);
@@ -92,8 +94,8 @@
     }
     if (const auto* running = std::get_if<still_running>(&decision)) {
         return error{error_kind::outcome_unknown, "another copy of this call is running",
-                     "read the status, or send the same call with the same ticket later", run_outcome::unknown,
-                     running->retry_after};
+                     "read the status, or send the same call with the same ticket later",
+                     run_outcome::unknown, running->retry_after};
     }
     if (const auto* refused = std::get_if<error>(&decision)) {
         m_context.record(event_kind::ticket_refused, {{"reason", refused->message}});
@@ -172,7 +174,11 @@
             response.body += *part;
             continue;
         }
-        return error{error_kind::peer_unavailable, "the answer of the other VM broke off", "", run_outcome::unknown, {}};
+        return error{error_kind::peer_unavailable,
+                     "the answer of the other VM broke off",
+                     "",
+                     run_outcome::unknown,
+                     {}};
     }
 }
 
@@ -185,8 +191,9 @@
     if (!end) {
         m_context.record(event_kind::ticket_finished, {{"outcome", std::string(code_of(end.error().kind))}});
         return with_tickets([&](ticket_book& book) {
-            return end.error().outcome == run_outcome::not_run ? book.fail_not_run(granted.id, end.error(), now)
-                                                               : book.fail_unknown(granted.id, now);
+            return end.error().outcome == run_outcome::not_run
+                       ? book.fail_not_run(granted.id, end.error(), now)
+                       : book.fail_unknown(granted.id, now);
         });
     }
     kept_answer kept;
@@ -215,7 +222,8 @@
         return with_tickets([&](ticket_book& book) { return book.may_write(granted.id, boot_clock::now()); });
     };
     auto work = m_work;
-    const auto run_by_left = std::chrono::duration_cast<std::chrono::milliseconds>(granted.run_by - boot_clock::now());
+    const auto run_by_left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(granted.run_by - boot_clock::now());
     work.headers.push_back({"X-Run-By-Ms", std::to_string(run_by_left.count())});
     auto end = run_once(m_context, work, once);
     const auto used = end || end.error().outcome == run_outcome::unknown ? m_work.cost : 0;
@@ -256,8 +264,8 @@
 
 } // namespace
 
-result<void> serve_guarded(request_context& context, const upstream_work& work, const std::string& ticket_text,
-                           bool passed_on)
+result<void> serve_guarded(request_context& context, const upstream_work& work,
+                           const std::string& ticket_text, bool passed_on)
 {
     return guarded_call(context, work, ticket_text).serve(passed_on);
 }
--- a/src/request/serving/guarded_call.h
+++ b/src/request/serving/guarded_call.h
@@ -15,7 +15,7 @@
 /// ticket, or refuses it. Without a ticket the answer is 428 with a fresh one.
 /// `passed_on` is true for a call that another VM has sent here.
 /// Errors are final answers.
-result<void> serve_guarded(request_context& context, const upstream_work& work, const std::string& ticket_text,
-                           bool passed_on);
+result<void> serve_guarded(request_context& context, const upstream_work& work,
+                           const std::string& ticket_text, bool passed_on);
 
 } // namespace cardamomstream
--- a/src/request/serving/loan_broker.cpp
+++ b/src/request/serving/loan_broker.cpp
@@ -26,14 +26,17 @@
         [&](allowance_book& book) { return book.admit(context.customer, charge, boot_clock::now()); });
 }
 
-void ask_all(request_context& context, const std::vector<loan_request>& requests, std::chrono::milliseconds limit)
+void ask_all(request_context& context, const std::vector<loan_request>& requests,
+             std::chrono::milliseconds limit)
 {
     std::vector<boost::fibers::fiber> asked;
     for (const auto& request : requests) {
-        context.record(event_kind::loan_asked, {{"lender", request.lender.str()}, {"tokens", request.needed}});
+        context.record(event_kind::loan_asked,
+                       {{"lender", request.lender.str()}, {"tokens", request.needed}});
         asked.emplace_back([&context, &request, limit] {
             const bool lent = ask_for_loan(context.parts, request, limit);
-            context.record(lent ? event_kind::loan_granted : event_kind::loan_refused, {{"lender", request.lender.str()}});
+            context.record(lent ? event_kind::loan_granted : event_kind::loan_refused,
+                           {{"lender", request.lender.str()}});
         });
     }
     for (auto& one : asked) {
@@ -70,7 +73,8 @@
         if (admitted || admitted.error().kind != error_kind::allowance_exhausted) {
             return admitted;
         }
-        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(give_up_at - boot_clock::now());
+        const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(give_up_at - boot_clock::now());
         const auto requests = plan_loans(context, charge);
         if (requests.empty() || left <= std::chrono::milliseconds::zero()) {
             return admitted;
--- a/src/request/serving/model_call.cpp
+++ b/src/request/serving/model_call.cpp
@@ -38,7 +38,8 @@
         return default_max_tokens;
     }
     if (!value->is_int64() || value->as_int64() < 1 || value->as_int64() > largest_max_tokens) {
-        return invalid("the field \"max_tokens\" is no whole number from 1 to 1000000", "set it or leave it out");
+        return invalid("the field \"max_tokens\" is no whole number from 1 to 1000000",
+                       "set it or leave it out");
     }
     return value->as_int64();
 }
@@ -63,7 +64,8 @@
     }
     for (const auto& message : value->as_array()) {
         if (!message.is_object() || !message.as_object().contains("content")) {
-            return invalid("a message has no field \"content\"", "send objects with \"role\" and \"content\"");
+            return invalid("a message has no field \"content\"",
+                           "send objects with \"role\" and \"content\"");
         }
     }
     return &value->as_array();
--- a/src/request/serving/request_context.cpp
+++ b/src/request/serving/request_context.cpp
@@ -39,7 +39,8 @@
     return found == view->rules->customers.end() ? std::set<region_name>{} : found->second.regions;
 }
 
-event_ref request_context::record(event_kind kind, std::vector<event_field> fields, std::optional<event_ref> cause)
+event_ref request_context::record(event_kind kind, std::vector<event_field> fields,
+                                  std::optional<event_ref> cause)
 {
     return parts.events.record(kind, id, std::move(fields), std::move(cause));
 }
@@ -57,7 +58,8 @@
     return request_id{fmt::format("r-{:016x}", value)};
 }
 
-std::chrono::milliseconds stated_timeout(const std::vector<http_header>& headers, std::chrono::milliseconds longest)
+std::chrono::milliseconds stated_timeout(const std::vector<http_header>& headers,
+                                         std::chrono::milliseconds longest)
 {
     const auto text = header_value(headers, "X-Timeout-Ms");
     std::uint32_t stated = 0;
--- a/src/request/serving/request_context.h
+++ b/src/request/serving/request_context.h
@@ -59,6 +59,7 @@
 request_id new_request_id();
 
 /// The deadline that a caller states in `X-Timeout-Ms`, at most `longest`.
-std::chrono::milliseconds stated_timeout(const std::vector<http_header>& headers, std::chrono::milliseconds longest);
+std::chrono::milliseconds stated_timeout(const std::vector<http_header>& headers,
+                                         std::chrono::milliseconds longest);
 
 } // namespace cardamomstream
--- a/src/request/serving/request_service.cpp
+++ b/src/request/serving/request_service.cpp
@@ -25,8 +25,11 @@
 
 error permission_denied(const std::string& what)
 {
-    return {error_kind::permission_denied, "this customer may not use " + what, "ask the operators for a rule",
-            run_outcome::not_run, {}};
+    return {error_kind::permission_denied,
+            "this customer may not use " + what,
+            "ask the operators for a rule",
+            run_outcome::not_run,
+            {}};
 }
 
 } // namespace
@@ -41,7 +44,8 @@
     }
 
     void serve(const http_request& request, std::size_t thread, response_writer& writer);
-    void serve_forwarded(const vm_name& sender, const forward_request& request, std::size_t thread, response_writer& writer);
+    void serve_forwarded(const vm_name& sender, const forward_request& request, std::size_t thread,
+                         response_writer& writer);
     void end_withdrawn();
     std::size_t running() const { return m_running; }
 
@@ -74,9 +78,11 @@
     };
 
     result<void> handle(request_context& context, const http_request& request);
-    result<void> handle_target(request_context& context, const http_request& request, const request_target& target);
+    result<void> handle_target(request_context& context, const http_request& request,
+                               const request_target& target);
     result<void> handle_model(request_context& context, const http_request& request);
-    result<void> handle_route(request_context& context, const http_request& request, const route_target& target);
+    result<void> handle_route(request_context& context, const http_request& request,
+                              const route_target& target);
     result<void> handle_forwarded(request_context& context, const forward_request& request);
     result<void> run_charged(request_context& context, const upstream_work& work, token_count charge);
     result<void> check_connections(const request_context& context) const;
@@ -94,7 +100,8 @@
     context.id = new_request_id();
     context.deadline = context.received + stated_timeout(request.headers, default_timeout);
     const active_entry active(*this, context);
-    context.record(event_kind::request_received, {{"method", request.method}, {"path", std::string(request.path())}});
+    context.record(event_kind::request_received,
+                   {{"method", request.method}, {"path", std::string(request.path())}});
     conclude(context, handle(context, request));
 }
 
@@ -139,8 +146,11 @@
         return context.writer.send(entry_answer(context));
     }
     if (context.customer.empty()) {
-        return error{error_kind::unauthenticated, "this request needs a key", "send Authorization: Bearer KEY",
-                     run_outcome::not_run, {}};
+        return error{error_kind::unauthenticated,
+                     "this request needs a key",
+                     "send Authorization: Bearer KEY",
+                     run_outcome::not_run,
+                     {}};
     }
     if (std::holds_alternative<models_target>(target)) {
         return context.writer.send(models_answer(context));
@@ -154,8 +164,11 @@
     const auto& models = context.view->rules->models;
     const auto model = models.find(call.model);
     if (model == models.end()) {
-        return error{error_kind::not_found, "model \"" + call.model.str() + "\" does not exist",
-                     "name a model of GET /v1/models", run_outcome::not_run, {}};
+        return error{error_kind::not_found,
+                     "model \"" + call.model.str() + "\" does not exist",
+                     "name a model of GET /v1/models",
+                     run_outcome::not_run,
+                     {}};
     }
     if (!may_use(model->second.customers, context.customer)) {
         return permission_denied("model \"" + call.model.str() + "\"");
@@ -180,8 +193,11 @@
     const auto& rule = *target.rule;
     if (rule.access == route_access::customers) {
         if (context.customer.empty()) {
-            return error{error_kind::unauthenticated, "this route needs a key", "send Authorization: Bearer KEY",
-                         run_outcome::not_run, {}};
+            return error{error_kind::unauthenticated,
+                         "this route needs a key",
+                         "send Authorization: Bearer KEY",
+                         run_outcome::not_run,
+                         {}};
         }
         if (!may_use(rule.customers, context.customer)) {
             return permission_denied("route \"" + target.name.str() + "\"");
@@ -197,13 +213,15 @@
     work.repeat = rule.repeat;
     work.cost = rule.cost;
     if (rule.repeat == repeat_policy::at_most_once) {
-        // A guarded call is seen through to its answer, so that the answer is there for the caller who returns.
+        // A guarded call is seen through to its answer, so that the answer is there for the caller who
+        // returns.
         return serve_guarded(context, work, std::string(header_value(request.headers, ticket_header)), false);
     }
     return run_charged(context, work, rule.access == route_access::open ? 0 : rule.cost);
 }
 
-result<void> request_service::impl::run_charged(request_context& context, const upstream_work& work, token_count charge)
+result<void> request_service::impl::run_charged(request_context& context, const upstream_work& work,
+                                                token_count charge)
 {
     std::optional<reservation> charged;
     if (charge > 0 && !context.customer.empty()) {
@@ -216,7 +234,8 @@
     if (charged) {
         const bool received = end || context.writer.started();
         const auto used = received ? std::min(charge, meter.total()) : 0;
-        m_parts.allowance.with_lock([&](allowance_book& book) { book.settle(*charged, used, boot_clock::now()); });
+        m_parts.allowance.with_lock(
+            [&](allowance_book& book) { book.settle(*charged, used, boot_clock::now()); });
         m_parts.counters.tokens.add(static_cast<std::uint64_t>(used), context.customer);
     }
     if (!end) {
@@ -225,8 +244,8 @@
     return boost::outcome_v2::success();
 }
 
-void request_service::impl::serve_forwarded(const vm_name& sender, const forward_request& request, std::size_t thread,
-                                            response_writer& writer)
+void request_service::impl::serve_forwarded(const vm_name& sender, const forward_request& request,
+                                            std::size_t thread, response_writer& writer)
 {
     request_context context(m_parts, writer, thread);
     context.id = request.id;
@@ -248,8 +267,11 @@
     const auto owner = context.view->keys->find(request.key);
     const bool open_route = request.customer.empty();
     if (!open_route && (!owner || owner->customer != request.customer)) {
-        return error{error_kind::unauthenticated, "the key is not known or has been withdrawn",
-                     "send a key that is in force", run_outcome::not_run, {}};
+        return error{error_kind::unauthenticated,
+                     "the key is not known or has been withdrawn",
+                     "send a key that is in force",
+                     run_outcome::not_run,
+                     {}};
     }
     upstream_work work;
     work.pool = request.pool;
@@ -286,8 +308,11 @@
     }
     auto failure = end.error();
     if (context.key_withdrawn) {
-        failure = {error_kind::unauthenticated, "the key was withdrawn while the request ran", "send a key that is in force",
-                   failure.outcome, {}};
+        failure = {error_kind::unauthenticated,
+                   "the key was withdrawn while the request ran",
+                   "send a key that is in force",
+                   failure.outcome,
+                   {}};
         context.record(event_kind::key_withdrawn);
     }
     const bool cancelled = failure.kind == error_kind::cancelled;
@@ -298,8 +323,8 @@
     m_parts.counters.requests.increment(context.customer, cancelled ? request_end::cancelled
                                                           : refused ? request_end::refused
                                                                     : request_end::failed);
-    spdlog::info("request failed id={} customer={} code={} message=\"{}\"", context.id.str(), context.customer.str(),
-                 code_of(failure.kind), failure.message);
+    spdlog::info("request failed id={} customer={} code={} message=\"{}\"", context.id.str(),
+                 context.customer.str(), code_of(failure.kind), failure.message);
     if (context.writer.started()) {
         abort_stream(context, failure);
         return;
@@ -338,8 +363,8 @@
     m_impl->serve(request, thread, writer);
 }
 
-void request_service::serve_forwarded(const vm_name& sender, const forward_request& request, std::size_t thread,
-                                      response_writer& writer)
+void request_service::serve_forwarded(const vm_name& sender, const forward_request& request,
+                                      std::size_t thread, response_writer& writer)
 {
     m_impl->serve_forwarded(sender, request, thread, writer);
 }
--- a/src/request/serving/request_target.cpp
+++ b/src/request/serving/request_target.cpp
@@ -13,8 +13,11 @@
 
 error not_found(const http_request& request)
 {
-    return {error_kind::not_found, "no route for " + request.method + " " + std::string(request.path()),
-            "use /v1/chat/completions, /v1/models, /v1/entry or a route of the rules", run_outcome::not_run, {}};
+    return {error_kind::not_found,
+            "no route for " + request.method + " " + std::string(request.path()),
+            "use /v1/chat/completions, /v1/models, /v1/entry or a route of the rules",
+            run_outcome::not_run,
+            {}};
 }
 
 bool is_below(std::string_view path, std::string_view prefix)
@@ -25,14 +28,39 @@
     return path.size() == prefix.size() || prefix.ends_with('/') || path[prefix.size()] == '/';
 }
 
+/// Whether an upstream could read the path as another one than the rules do.
+bool is_ambiguous(const boost::urls::url_view& target)
+{
+    const auto segments = target.segments();
+    std::size_t left = segments.size();
+    for (const auto& segment : segments) {
+        --left;
+        const bool inner_empty = segment.empty() && left > 0;
+        if (segment == "." || segment == ".." || inner_empty || segment.find('/') != std::string::npos) {
+            return true;
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 result<request_target> find_target(const http_request& request, const rules& published)
 {
     const auto parsed = boost::urls::parse_origin_form(request.target);
     if (!parsed) {
-        return error{error_kind::invalid_request, "the request target is malformed", "send a path such as /v1/models",
-                     run_outcome::not_run, {}};
+        return error{error_kind::invalid_request,
+                     "the request target is malformed",
+                     "send a path such as /v1/models",
+                     run_outcome::not_run,
+                     {}};
+    }
+    if (is_ambiguous(*parsed)) {
+        return error{error_kind::invalid_request,
+                     "the request path holds dot segments, empty segments or an encoded slash",
+                     "send the plain path of the route",
+                     run_outcome::not_run,
+                     {}};
     }
     boost::urls::url target(*parsed);
     target.normalize();
--- a/src/request/serving/request_target.h
+++ b/src/request/serving/request_target.h
@@ -23,8 +23,9 @@
 
 using request_target = std::variant<entry_target, models_target, model_target, route_target>;
 
-/// Finds the target; of several routes the one with the longest path. Dot segments are resolved first.
-/// Errors: invalid_request (the target is malformed), not_found.
+/// Finds the target; of several routes the one with the longest path. A path that an upstream
+/// could read as another one (dot segments, empty segments, an encoded slash) is refused.
+/// Errors: invalid_request, not_found.
 result<request_target> find_target(const http_request& request, const rules& published);
 
 /// Whether the customer may use something that the rules open to `allowed` (empty: all).
--- a/src/request/serving/serving_answers.cpp
+++ b/src/request/serving/serving_answers.cpp
@@ -44,8 +44,9 @@
         if (route.repeat != repeat_policy::at_most_once || !may_use(route.customers, context.customer)) {
             continue;
         }
-        const auto issued = context.parts.tickets.with_lock(
-            [&, route_name = name](ticket_book& book) { return book.issue(context.customer, route_name, boot_clock::now()); });
+        const auto issued = context.parts.tickets.with_lock([&, route_name = name](ticket_book& book) {
+            return book.issue(context.customer, route_name, boot_clock::now());
+        });
         if (!issued) {
             continue;
         }
@@ -61,7 +62,8 @@
 
 http_response json_answer(const request_context& context, const json::value& body)
 {
-    return {{200, {{"Content-Type", "application/json"}, {"X-Request-Id", context.id.str()}}}, json::serialize(body)};
+    return {{200, {{"Content-Type", "application/json"}, {"X-Request-Id", context.id.str()}}},
+            json::serialize(body)};
 }
 
 } // namespace
@@ -70,7 +72,8 @@
 {
     json::array entries;
     for (const auto& vm : entry_vms(context)) {
-        entries.push_back(json::object{{"vm", vm.vm.str()}, {"region", vm.region.str()}, {"address", vm.entry.str()}});
+        entries.push_back(
+            json::object{{"vm", vm.vm.str()}, {"region", vm.region.str()}, {"address", vm.entry.str()}});
     }
     json::object body{{"entries", std::move(entries)}, {"version", context.view->rules->version}};
     if (!context.customer.empty() && !context.parts.stopping) {
--- a/tests/support/fleet_plan.h
+++ b/tests/support/fleet_plan.h
@@ -1,8 +1,8 @@
 /// What a test fleet consists of, as plain values.
 #pragma once
 
-#include <cstdint>
 #include <chrono>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -45,7 +45,7 @@
     bool proxy_platform = false;  ///< a proxy named "platform:VM" between each VM and the platform
     bool proxy_upstreams = false; ///< a proxy named "upstream:NAME" before each upstream
     std::chrono::milliseconds settle_time{2'500}; ///< from readiness until the test begins
-    bool platform_up = true;      ///< false: the configuration service is down at the start
+    bool platform_up = true;                      ///< false: the configuration service is down at the start
     bool keep_files = false;
 };
 
