Serve a bound customer's caller through its own region; start from peers with rules and list; leave a lost region

Cause: three integration tests were red. (1) The entry VM refused a customer bound to another region, since it holds no part of its allowance: the region that serves the request now charges it. (3) With every home upstream suspected or tried, the router still took home for good enough; it is now a last resort and another permitted region goes first.

--- a/include/cardamomstream/connection/peer_types.h
+++ b/include/cardamomstream/connection/peer_types.h
@@ -39,7 +39,8 @@
     std::uint32_t hop_count = 1;
     std::vector<region_name> regions_passed;
     std::chrono::milliseconds time_left{0}; ///< until the answer has to begin
-    token_count cost = 0;                   ///< charged by the sender
+    token_count cost = 0;     ///< charged by the sender, or by the receiver where `charge_here` is set
+    bool charge_here = false; ///< the sender holds no part of the allowance of this customer
     std::optional<event_ref> cause;
 };
 
@@ -57,10 +58,17 @@
     std::optional<version_id> version;
 };
 
+/// The platform's list of VMs and upstreams, as the platform published it.
+struct list_document {
+    version_number version = 0;
+    std::string text;
+};
+
 struct read_configuration_reply {
     std::optional<version_id> version;    ///< held by the receiver
     std::optional<version_update> update; ///< set when the receiver holds a newer version; leads to `version`
     std::optional<std::chrono::milliseconds> confirmed_age;
+    std::optional<list_document> list = std::nullopt; ///< for a VM that holds no version
 };
 
 } // namespace cardamomstream
--- a/src/app/control/configuration_controller.cpp
+++ b/src/app/control/configuration_controller.cpp
@@ -1,5 +1,6 @@
 #include "configuration_controller.h"
 
+#include "list_controller.h"
 #include "platform_reader.h"
 #include "view_publisher.h"
 
@@ -56,9 +57,9 @@
 
 void configuration_controller::start_from_peers()
 {
-    while (!m_state.stopped && !m_state.confirmed) {
+    while (!m_state.stopped && (!m_state.confirmed || !m_state.list)) {
         for (const auto& peer : peers_to_ask()) {
-            fetch_from(peer, m_state.versions.current());
+            fetch_from(peer, m_state.list ? m_state.versions.current() : std::nullopt);
         }
         boost::this_fiber::sleep_for(start_pause);
     }
@@ -110,6 +111,9 @@
     if (!reply) {
         return;
     }
+    if (const auto& list = reply.value().list) {
+        take_list(m_state, list->version, list->text);
+    }
     if (!reply.value().update) {
         note_peer(peer, reply.value().version);
         return;
@@ -129,6 +133,9 @@
     reply.version = m_state.versions.current();
     reply.update = m_state.versions.update_for(held);
     reply.confirmed_age = m_state.versions.age(boot_clock::now());
+    if (!held && m_state.list) {
+        reply.list = list_document{m_state.list->version, m_state.list_text};
+    }
     return reply;
 }
 
--- a/src/app/control/control_state.h
+++ b/src/app/control/control_state.h
@@ -15,6 +15,7 @@
 #include <chrono>
 #include <map>
 #include <random>
+#include <string>
 
 namespace cardamomstream {
 
@@ -29,6 +30,7 @@
     reader_schedule schedule;
     member_table members;
     vm_list_snapshot list;
+    std::string list_text; ///< as published, for VMs that start while the platform is down
     std::map<region_name, std::chrono::milliseconds> round_trips; ///< from the last exchange with the region
     std::mt19937_64 random;
     bool confirmed = false; ///< the version in force has been confirmed since the start or the last pause
--- a/src/app/control/list_controller.cpp
+++ b/src/app/control/list_controller.cpp
@@ -26,7 +26,8 @@
         const auto wait = m_state.list ? watch_time : std::chrono::milliseconds::zero();
         const auto answer = read_platform(m_state, platform_service::vm_list, "vms", held, wait);
         const bool nothing_newer = answer && !answer.value() && m_state.list;
-        const bool taken = answer && answer.value() && take(answer.value()->version, answer.value()->text);
+        const bool taken =
+            answer && answer.value() && take_list(m_state, answer.value()->version, answer.value()->text);
         if (nothing_newer || taken) {
             retry = first_retry;
             continue;
@@ -36,9 +37,9 @@
     }
 }
 
-bool list_controller::take(version_number version, const std::string& text)
+bool take_list(control_state& state, version_number version, const std::string& text)
 {
-    if (m_state.list && version <= m_state.list->version) {
+    if (state.list && version <= state.list->version) {
         return false;
     }
     auto read = read_vm_list(text, version);
@@ -46,10 +47,11 @@
         spdlog::error("list refused version={} message=\"{}\"", version, describe(read.error()));
         return false;
     }
-    m_state.list = std::make_shared<const vm_list>(std::move(read).value());
-    m_state.members.apply_list(*m_state.list, boot_clock::now());
-    m_state.parts.events.record(event_kind::list_changed, {{"version", static_cast<std::int64_t>(version)}});
-    publish_view(m_state);
+    state.list = std::make_shared<const vm_list>(std::move(read).value());
+    state.list_text = text;
+    state.members.apply_list(*state.list, boot_clock::now());
+    state.parts.events.record(event_kind::list_changed, {{"version", static_cast<std::int64_t>(version)}});
+    publish_view(state);
     return true;
 }
 
--- a/src/app/control/list_controller.h
+++ b/src/app/control/list_controller.h
@@ -5,6 +5,10 @@
 
 namespace cardamomstream {
 
+/// Takes a version of the list, from the platform or from a peer. Gives whether it was newer and could be
+/// read.
+bool take_list(control_state& state, version_number version, const std::string& text);
+
 class list_controller {
 public:
     explicit list_controller(control_state& state)
@@ -16,9 +20,6 @@
     void read_list();
 
 private:
-    /// Gives whether the list was newer and could be read.
-    bool take(version_number version, const std::string& text);
-
     control_state& m_state;
 };
 
--- a/src/connection/peer/configuration_codec.cpp
+++ b/src/connection/peer/configuration_codec.cpp
@@ -108,6 +108,10 @@
     if (value.confirmed_age) {
         to.set_confirmed_age_ms(value.confirmed_age->count());
     }
+    if (value.list) {
+        to.set_list_version(value.list->version);
+        to.set_list(value.list->text);
+    }
     return to;
 }
 
@@ -121,6 +125,9 @@
     if (from.has_confirmed_age_ms()) {
         value.confirmed_age = decode_duration(from.confirmed_age_ms());
     }
+    if (!from.list().empty()) {
+        value.list = list_document{from.list_version(), from.list()};
+    }
     return value;
 }
 
--- a/src/connection/peer/forward_codec.cpp
+++ b/src/connection/peer/forward_codec.cpp
@@ -71,6 +71,7 @@
     }
     to.set_time_left_ms(value.time_left.count());
     to.set_cost_tokens(value.cost);
+    to.set_charge_here(value.charge_here);
     if (value.cause) {
         *to.mutable_cause() = encode(*value.cause);
     }
@@ -97,6 +98,7 @@
     }
     value.time_left = decode_duration(from.time_left_ms());
     value.cost = from.cost_tokens();
+    value.charge_here = from.charge_here();
     if (from.has_cause()) {
         value.cause = decode(from.cause());
     }
--- a/src/request/routing/home_candidates.cpp
+++ b/src/request/routing/home_candidates.cpp
@@ -65,7 +65,7 @@
             note(route_reason::upstream_leaving, name.str());
             continue;
         }
-        m_candidates.push_back({&name, &model, m_query.prompt_tokens, 0, {}, false});
+        m_candidates.push_back({&name, &model, m_query.prompt_tokens, 0, {}, false, false});
     }
 }
 
@@ -73,6 +73,9 @@
 {
     const auto tried = [&](const home_candidate& each) { return m_query.tried.contains(*each.name); };
     if (std::all_of(m_candidates.begin(), m_candidates.end(), tried)) {
+        for (auto& each : m_candidates) {
+            each.last_resort = true;
+        }
         return;
     }
     for (const auto& name : m_query.tried) {
@@ -99,7 +102,8 @@
             [](const home_candidate& left, const home_candidate& right) {
                 return left.model->suspected.last_failure() < right.model->suspected.last_failure();
             });
-        const home_candidate only = *least_recent;
+        home_candidate only = *least_recent;
+        only.last_resort = true;
         note(route_reason::all_suspected, only.name->str());
         m_candidates = {only};
         return;
--- a/src/request/routing/home_candidates.h
+++ b/src/request/routing/home_candidates.h
@@ -23,6 +23,7 @@
     token_count credited_tokens = 0; ///< hoped to be cached
     route_cost cost;
     bool probe = false;
+    bool last_resort = false; ///< every candidate is suspected or was tried
 };
 
 /// Finds the cheapest fit upstream of the home region and notes why.
--- a/src/request/routing/router.cpp
+++ b/src/request/routing/router.cpp
@@ -124,7 +124,7 @@
     }
     m_view = view;
     m_view_at = now;
-    m_has_view = true;
+    m_has_view = m_has_view || view.list != nullptr; // the rules may come before the first list
 }
 
 void router::impl::update_upstreams(const vm_list& list, time_point now)
@@ -209,7 +209,8 @@
         choice.cost.queue += query.queue_wait;
     }
     const auto target = target_of(query.pool);
-    const bool home_meets = best && (best->probe || choice.cost.total() <= target);
+    const bool home_can_serve = best && !best->last_resort;
+    const bool home_meets = home_can_serve && (best->probe || choice.cost.total() <= target);
     if (best) {
         const auto reason = home_meets ? route_reason::home_meets_target : route_reason::home_misses_target;
         choice.notes.push_back({reason, m_home.str(), to_milliseconds(choice.cost.total())});
@@ -218,7 +219,7 @@
         choice.notes.push_back({route_reason::local_only, {}, static_cast<double>(query.hop_count)});
     }
     else if (!home_meets && (m_settings.send_away || !best)) {
-        auto forwarded = send_away(query, now, best.has_value(), target, random, choice.notes);
+        auto forwarded = send_away(query, now, home_can_serve, target, random, choice.notes);
         if (forwarded) {
             return std::move(*forwarded);
         }
--- a/src/request/serving/attempt_runner.cpp
+++ b/src/request/serving/attempt_runner.cpp
@@ -236,6 +236,7 @@
     request.regions_passed.push_back(m_context.parts.config.region);
     request.time_left = m_context.time_left(boot_clock::now());
     request.cost = m_work.cost;
+    request.charge_here = m_context.charge_elsewhere;
     request.cause = m_context.record(event_kind::request_forwarded, {{"vm", grant.choice.peer.str()}});
     m_context.parts.counters.sent_away.increment(m_context.parts.config.region, grant.choice.region);
     BOOST_OUTCOME_TRY(auto stream, m_context.parts.peers.forward({grant.choice.peer, peer->second.peer},
--- a/src/request/serving/request_context.h
+++ b/src/request/serving/request_context.h
@@ -36,6 +36,7 @@
     time_point deadline;
     cancellation cancel;
     bool key_withdrawn = false;
+    bool charge_elsewhere = false; ///< this VM holds no part of the customer's allowance
     request_origin origin = request_origin::caller;
     std::uint32_t hop_count = 0;
     std::vector<region_name> regions_passed;
--- a/src/request/serving/request_service.cpp
+++ b/src/request/serving/request_service.cpp
@@ -225,8 +225,17 @@
 {
     std::optional<reservation> charged;
     if (charge > 0 && !context.customer.empty()) {
-        BOOST_OUTCOME_TRY(charged, admit_with_loans(context, charge));
-        context.record(event_kind::request_admitted, {{"tokens", charge}});
+        auto admitted = admit_with_loans(context, charge);
+        // Residency keeps this region without a part: the region that serves the request charges it.
+        context.charge_elsewhere = !admitted && admitted.error().kind == error_kind::no_permitted_region &&
+                                   context.origin == request_origin::caller;
+        if (!admitted && !context.charge_elsewhere) {
+            return admitted.error();
+        }
+        if (admitted) {
+            charged = admitted.value();
+            context.record(event_kind::request_admitted, {{"tokens", charge}});
+        }
     }
     context.writer.on_caller_gone([&context] { context.cancel.cancel(); });
     answer_meter meter(work.max_tokens > 0 ? work.prompt_tokens : work.cost);
@@ -285,7 +294,6 @@
         work.repeat = repeat_policy::at_most_once;
         return serve_guarded(context, work, request.ticket, true);
     }
-    context.writer.on_caller_gone([&context] { context.cancel.cancel(); });
     if (request.route.empty()) {
         BOOST_OUTCOME_TRY(const auto call, read_model_call(request.body));
         work.prefix_digest = call.prefix_digest;
@@ -293,9 +301,7 @@
         work.prompt_tokens = call.prompt_tokens;
         work.max_tokens = call.max_tokens;
     }
-    answer_meter meter(work.prompt_tokens);
-    BOOST_OUTCOME_TRY(run_attempts(context, work, meter));
-    return boost::outcome_v2::success();
+    return run_charged(context, work, request.charge_here ? request.cost : 0);
 }
 
 void request_service::impl::conclude(request_context& context, const result<void>& end)
