--- a/src/process/membership/tests/membership_spread_test.cpp
+++ b/src/process/membership/tests/membership_spread_test.cpp
@@ -55,7 +55,8 @@
             own.loads[pool_name{"drafting-" + std::to_string(i)}] = {20, 10, 80};
         }
         for (int i = 0; i < 4; ++i) {
-            own.allowance.push_back({customer_name{"customer-" + std::to_string(i)}, {100}, 1'000, 10'000, {50}});
+            own.allowance.push_back(
+                {customer_name{"customer-" + std::to_string(i)}, {100}, 1'000, 10'000, {50}});
         }
         m_tables.at(vm).set_own(own);
     }
