--- a/include/cardamomstream/request/dispatcher.h
+++ b/include/cardamomstream/request/dispatcher.h
@@ -70,9 +70,6 @@
 
     std::map<pool_name, pool_figures> figures() const;
 
-    /// Own requests in flight at an upstream of the home region.
-    std::uint32_t in_flight(const upstream_name& upstream) const;
-
 private:
     class impl;
     std::unique_ptr<impl> m_impl;
--- a/src/app/control/view_publisher.cpp
+++ b/src/app/control/view_publisher.cpp
@@ -2,15 +2,10 @@
 
 #include "allowance_controller.h"
 
-#include <algorithm>
-#include <chrono>
-
 namespace cardamomstream {
 
 namespace {
 
-constexpr std::chrono::seconds heartbeat_validity{5};
-
 std::map<vm_name, vm_contact> contacts_of(const control_state& state)
 {
     std::map<vm_name, vm_contact> contacts;
@@ -34,40 +29,6 @@
     return contacts;
 }
 
-/// Live upstreams of a pool in the home region.
-std::vector<upstream_name> home_upstreams(const control_state& state, const pool_name& pool)
-{
-    std::vector<upstream_name> names;
-    for (const auto& [name, upstream] : state.list->upstreams) {
-        const bool live = upstream.state == listed_state::live;
-        if (live && upstream.pool == pool && upstream.region == state.parts.config.region) {
-            names.push_back(name);
-        }
-    }
-    return names;
-}
-
-/// What the other VMs of the region run at each upstream, spread evenly over the pool: heartbeats carry one
-/// sum for each pool. Without it a VM would leave the others' part of the slots unused while they are idle.
-std::map<upstream_name, upstream_load> upstream_loads_of(const control_state& state, time_point now)
-{
-    std::map<upstream_name, upstream_load> loads;
-    const auto own = state.parts.dispatch.figures();
-    for (const auto& [pool, seen] : state.members.loads(state.parts.config.region, now)) {
-        const auto figures = own.find(pool);
-        const auto names = home_upstreams(state, pool);
-        if (figures == own.end() || names.empty() || now - seen.oldest > heartbeat_validity) {
-            continue;
-        }
-        const auto others = std::max(0.0, seen.load.in_flight - figures->second.own.in_flight);
-        for (const auto& name : names) {
-            const auto share = others / static_cast<double>(names.size());
-            loads[name] = {share + state.parts.dispatch.in_flight(name), std::chrono::milliseconds{0}};
-        }
-    }
-    return loads;
-}
-
 routing_view routing_view_of(const control_state& state, time_point now)
 {
     routing_view view;
@@ -82,9 +43,6 @@
     if (!view.rules) {
         return view;
     }
-    if (view.list) {
-        view.upstream_loads = upstream_loads_of(state, now);
-    }
     for (const auto& [region, rule] : view.rules->regions) {
         const auto trip = state.round_trips.find(region);
         for (const auto& [pool, seen] : state.members.loads(region, now)) {
--- a/src/request/dispatch/dispatcher.cpp
+++ b/src/request/dispatch/dispatcher.cpp
@@ -28,7 +28,6 @@
     void end(const dispatch_grant& grant, std::optional<attempt_failure> failure, time_point now);
     void tick(time_point now);
     std::map<pool_name, pool_figures> figures();
-    std::uint32_t in_flight(const upstream_name& upstream);
 
 private:
     struct line_key {
@@ -256,12 +255,6 @@
     return all;
 }
 
-std::uint32_t dispatcher::impl::in_flight(const upstream_name& upstream)
-{
-    const std::lock_guard lock(m_mutex);
-    return m_routers.at(m_home).in_flight(upstream);
-}
-
 dispatcher::dispatcher(region_name home, dispatcher_settings settings, std::uint64_t seed)
     : m_impl(std::make_unique<impl>(std::move(home), settings, seed))
 {
@@ -304,9 +297,4 @@
     return m_impl->figures();
 }
 
-std::uint32_t dispatcher::in_flight(const upstream_name& upstream) const
-{
-    return m_impl->in_flight(upstream);
-}
-
 } // namespace cardamomstream
