--- a/src/request/serving/serving_answers.cpp
+++ b/src/request/serving/serving_answers.cpp
@@ -31,6 +31,8 @@
             vms.push_back({name, contact.region, contact.entry});
         }
     }
+    const auto permitted = context.permitted_regions();
+    std::erase_if(vms, [&](const auto& vm) { return !permitted.empty() && !permitted.contains(vm.region); });
     thread_local std::mt19937_64 random{std::random_device{}()};
     std::shuffle(vms.begin(), vms.end(), random); // callers spread over the VMs of their region
     std::stable_partition(vms.begin(), vms.end(), [&](const auto& vm) { return vm.region == config.region; });
--- a/src/request/serving/serving_answers.h
+++ b/src/request/serving/serving_answers.h
@@ -7,8 +7,8 @@
 
 namespace cardamomstream {
 
-/// GET /v1/entry: the VMs that a caller may use, those of its region first, and with a key a ticket for each
-/// route that runs a call at most once.
+/// GET /v1/entry: the VMs of the regions that the customer's residency permits, those of its region first,
+/// and with a key a ticket for each route that runs a call at most once.
 http_response entry_answer(request_context& context);
 
 /// GET /v1/models: the models that the customer may use.
--- a/tests/integration/residency_test.cpp
+++ b/tests/integration/residency_test.cpp
@@ -96,3 +96,16 @@
     }
     CHECK(fleet.seen("riga-w1").at("total") == before);
 }
+
+TEST_CASE("the entry answer names only VMs that may serve the customer")
+{
+    const fleet fleet(two_regions(programs()));
+    const auto entry = send_once(fleet.entry("riga-a"), {"GET", "/v1/entry", "", keys::bound, {}});
+    REQUIRE(entry);
+    const boost::json::value body = entry.value().json();
+    const auto& vms = body.at("entries").as_array();
+    CHECK_FALSE(vms.empty());
+    for (const auto& vm : vms) {
+        CHECK(vm.at("region").as_string() == "kurzeme");
+    }
+}
