--- a/src/connection/peer/tests/peer_call_test.cpp
+++ b/src/connection/peer/tests/peer_call_test.cpp
@@ -108,7 +108,7 @@
     }
     SECTION("invite and hand over")
     {
-        const hand_over_invitation invitation{{vm_name{"vm-b"}, incarnation{5}}, 11};
+        hand_over_invitation invitation{{vm_name{"vm-b"}, incarnation{5}}, 11};
         handlers.invite = [&] { return invitation; };
         handlers.hand_over = [&](const hand_over_value& value) -> result<std::size_t> {
             if (value.invitation.number != invitation.number) {
