--- a/tests/integration/guarded_call_test.cpp
+++ b/tests/integration/guarded_call_test.cpp
@@ -39,8 +39,10 @@
     }
     SECTION("however often it is sent to both VMs at once")
     {
+        constexpr int copies = 8;
         std::vector<std::future<result<answer>>> sent;
-        for (int i = 0; i < 8; ++i) {
+        sent.reserve(copies);
+        for (int i = 0; i < copies; ++i) {
             sent.push_back(std::async(std::launch::async,
                                       [&, i] { return send_once(i % 2 == 0 ? issuer : other, guarded); }));
         }
