Build a forwarded request in one place

Cause: the attempt runner and the guarded call each filled the same fields of a forward_request. Both now call make_forward; on the guarded path the hop count and passed regions come out the same, since only a caller's call is passed on. Formatter and linter clean on the changed files; 5 integration tests of forwarding and guarded calls passed (79 assertions). The whole suite was not run again.

--- a/src/request/serving/attempt_runner.cpp
+++ b/src/request/serving/attempt_runner.cpp
@@ -221,22 +221,7 @@
                      run_outcome::not_run,
                      {}};
     }
-    forward_request request;
-    request.id = m_context.id;
-    request.customer = m_context.customer;
-    request.key = m_context.key.value_or(key_digest{});
-    request.pool = m_work.pool;
-    request.route = m_work.route;
-    request.method = m_work.method;
-    request.target = m_work.target;
-    request.headers = m_work.headers;
-    request.body = m_work.body;
-    request.hop_count = m_context.hop_count + 1;
-    request.regions_passed = m_context.regions_passed;
-    request.regions_passed.push_back(m_context.parts.config.region);
-    request.time_left = m_context.time_left(boot_clock::now());
-    request.cost = m_work.cost;
-    request.charge_here = m_context.charge_elsewhere;
+    auto request = make_forward(m_context, m_work);
     request.cause = m_context.record(event_kind::request_forwarded, {{"vm", grant.choice.peer.str()}});
     m_context.parts.counters.sent_away.increment(m_context.parts.config.region, grant.choice.region);
     BOOST_OUTCOME_TRY(auto stream, m_context.parts.peers.forward({grant.choice.peer, peer->second.peer},
@@ -340,6 +325,27 @@
 
 } // namespace
 
+forward_request make_forward(const request_context& context, const upstream_work& work)
+{
+    forward_request request;
+    request.id = context.id;
+    request.customer = context.customer;
+    request.key = context.key.value_or(key_digest{});
+    request.pool = work.pool;
+    request.route = work.route;
+    request.method = work.method;
+    request.target = work.target;
+    request.headers = work.headers;
+    request.body = work.body;
+    request.hop_count = context.hop_count + 1;
+    request.regions_passed = context.regions_passed;
+    request.regions_passed.push_back(context.parts.config.region);
+    request.time_left = context.time_left(boot_clock::now());
+    request.cost = work.cost;
+    request.charge_here = context.charge_elsewhere;
+    return request;
+}
+
 result<attempt_end> run_attempts(request_context& context, const upstream_work& work, answer_meter& meter)
 {
     return attempt_runner(context, work, meter).run();
--- a/src/request/serving/attempt_runner.h
+++ b/src/request/serving/attempt_runner.h
@@ -41,6 +41,9 @@
     std::optional<region_name> region;       ///< where the upstream is reached directly
 };
 
+/// The request as it is sent to another VM, one hop further.
+forward_request make_forward(const request_context& context, const upstream_work& work);
+
 /// Runs `work` and passes the answer on to the caller. Errors are final answers; where part of an answer was
 /// already passed on, the stream has been ended as not whole.
 result<attempt_end> run_attempts(request_context& context, const upstream_work& work, answer_meter& meter);
--- a/src/request/serving/guarded_call.cpp
+++ b/src/request/serving/guarded_call.cpp
@@ -130,22 +130,9 @@
     if (m_context.origin == request_origin::peer || peer == m_context.view->vms.end()) {
         return unknown_next_hop(value, longest);
     }
-    forward_request request;
-    request.id = m_context.id;
-    request.customer = m_context.customer;
-    request.key = m_context.key.value_or(key_digest{});
+    auto request = make_forward(m_context, m_work);
     request.purpose = forward_purpose::ticket;
-    request.pool = m_work.pool;
-    request.route = m_work.route;
-    request.method = m_work.method;
-    request.target = m_work.target;
-    request.headers = m_work.headers;
-    request.body = m_work.body;
     request.ticket = m_ticket_text;
-    request.hop_count = 1;
-    request.regions_passed = {m_context.parts.config.region};
-    request.time_left = m_context.time_left(boot_clock::now());
-    request.cost = m_work.cost;
     request.cause = m_context.record(event_kind::ticket_passed_on, {{"vm", holder.vm.str()}});
     m_context.parts.counters.tickets.increment(ticket_step::passed_on);
     auto stream = m_context.parts.peers.forward({holder.vm, peer->second.peer}, request, m_context.cancel);
