HTTP session: cancelling the watch of a closed socket ended the process

Cause: http_session::answer called socket.cancel() in its throwing form after a handler had aborted the stream. Test: a stream that is aborted while its caller is watched; it failed with SIGABRT before. Requests whose end or host is in doubt are refused too (xchunked, no Host).

--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -54,6 +54,18 @@
             {}};
 }
 
+/// True when the headers leave no doubt where the request ends and which host it is for.
+bool is_unambiguous(const http::request<http::string_body>& message)
+{
+    if (message.count(http::field::transfer_encoding) > 0 &&
+        !boost::beast::iequals(message[http::field::transfer_encoding], "chunked")) {
+        return false;
+    }
+    const auto hosts = message.count(http::field::host);
+    constexpr unsigned http_1_1 = 11;
+    return hosts == 1 || (hosts == 0 && message.version() < http_1_1);
+}
+
 error write_error()
 {
     return {error_kind::request_timeout,
@@ -114,6 +126,9 @@
     if (auto ec = read_within(m_context->limits.header_timeout, incoming, read_part::header)) {
         return ec;
     }
+    if (!is_unambiguous(incoming.get())) {
+        return http::error::bad_field;
+    }
     if (boost::beast::iequals(incoming.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
         m_stream.expires_after(m_context->limits.write_timeout);
@@ -159,7 +174,8 @@
     if (m_watch) {
         m_watch->stop();
         m_watch.reset();
-        m_stream.socket().cancel();
+        boost::beast::error_code ignored; // the answer may have closed the socket
+        m_stream.socket().cancel(ignored);
     }
 }
 
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -125,6 +125,30 @@
         caller.send("POST /a HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(2000, 'x') + "\r\n\r\n");
         CHECK(contains(caller.read_all(), "413"));
     }
+    SECTION("a transfer coding that is not understood: its body must not be read as a next request")
+    {
+        caller.send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n"
+                    "GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+        const auto answer = caller.read_all();
+        CHECK(contains(answer, "400"));
+        CHECK_FALSE(contains(answer, "200 OK"));
+    }
+    SECTION("a length beside a transfer coding")
+    {
+        caller.send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                    "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+        CHECK(contains(caller.read_all(), "400"));
+    }
+    SECTION("no Host")
+    {
+        caller.send("GET /a HTTP/1.1\r\n\r\n");
+        CHECK(contains(caller.read_all(), "400"));
+    }
+    SECTION("two Hosts")
+    {
+        caller.send("GET /a HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n");
+        CHECK(contains(caller.read_all(), "400"));
+    }
     SECTION("a sender that stops in the middle of its headers")
     {
         caller.send("POST /a HTTP/1.1\r\nHost:");
@@ -184,6 +208,31 @@
     CHECK(gone.get_future().wait_for(5s) == std::future_status::ready);
 }
 
+TEST_CASE("a stream that is aborted while its caller is watched ends the connection only")
+{
+    running_server running([](const http_request&, std::size_t, response_writer& writer) {
+        writer.on_caller_gone([] {});
+        (void)writer.begin_stream({200, {}});
+        writer.abort_stream();
+    });
+    for (int round = 0; round < 3; ++round) {
+        raw_caller caller(running.address);
+        caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+        CHECK_FALSE(contains(caller.read_all(), "0\r\n\r\n"));
+    }
+}
+
+TEST_CASE("a server that has announced its close still answers, and says so")
+{
+    running_server running(echo);
+    running.server.announce_close();
+    raw_caller caller(running.address);
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    const auto answer = caller.read_all();
+    CHECK(contains(answer, "200 OK"));
+    CHECK(contains(answer, "Connection: close"));
+}
+
 TEST_CASE("an address is held by one listener at a time")
 {
     running_server first(echo);
