--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -5,7 +5,6 @@
 #include "cardamomstream/core/core_types.h"
 #include "cardamomstream/version/service_plan/service_plan.h"
 
-#include <array>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -41,15 +40,12 @@
     std::vector<upstream_view> upstreams;     ///< neither leaving nor in an evacuated data centre
 };
 
-/// Urgencies that are told apart in load reports; less urgent requests count with the last.
-inline constexpr std::size_t urgency_levels = 3;
-
 /// Load that one VM has put on one upstream.
 struct upstream_load {
     upstream_name upstream;
-    std::uint32_t running = 0;                               ///< requests sent and not ended
-    std::array<token_count, urgency_levels> unread_prompt{}; ///< prompt tokens before their first event
-    token_count memory_tokens = 0;                           ///< engine memory that the requests may take
+    std::uint32_t running = 0;                 ///< requests sent and not ended
+    std::chrono::milliseconds reading_left{0}; ///< of prompts whose first event has not come, as predicted
+    token_count memory_tokens = 0;             ///< engine memory that the requests may take
 };
 
 /// Tokens (or requests) that one VM has admitted for a customer since its start.
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 #include "cardamomstream/request/quota/fleet_quota.h"
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <random>
 #include <unordered_map>
@@ -46,6 +47,7 @@
     std::mt19937_64 random;
     std::atomic<std::size_t> in_flight = 0; ///< requests being served; read when the process stops
     std::atomic<bool> stopping = false;
+    std::function<void()> report_soon; ///< asks for a report to the other VMs before the next is due
 
 private:
     double retry_burst() const;
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -96,6 +96,12 @@
     {
         return std::chrono::floor<std::chrono::milliseconds>(boot_clock::now() - m_started);
     }
+    /// Upstreams on which this VM may run the request. A VM to which it was passed on runs it once, so that the
+    /// first VM knows how often it ran.
+    std::uint32_t allowed_runs() const
+    {
+        return m_placing.own_region_only ? 1 : std::max(1U, m_route->max_attempts);
+    }
     bool is_stream() const { return m_route->kind == call_kind::stream; }
 
     gateway_state& m_state;
@@ -120,6 +126,7 @@
     std::string m_last_upstream;
     std::chrono::milliseconds m_predicted{0};
     std::uint32_t m_running_there = 0;
+    std::chrono::milliseconds m_first_byte{0}; ///< until the first byte of the answer
 };
 
 template <gateway_wire Wire>
@@ -267,7 +274,7 @@
 template <gateway_wire Wire>
 bool request_flow<Wire>::may_send_again(send_end end)
 {
-    if (m_runs >= std::max(1U, m_route->max_attempts)) {
+    if (m_runs >= allowed_runs()) {
         return false;
     }
     retry_query query;
@@ -291,7 +298,7 @@
     const auto left = time_left();
     call_limits limits{connect, left, left, left};
     // A request that can't be repeated gains nothing from being cut off early.
-    if (m_route->repeatable() && m_runs + 1 < m_route->max_attempts) {
+    if (m_route->repeatable() && m_runs + 1 < allowed_runs()) {
         const auto silence = is_stream() ? where.predicted * 2 + silence_extra
                                          : std::max(plain_silence, where.predicted * 4);
         limits.first_byte = std::min(left, silence);
@@ -329,6 +336,9 @@
     call.limits = limits_for(where, connect_limit);
     auto sent = m_state.load.begin(where.upstream, m_placing, where.predicted, boot_clock::now());
     m_state.counters.predicted_first_byte.observe(where.predicted, m_placing.service);
+    if (m_state.load.take_report_due() && m_state.report_soon) {
+        m_state.report_soon();
+    }
     auto exchange = m_state.client.send(call, m_cancel);
     auto outcome = send_outcome::answered;
     auto end = send_end::answered;
@@ -338,12 +348,12 @@
         end = failure.outcome == run_outcome::not_run ? send_end::not_run : send_end::may_have_run;
         outcome = end == send_end::not_run ? send_outcome::unreachable
                   : failure.kind == error_kind::upstream_timeout ? send_outcome::silent
-                                                                 : send_outcome::failed;
+                                                                 : send_outcome::broken;
     }
     else {
         end = take_answer(*exchange.value(), &sent, where);
         outcome = end == send_end::not_run        ? send_outcome::rejected
-                  : end == send_end::may_have_run ? send_outcome::failed
+                  : end == send_end::may_have_run ? (m_held ? send_outcome::failed : send_outcome::broken)
                                                   : send_outcome::answered;
     }
     if (m_cancel.cancelled()) {
@@ -448,7 +458,8 @@
         return send_end::may_have_run;
     }
     m_ran = true;
-    m_state.counters.first_byte.observe(took(), m_placing.service);
+    m_first_byte = took();
+    m_state.counters.first_byte.observe(m_first_byte, m_placing.service);
     const auto status = answer.head.status;
     if (!m_writer.send(answer)) {
         return send_end::caller_gone;
@@ -505,7 +516,8 @@
         return send_end::answered;
     }
     if (!std::exchange(m_begun, true)) {
-        m_state.counters.first_byte.observe(took(), m_placing.service);
+        m_first_byte = took();
+        m_state.counters.first_byte.observe(m_first_byte, m_placing.service);
         if (!m_writer.begin_stream({head.status, end_to_end_headers(head.headers)})) {
             return send_end::caller_gone;
         }
@@ -572,6 +584,7 @@
                        {"predicted_ms", std::int64_t{m_predicted.count()}},
                        {"running", std::int64_t{m_running_there}},
                        {"prompt", std::int64_t{m_caller.prompt_tokens}},
+                       {"first_ms", std::int64_t{m_first_byte.count()}},
                        {"took_ms", std::int64_t{took().count()}},
                        {"plan", static_cast<std::int64_t>(m_plan ? m_plan->version() : 0)}});
 }
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -15,24 +15,33 @@
 /// Load that one request puts on an upstream, from its sending to its end.
 struct sent_request {
     upstream_name upstream;
-    std::size_t level = 0; ///< urgency level of its prompt
-    token_count unread = 0;
+    std::uint64_t number = 0;             ///< tells it from the other requests of this VM
+    std::chrono::milliseconds reading{0}; ///< of its prompt, as predicted
     token_count memory = 0;
     time_point sent_at;
     std::chrono::milliseconds predicted{0};
     bool first_event_seen = false;
 };
 
-/// Own requests count at once; those of other VMs as they report them. Not thread safe.
+/// Own requests count at once; those of other VMs as they report them. An engine reads prompts in the order
+/// in which they came, whatever their urgency, so a prompt waits for all those before it. Not thread safe.
 class fleet_load {
 public:
+    struct unread_prompt {
+        std::uint64_t number = 0;
+        std::chrono::milliseconds reading{0};
+    };
+
     struct upstream_state {
         upstream_view view;
         std::uint32_t engine_batch = 0; ///< 0: a plain service
         token_count memory_tokens = 0;
+        std::uint32_t tokens_per_event = 1;
         upstream_load own;
         upstream_load others;
-        std::deque<std::pair<time_point, token_count>> hops; ///< passed on lately, not yet in a report
+        std::deque<unread_prompt> unread; ///< sent from here, without a first event, oldest first
+        time_point reading_since;         ///< when the engine began with the first of them, as far as known
+        std::deque<std::pair<time_point, std::chrono::milliseconds>> hops; ///< passed on, in no report yet
         std::unordered_map<std::uint64_t, time_point> cached_parts;
         std::deque<time_point> cold_sends;
         double failure_rate = 0; ///< moving average over sends
@@ -41,6 +50,8 @@
         time_point heard_at; ///< last byte from it
     };
 
+    explicit fleet_load(placing_settings settings);
+
     void set_deployment(const deployment_view& deployment);
 
     /// Replaces what the other VMs have reported.
@@ -64,22 +75,36 @@
     const std::unordered_map<upstream_name, upstream_state>& all() const noexcept { return m_upstreams; }
 
     /// Loads of this VM, for its report.
-    std::vector<upstream_load> own_loads() const;
+    std::vector<upstream_load> own_loads(time_point now) const;
+
+    /// True once after this VM's part of a backlog has grown so much that the others should hear of it soon.
+    bool take_report_due();
 
     /// Factor by which first events come later than predicted; a moving average.
     double prediction_scale() const noexcept { return m_scale; }
 
     std::uint32_t running(const upstream_state& state, time_point now) const;
-    token_count unread_before(const upstream_state& state, std::size_t level, time_point now) const;
-    token_count unread_tokens(const upstream_state& state, const std::vector<prompt_part>& parts,
-                              token_count prompt_tokens, time_point now) const;
+
+    /// Time until an engine has read the prompts that were sent to it before.
+    std::chrono::milliseconds reading_left(const upstream_state& state, time_point now) const;
+
+    /// Longest pause between two events of the streams at an engine while it reads the request's prompt.
+    std::chrono::milliseconds event_gap(const upstream_state& state, const placing_request& request) const;
+
+    /// Time in which the engine reads what it has not cached of the request's prompt.
+    std::chrono::milliseconds reading_time(const upstream_state& state, const placing_request& request,
+                                           time_point now) const;
 
 private:
     void note_failure(upstream_state& state, time_point now, bool unreachable);
-    static std::size_t level_of(int urgency);
+    void forget_prompt(upstream_state& state, std::uint64_t number, time_point now);
+    std::chrono::milliseconds own_reading_left(const upstream_state& state, time_point now) const;
 
+    placing_settings m_settings;
     std::unordered_map<upstream_name, upstream_state> m_upstreams;
     double m_scale = 1;
+    std::uint64_t m_last_number = 0;
+    std::chrono::milliseconds m_unreported{0}; ///< reading time sent since the last report
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -54,7 +54,8 @@
 /// How one send ended, for the upstream's health.
 enum class send_outcome {
     answered,    ///< a whole answer that is no failure
-    failed,      ///< a failure of the upstream's own, or a broken answer
+    failed,      ///< a whole answer that tells of a failure of the upstream's own
+    broken,      ///< no whole answer of an upstream
     unreachable, ///< no connection
     silent,      ///< no byte in time
     rejected,    ///< it said that it did not run the request
@@ -65,13 +66,16 @@
 
 /// Figures of placing. The speeds are those of the users' sheets; `prediction_scale` corrects them.
 struct placing_settings {
-    double prompt_tokens_per_ms = 45;  ///< read by an engine that also generates: about 2/3 of 65 alone
-    std::chrono::milliseconds first_event_base{60};    ///< batch step and network of an idle engine
+    double prompt_tokens_per_ms = 50; ///< read by an engine that also generates, about 3/4 of its rate alone
+    double ms_per_million_pairs = 0.63; ///< of attention between a prompt's tokens and those before them
+    std::chrono::milliseconds first_event_base{25};    ///< batch step and network of an idle engine
     std::chrono::milliseconds region_round_trip{170};  ///< twice 80 ms between regions, and the hop
     std::chrono::milliseconds mean_run_time{1'500};    ///< of a stream; a slot frees each run time / slots
     std::chrono::milliseconds plain_run_time{40};      ///< of a plain call
+    token_count tokens_per_step = 1'024; ///< of a prompt that an engine reads between two answer tokens
     double memory_use = 0.92;                          ///< part of an engine's memory that is planned with
     double shed_objective = 1.0;  ///< refuse when the prediction passes this part of the objective
+    double shed_wait = 0.25; ///< or, for prompts too long for the objective, when the wait before them does
     double cold_factor = 1.5;     ///< times the published rate that a cold upstream may get
     double cold_slack = 3;        ///< requests a second beside it
 };
--- a/include/cardamomstream/version/service_plan/service_plan_types.h
+++ b/include/cardamomstream/version/service_plan/service_plan_types.h
@@ -49,6 +49,7 @@
 struct engine_traits {
     std::uint32_t batch = 1;        ///< requests that run at once
     token_count memory_tokens = 0;  ///< KV cache, shared by running requests and cached prompt parts
+    std::uint32_t tokens_per_event = 1;
 };
 
 struct plan_service {
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -75,6 +75,7 @@
                      {}};
     }
     learn_seeds(m_settings.seeds);
+    boost::asio::post(m_traffic.io(), [this] { m_state.report_soon = [this] { report_from_traffic(); }; });
     for (const auto* prefix : followed_prefixes) {
         m_thread.spawn([this, prefix] { follow(prefix); });
     }
@@ -298,7 +299,13 @@
             m_log.write(log_weight::state, "report_refused", {{"reason", report.error().message}});
             continue;
         }
-        m_vms.apply(report.value(), boot_clock::now());
+        const auto now = boot_clock::now();
+        if (m_vms.apply(report.value(), now) && report.value().region == m_settings.region) {
+            // Loads on the upstreams of this region are placed on at once.
+            boost::asio::post(m_traffic.io(), [this, vms = m_vms.alive(now), sharers = m_vms.sharers(now)]() mutable {
+                m_state.set_vms(std::move(vms), sharers);
+            });
+        }
         for (const auto& vm : report.value().known_vms) {
             if (vm != m_settings.inner_listener) {
                 m_vms.learn_address(vm);
@@ -319,13 +326,19 @@
         // The traffic thread takes what was heard and gives its own loads back for the next report.
         boost::asio::post(m_traffic.io(), [this, vms = m_vms.alive(now), sharers = m_vms.sharers(now)]() mutable {
             m_state.set_vms(std::move(vms), sharers);
-            boost::asio::post(m_thread.io(), [this, loads = m_state.load.own_loads(), uses = m_state.quota.uses()]() mutable {
-                send_report(std::move(loads), std::move(uses));
-            });
+            report_from_traffic();
         });
     }
 }
 
+void node_control::report_from_traffic()
+{
+    boost::asio::post(m_thread.io(), [this, loads = m_state.load.own_loads(boot_clock::now()),
+                                      uses = m_state.quota.uses()]() mutable {
+        send_report(std::move(loads), std::move(uses));
+    });
+}
+
 void node_control::send_report(std::vector<upstream_load> loads, std::vector<customer_use> uses)
 {
     vm_report report;
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -43,6 +43,7 @@
 
     void receive_reports();
     void report_periodically();
+    void report_from_traffic();
     void send_report(std::vector<upstream_load> loads, std::vector<customer_use> uses);
 
     const node_settings& m_settings;
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -13,11 +13,7 @@
 
 json::array encode_load(const upstream_load& load)
 {
-    json::array row{load.upstream.str(), load.running, load.memory_tokens};
-    for (const auto tokens : load.unread_prompt) {
-        row.emplace_back(tokens);
-    }
-    return row;
+    return {load.upstream.str(), load.running, load.memory_tokens, load.reading_left.count()};
 }
 
 upstream_load decode_load(const json::array& row)
@@ -26,9 +22,7 @@
     load.upstream = upstream_name(std::string(row.at(0).as_string()));
     load.running = row.at(1).to_number<std::uint32_t>();
     load.memory_tokens = row.at(2).to_number<token_count>();
-    for (std::size_t level = 0; level < urgency_levels; ++level) {
-        load.unread_prompt.at(level) = row.at(3 + level).to_number<token_count>();
-    }
+    load.reading_left = std::chrono::milliseconds(row.at(3).to_number<std::int64_t>());
     return load;
 }
 
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -34,6 +34,7 @@
     , client(upstream_client)
     , log(decisions)
     , counters(metrics)
+    , load(placing_of(node))
     , placing(node.region, placing_of(node), seed)
     , random(seed)
 {
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -16,24 +16,19 @@
 
 constexpr std::chrono::seconds cold_send_memory{2}; ///< the bound holds for each second
 
-constexpr double failure_weight = 0.1;     ///< of one send in the moving average
+constexpr double failure_weight = 0.04;    ///< of one send in the moving average
 constexpr double scale_weight = 0.05;      ///< of one first event in the moving average
+constexpr std::chrono::milliseconds least_telling_reading{100}; ///< shorter ones drown in the batch step
 constexpr double min_scale = 0.5;
 constexpr double max_scale = 3;
 
+/// Reading time sent since the last report that makes another one due.
+constexpr std::chrono::milliseconds report_due{60};
+
 constexpr std::chrono::milliseconds first_suspicion{300};
 constexpr std::chrono::milliseconds longest_suspicion{3'000};
 constexpr std::uint32_t failures_until_suspected = 3; ///< broken answers in a row; one when unreachable
 
-token_count sum(const std::array<token_count, urgency_levels>& tokens, std::size_t level)
-{
-    token_count total = 0;
-    for (std::size_t at = 0; at <= level; ++at) {
-        total += tokens.at(at);
-    }
-    return total;
-}
-
 } // namespace
 
 std::string_view to_text(send_outcome outcome) noexcept
@@ -43,6 +38,8 @@
         return "answered";
     case send_outcome::failed:
         return "failed";
+    case send_outcome::broken:
+        return "broken";
     case send_outcome::unreachable:
         return "unreachable";
     case send_outcome::silent:
@@ -55,9 +52,9 @@
     return "unknown";
 }
 
-std::size_t fleet_load::level_of(int urgency)
+fleet_load::fleet_load(placing_settings settings)
+    : m_settings(settings)
 {
-    return static_cast<std::size_t>(std::clamp(urgency, 0, static_cast<int>(urgency_levels) - 1));
 }
 
 void fleet_load::set_deployment(const deployment_view& deployment)
@@ -75,6 +72,7 @@
         if (service != nullptr && service->engine) {
             state.engine_batch = service->engine->batch;
             state.memory_tokens = service->engine->memory_tokens;
+            state.tokens_per_event = service->engine->tokens_per_event;
         }
     }
     m_upstreams = std::move(kept);
@@ -94,9 +92,7 @@
             auto& others = found->second.others;
             others.running += load.running;
             others.memory_tokens += load.memory_tokens;
-            for (std::size_t level = 0; level < urgency_levels; ++level) {
-                others.unread_prompt.at(level) += load.unread_prompt.at(level);
-            }
+            others.reading_left += load.reading_left;
         }
     }
 }
@@ -106,7 +102,7 @@
 {
     sent_request sent;
     sent.upstream = upstream;
-    sent.level = level_of(request.urgency);
+    sent.number = ++m_last_number;
     sent.sent_at = now;
     sent.predicted = predicted;
     const auto found = m_upstreams.find(upstream);
@@ -114,13 +110,17 @@
         return sent;
     }
     auto& state = found->second;
-    sent.unread = unread_tokens(state, request.parts, request.prompt_tokens, now);
+    sent.reading = reading_time(state, request, now);
     sent.memory = request.prompt_tokens + request.answer_tokens;
     if (state.own.running == 0) {
         state.heard_at = now; // nothing was owed until now
     }
     state.own.running += 1;
-    state.own.unread_prompt.at(sent.level) += sent.unread;
+    if (state.unread.empty()) {
+        state.reading_since = now;
+    }
+    state.unread.push_back({sent.number, sent.reading});
+    m_unreported += sent.reading;
     state.own.memory_tokens += sent.memory;
     if (state.view.cold_until > now) {
         while (!state.cold_sends.empty() && now - state.cold_sends.front() > cold_send_memory) {
@@ -147,9 +147,8 @@
     if (found == m_upstreams.end()) {
         return;
     }
-    auto& unread = found->second.own.unread_prompt.at(sent.level);
-    unread = std::max<token_count>(0, unread - sent.unread);
-    if (found->second.engine_batch > 0 && sent.predicted > std::chrono::milliseconds::zero()) {
+    forget_prompt(found->second, sent.number, now);
+    if (found->second.engine_batch > 0 && sent.reading >= least_telling_reading) {
         const double ratio = std::chrono::duration<double, std::milli>(now - sent.sent_at).count() /
                              static_cast<double>(sent.predicted.count());
         m_scale = std::clamp(m_scale * (1 + scale_weight * (std::min(ratio, max_scale) - 1)), min_scale,
@@ -167,16 +166,15 @@
     state.own.running -= std::min(state.own.running, 1U);
     state.own.memory_tokens = std::max<token_count>(0, state.own.memory_tokens - sent.memory);
     if (!sent.first_event_seen) {
-        auto& unread = state.own.unread_prompt.at(sent.level);
-        unread = std::max<token_count>(0, unread - sent.unread);
+        forget_prompt(state, sent.number, now);
     }
     if (outcome == send_outcome::abandoned) {
         return;
     }
     const bool failure = outcome != send_outcome::answered && outcome != send_outcome::rejected;
     state.failure_rate += failure_weight * ((failure ? 1.0 : 0.0) - state.failure_rate);
-    if (failure) {
-        note_failure(state, now, outcome != send_outcome::failed);
+    if (failure && outcome != send_outcome::failed) {
+        note_failure(state, now, outcome != send_outcome::broken);
         return;
     }
     state.failures_in_row = 0;
@@ -201,7 +199,7 @@
         return;
     }
     auto& state = found->second;
-    state.hops.emplace_back(now, unread_tokens(state, request.parts, request.prompt_tokens, now));
+    state.hops.emplace_back(now, reading_time(state, request, now));
     for (std::size_t at = 0; at + 1 < request.parts.size(); ++at) {
         state.cached_parts[request.parts[at].id] = now;
     }
@@ -229,13 +227,29 @@
     return found == m_upstreams.end() ? nullptr : &found->second;
 }
 
-std::vector<upstream_load> fleet_load::own_loads() const
+void fleet_load::forget_prompt(upstream_state& state, std::uint64_t number, time_point now)
+{
+    std::erase_if(state.unread, [&](const unread_prompt& one) { return one.number == number; });
+    state.reading_since = now;
+}
+
+bool fleet_load::take_report_due()
+{
+    if (m_unreported < report_due) {
+        return false;
+    }
+    m_unreported = {};
+    return true;
+}
+
+std::vector<upstream_load> fleet_load::own_loads(time_point now) const
 {
     std::vector<upstream_load> loads;
     for (const auto& [id, state] : m_upstreams) {
         if (state.own.running > 0) {
             loads.push_back(state.own);
             loads.back().upstream = id;
+            loads.back().reading_left = own_reading_left(state, now);
         }
     }
     return loads;
@@ -244,33 +258,62 @@
 std::uint32_t fleet_load::running(const upstream_state& state, time_point now) const
 {
     std::uint32_t hops = 0;
-    for (const auto& [at, tokens] : state.hops) {
+    for (const auto& [at, reading] : state.hops) {
         hops += now - at <= hop_memory ? 1U : 0U;
     }
     return state.own.running + state.others.running + hops;
 }
 
-token_count fleet_load::unread_before(const upstream_state& state, std::size_t level, time_point now) const
+std::chrono::milliseconds fleet_load::own_reading_left(const upstream_state& state, time_point now) const
 {
-    token_count total = sum(state.own.unread_prompt, level) + sum(state.others.unread_prompt, level);
-    for (const auto& [at, tokens] : state.hops) {
-        total += now - at <= hop_memory ? tokens : 0;
+    if (state.unread.empty()) {
+        return {};
+    }
+    std::chrono::milliseconds left{0};
+    for (const auto& prompt : state.unread) {
+        left += prompt.reading;
     }
-    return total;
+    // The engine has worked on the first of them meanwhile.
+    const auto done = std::chrono::floor<std::chrono::milliseconds>(now - state.reading_since);
+    return left - std::min(done, state.unread.front().reading);
 }
 
-token_count fleet_load::unread_tokens(const upstream_state& state, const std::vector<prompt_part>& parts,
-                                      token_count prompt_tokens, time_point now) const
+std::chrono::milliseconds fleet_load::reading_left(const upstream_state& state, time_point now) const
+{
+    auto left = own_reading_left(state, now) + state.others.reading_left;
+    for (const auto& [at, reading] : state.hops) {
+        left += now - at <= hop_memory ? reading : std::chrono::milliseconds{0};
+    }
+    return left;
+}
+
+std::chrono::milliseconds fleet_load::event_gap(const upstream_state& state,
+                                                const placing_request& request) const
+{
+    const auto step = static_cast<double>(m_settings.tokens_per_step);
+    constexpr double million = 1e6;
+    const double step_ms = step / m_settings.prompt_tokens_per_ms +
+                           step * static_cast<double>(request.prompt_tokens) / million *
+                               m_settings.ms_per_million_pairs;
+    return std::chrono::milliseconds(static_cast<std::int64_t>(step_ms * state.tokens_per_event));
+}
+
+std::chrono::milliseconds fleet_load::reading_time(const upstream_state& state,
+                                                   const placing_request& request, time_point now) const
 {
     token_count cached = 0;
-    for (std::size_t at = 0; at + 1 < parts.size(); ++at) {
-        const auto found = state.cached_parts.find(parts[at].id);
+    for (std::size_t at = 0; at + 1 < request.parts.size(); ++at) {
+        const auto found = state.cached_parts.find(request.parts[at].id);
         if (found == state.cached_parts.end() || now - found->second > cached_part_memory) {
             break;
         }
-        cached += parts[at].tokens;
+        cached += request.parts[at].tokens;
     }
-    return std::max<token_count>(0, prompt_tokens - cached);
+    const auto unread = static_cast<double>(std::max<token_count>(0, request.prompt_tokens - cached));
+    const double pairs = unread * (static_cast<double>(cached) + unread / 2);
+    constexpr double million = 1e6;
+    return std::chrono::milliseconds(static_cast<std::int64_t>(
+        unread / m_settings.prompt_tokens_per_ms + pairs / million * m_settings.ms_per_million_pairs));
 }
 
 } // namespace cardamomstream
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -22,8 +22,15 @@
 /// Part of the shared prompt's reading time by which the VMs of a region prefer the same upstream for it.
 constexpr double agreement_bonus = 0.5;
 
-/// Cost of an upstream that fails part of its requests, at a failure rate of 1.
+/// Cost of each running stream that a long prompt would hold up beyond its objective, and the part of the
+/// objective at which it counts as held up.
+constexpr std::chrono::milliseconds disturbed_stream_cost{40};
+constexpr double gap_part = 0.85;
+
+/// Cost of an upstream that fails more of its requests than the best of its pool, at a difference of 1. Calls
+/// that fail everywhere say nothing of the upstream.
 constexpr std::chrono::milliseconds failure_cost{1'500};
+constexpr double failure_tolerance = 0.08;
 
 constexpr std::chrono::milliseconds min_retry_after{200};
 constexpr std::chrono::milliseconds no_upstream_retry_after{800};
@@ -55,6 +62,7 @@
     const fleet_load::upstream_state* state = nullptr;
     bool here = true;
     bool suspected = false;
+    milliseconds_f reading{0}; ///< of the request's own prompt
     milliseconds_f first_byte{0};
     milliseconds_f cost{0};
 };
@@ -101,23 +109,25 @@
     one.first_byte = engine ? milliseconds_f(m_settings.first_event_base) : run_time;
     one.first_byte += over / slots * run_time;
     if (engine) {
-        const auto level = static_cast<std::size_t>(
-            std::clamp(request.urgency, 0, static_cast<int>(urgency_levels) - 1));
-        const auto own = load.unread_tokens(state, request.parts, request.prompt_tokens, now);
-        const auto before = load.unread_before(state, level, now);
-        const milliseconds_f reading{static_cast<double>(own) / m_settings.prompt_tokens_per_ms};
-        const milliseconds_f queue{static_cast<double>(before) / m_settings.prompt_tokens_per_ms};
+        const milliseconds_f reading = load.reading_time(state, request, now);
+        const milliseconds_f queue = load.reading_left(state, now);
         const double memory = static_cast<double>(state.own.memory_tokens + state.others.memory_tokens +
                                                   request.prompt_tokens + request.answer_tokens);
         const double room = std::max(1.0, static_cast<double>(state.memory_tokens) * m_settings.memory_use);
         one.first_byte += (reading + queue) * load.prediction_scale();
         one.first_byte += std::max(0.0, memory / room - 1) * milliseconds_f(m_settings.mean_run_time);
+        one.reading = reading * load.prediction_scale();
         one.cost = reading * reading_weight;
+        const auto gap_objective = request.route->event_gap_objective;
+        if (gap_objective > std::chrono::milliseconds::zero() &&
+            load.event_gap(state, request) > gap_objective * gap_part) {
+            one.cost += static_cast<double>(running) * milliseconds_f(disturbed_stream_cost);
+        }
     }
     if (!one.here) {
         one.first_byte += m_settings.region_round_trip;
     }
-    one.cost += one.first_byte + state.failure_rate * milliseconds_f(failure_cost);
+    one.cost += one.first_byte;
     return one;
 }
 
@@ -193,6 +203,14 @@
     if (!all_suspected) {
         std::erase_if(candidates, [](const candidate& one) { return one.suspected; });
     }
+    const auto most_sound =
+        std::min_element(candidates.begin(), candidates.end(), [](const candidate& one, const candidate& other) {
+            return one.state->failure_rate < other.state->failure_rate;
+        })->state->failure_rate;
+    for (auto& one : candidates) {
+        one.cost += std::max(0.0, one.state->failure_rate - most_sound - failure_tolerance) *
+                    milliseconds_f(failure_cost);
+    }
     if (const auto prompt = shared_prompt_of(request.parts); prompt != 0) {
         const auto preferred =
             std::max_element(candidates.begin(), candidates.end(), [&](const candidate& one, const candidate& other) {
@@ -206,8 +224,11 @@
         std::min_element(candidates.begin(), candidates.end(),
                          [](const candidate& one, const candidate& other) { return one.cost < other.cost; });
     const auto predicted = std::chrono::ceil<std::chrono::milliseconds>(best->first_byte);
+    const milliseconds_f objective = request.route->latency_objective;
+    const auto soon = objective * m_settings.shed_objective - request.waited;
     const auto limit = std::min<milliseconds_f>(
-        request.time_left, request.route->latency_objective * m_settings.shed_objective - request.waited);
+        request.time_left, std::max<milliseconds_f>(soon, best->reading * 1.1 + objective * m_settings.shed_wait +
+                                                              m_settings.region_round_trip));
     if (best->first_byte > limit && request.tried.empty()) {
         return refuse(request, placing_verdict::overloaded, predicted);
     }
