--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -44,7 +44,8 @@
         std::deque<std::pair<time_point, std::chrono::milliseconds>> hops; ///< passed on, in no report yet
         std::unordered_map<std::uint64_t, time_point> cached_parts;
         std::deque<time_point> cold_sends;
-        double failure_rate = 0; ///< moving average over sends
+        double failure_rate = 0;    ///< moving average over sends
+        std::uint64_t outcomes = 0; ///< sends that the average is made of
         std::uint32_t failures_in_row = 0;
         time_point suspected_until;
         time_point heard_at; ///< last byte from it
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -1,6 +1,5 @@
 #include "node_process.h"
 
-#include "entry_directory.h"
 #include "node_control.h"
 
 #include "platform/message_format.h"
@@ -123,7 +122,8 @@
     }
     else if (platform::is_entry_path(request.path())) {
         const auto question = platform::read_entry_question(request);
-        const auto entries = entry_addresses(question.region, settings, state.vms, state.ready());
+        const auto* plan = state.deployment ? state.deployment->plan.get() : nullptr;
+        const auto entries = entry_addresses(question, plan, settings, state.vms, state.ready());
         response = platform::entry_answer(entries, entry_answer_lifetime);
         if (entries.empty()) {
             response.head.status = 503;
--- /dev/null
+++ b/src/process/deployment/tests/entry_directory_test.cpp
@@ -0,0 +1,74 @@
+#include "cardamomstream/process/deployment/entry_directory.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cardamomstream;
+
+namespace {
+
+known_vm vm_in(const std::string& region, std::uint16_t port)
+{
+    known_vm vm;
+    vm.report.vm = vm_name(region + std::to_string(port));
+    vm.report.region = region_name(region);
+    vm.report.entry = {"10.0.0.1", port};
+    vm.report.ready = true;
+    return vm;
+}
+
+service_plan plan_with_homes()
+{
+    plan_route bound;
+    bound.host = "bound.example";
+    bound.home_regions = {region_name("riga"), region_name("kurzeme")};
+    plan_route open;
+    open.host = "open.example";
+    service_plan_document document;
+    document.routes = {bound, open};
+    return service_plan(document);
+}
+
+} // namespace
+
+TEST_CASE("a caller asks where to connect")
+{
+    node_settings self;
+    self.region = region_name("latgale");
+    self.entry_listener = endpoint{"10.0.0.1", 1};
+    const auto plan = plan_with_homes();
+    std::vector<known_vm> vms{vm_in("riga", 2), vm_in("kurzeme", 3)};
+    const endpoint here{"10.0.0.1", 1};
+    const endpoint riga{"10.0.0.1", 2};
+    const endpoint kurzeme{"10.0.0.1", 3};
+
+    SECTION("its own region has a ready VM: that one alone")
+    {
+        CHECK(entry_addresses({"open.example", region_name("riga"), {}}, &plan, self, vms, true) ==
+              std::vector<endpoint>{riga});
+    }
+    SECTION("its own region has none")
+    {
+        vms = {vm_in("riga", 2)};
+        SECTION("a host with homes: no VM of a region that is no home")
+        {
+            CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, &plan, self, vms, true) ==
+                  std::vector<endpoint>{riga});
+        }
+        SECTION("a host without homes: every region")
+        {
+            CHECK(entry_addresses({"open.example", region_name("kurzeme"), {}}, &plan, self, vms, true) ==
+                  std::vector<endpoint>{here, riga});
+        }
+        SECTION("no home has a VM: every region, rather than no answer")
+        {
+            CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, &plan, self, {}, true) ==
+                  std::vector<endpoint>{here});
+        }
+    }
+    SECTION("a VM that leaves or is not ready is never named")
+    {
+        vms[0].report.leaving = true;
+        vms[1].report.ready = false;
+        CHECK(entry_addresses({"open.example", region_name("riga"), {}}, &plan, self, vms, false).empty());
+    }
+}
--- /dev/null
+++ b/src/request/gateway/tests/gateway_types_test.cpp
@@ -0,0 +1,40 @@
+#include "cardamomstream/request/gateway/gateway_types.h"
+#include "cardamomstream/request/gateway/hop_headers.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cardamomstream;
+
+TEST_CASE("headers of one connection do not go on to the next")
+{
+    const std::vector<http_header> headers{{"Host", "h"},          {"Connection", "close, X-One"},
+                                           {"X-One", "1"},         {"x-two", "2"},
+                                           {"Keep-Alive", "5"},    {"Transfer-Encoding", "chunked"},
+                                           {"Content-Length", "3"}};
+    const auto kept = end_to_end_headers(headers);
+    REQUIRE(kept.size() == 2);
+    CHECK(kept[0].name == "Host");
+    CHECK(kept[1].name == "x-two");
+}
+
+TEST_CASE("a request is passed on to another VM")
+{
+    std::vector<http_header> headers{{"Host", "h"}};
+    CHECK_FALSE(read_hop_headers(headers));
+    write_hop_headers(headers, {route_name("r"), pool_name("s"), customer_name("c"), 2,
+                                std::chrono::milliseconds{120}});
+    SECTION("which reads the details")
+    {
+        const auto hop = read_hop_headers(headers);
+        REQUIRE(hop);
+        CHECK(hop->route == route_name("r"));
+        CHECK(hop->customer == customer_name("c"));
+        CHECK(hop->urgency == 2);
+        CHECK(hop->waited == std::chrono::milliseconds{120});
+    }
+    SECTION("and takes them away before the upstream")
+    {
+        remove_hop_headers(headers);
+        CHECK(headers.size() == 1);
+    }
+}
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -172,6 +172,7 @@
         return;
     }
     const bool failure = outcome != send_outcome::answered && outcome != send_outcome::rejected;
+    state.outcomes += 1;
     state.failure_rate += failure_weight * ((failure ? 1.0 : 0.0) - state.failure_rate);
     if (failure && outcome != send_outcome::failed) {
         note_failure(state, now, outcome != send_outcome::broken);
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -31,6 +31,7 @@
 /// that fail everywhere say nothing of the upstream.
 constexpr std::chrono::milliseconds failure_cost{1'500};
 constexpr double failure_tolerance = 0.08;
+constexpr std::uint64_t telling_outcomes = 5; ///< fewer say nothing of an upstream
 
 constexpr std::chrono::milliseconds min_retry_after{200};
 constexpr std::chrono::milliseconds no_upstream_retry_after{800};
@@ -169,6 +170,20 @@
     return refused;
 }
 
+void placer::add_failure_costs(std::vector<candidate>& candidates)
+{
+    double most_sound = 1;
+    for (const auto& one : candidates) {
+        if (one.state->outcomes >= telling_outcomes) {
+            most_sound = std::min(most_sound, one.state->failure_rate);
+        }
+    }
+    for (auto& one : candidates) {
+        one.cost += std::max(0.0, one.state->failure_rate - most_sound - failure_tolerance) *
+                    milliseconds_f(failure_cost);
+    }
+}
+
 placement placer::place(const placing_request& request, const service_plan& plan, const fleet_load& load,
                         time_point now)
 {
@@ -203,14 +218,7 @@
     if (!all_suspected) {
         std::erase_if(candidates, [](const candidate& one) { return one.suspected; });
     }
-    const auto most_sound =
-        std::min_element(candidates.begin(), candidates.end(), [](const candidate& one, const candidate& other) {
-            return one.state->failure_rate < other.state->failure_rate;
-        })->state->failure_rate;
-    for (auto& one : candidates) {
-        one.cost += std::max(0.0, one.state->failure_rate - most_sound - failure_tolerance) *
-                    milliseconds_f(failure_cost);
-    }
+    add_failure_costs(candidates);
     if (const auto prompt = shared_prompt_of(request.parts); prompt != 0) {
         const auto preferred =
             std::max_element(candidates.begin(), candidates.end(), [&](const candidate& one, const candidate& other) {
--- /dev/null
+++ b/src/request/placing/tests/placer_test.cpp
@@ -0,0 +1,257 @@
+#include "cardamomstream/request/placing/placer.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cardamomstream;
+using namespace std::chrono_literals;
+
+namespace {
+
+const region_name here("riga");
+const region_name there("kurzeme");
+const pool_name drafts("drafts");
+
+upstream_view engine(const std::string& id, const region_name& region)
+{
+    upstream_view view;
+    view.record.id = upstream_name(id);
+    view.record.service = drafts;
+    view.record.address = {"10.0.0.1", 80};
+    view.record.started_unix_ms = 1;
+    view.region = region;
+    return view;
+}
+
+/// Two engines here, one there, and one VM there.
+struct fleet {
+    fleet()
+    {
+        plan_service service;
+        service.name = drafts;
+        service.cold_requests_per_second = 2.9;
+        service.engine = engine_traits{64, 400'000, 7};
+        plan_route made;
+        made.name = route_name("r");
+        made.latency_objective = 600ms;
+        made.event_gap_objective = 300ms;
+        service_plan_document document;
+        document.services = {service};
+        document.routes = {made};
+        plan = std::make_shared<const service_plan>(document);
+        route = &plan->document().routes.front();
+        view.plan = plan;
+        view.upstreams = {engine("a", here), engine("b", here), engine("c", there)};
+        load.set_deployment(view);
+        known_vm vm;
+        vm.report.region = there;
+        vm.report.inner = {"10.0.1.1", 7000};
+        vm.report.ready = true;
+        placing.set_vms({vm});
+    }
+
+    placing_request request(token_count prompt) const
+    {
+        placing_request made;
+        made.service = drafts;
+        made.route = route;
+        made.prompt_tokens = prompt;
+        made.answer_tokens = 200;
+        made.time_left = 12s;
+        return made;
+    }
+
+    placement place(const placing_request& wanted) { return placing.place(wanted, *plan, load, now); }
+
+    sent_request send(const std::string& upstream, token_count prompt)
+    {
+        return load.begin(upstream_name(upstream), request(prompt), 100ms, now);
+    }
+
+    time_point now{1'000s};
+    std::shared_ptr<const service_plan> plan;
+    const plan_route* route = nullptr;
+    deployment_view view;
+    fleet_load load{placing_settings{}};
+    placer placing{here, placing_settings{}, 7};
+};
+
+} // namespace
+
+TEST_CASE("a request is placed by when its first event would come")
+{
+    fleet one;
+
+    SECTION("not behind a long prompt, however few requests run there")
+    {
+        one.send("a", 40'000);
+        CHECK(one.place(one.request(500)).upstream == upstream_name("b"));
+    }
+    SECTION("a request of any urgency waits for the prompts before it: an engine reads in order of arrival")
+    {
+        one.send("a", 40'000);
+        one.send("b", 40'000);
+        auto urgent = one.request(500);
+        urgent.urgency = 0;
+        const auto placed = one.place(urgent);
+        CHECK(placed.verdict == placing_verdict::other_region);
+        CHECK(placed.upstream == upstream_name("c"));
+    }
+    SECTION("the way to another region counts: a short wait here is better")
+    {
+        one.send("a", 4'000);
+        one.send("b", 4'000);
+        CHECK(one.place(one.request(500)).verdict == placing_verdict::here);
+    }
+    SECTION("what other VMs of the region sent counts as they report it")
+    {
+        known_vm other;
+        other.report.region = here;
+        other.report.loads = {{upstream_name("a"), 1, 900ms, 40'000}, {upstream_name("b"), 0, 0ms, 0}};
+        one.load.set_reports({other});
+        CHECK(one.place(one.request(500)).upstream == upstream_name("b"));
+    }
+    SECTION("a prompt whose shared part an engine has read goes there")
+    {
+        auto first = one.request(5'000);
+        first.parts = {{1, 4'800}, {2, 200}};
+        const auto placed = one.place(first);
+        auto sent = one.load.begin(placed.upstream, first, 100ms, one.now);
+        one.load.first_event(sent, one.now);
+        first.parts.back().id = 3;
+        CHECK(one.place(first).upstream == placed.upstream);
+    }
+    SECTION("a prompt that would hold up the streams of an engine goes where few run")
+    {
+        for (int stream = 0; stream < 12; ++stream) {
+            auto sent = one.send("a", 100);
+            one.load.first_event(sent, one.now);
+        }
+        auto sent = one.send("b", 3'000);
+        CHECK(one.place(one.request(60'000)).upstream != upstream_name("a"));
+    }
+}
+
+TEST_CASE("a request that can't be served in time is refused at once")
+{
+    fleet one;
+    one.view.upstreams.pop_back(); // no other region
+    one.load.set_deployment(one.view);
+    one.send("a", 60'000);
+    one.send("b", 60'000);
+
+    SECTION("with the time after which the wait is over")
+    {
+        const auto refused = one.place(one.request(500));
+        CHECK(refused.verdict == placing_verdict::overloaded);
+        CHECK(refused.retry_after >= 200ms);
+        CHECK(refused.retry_after < 2 * refused.predicted);
+    }
+    SECTION("one that was sent before and did not run is tried on, since it has its caller's time behind it")
+    {
+        auto again = one.request(500);
+        again.tried = {upstream_name("a")};
+        CHECK(one.place(again).upstream == upstream_name("b"));
+    }
+    SECTION("and again served when the engines have read what was before it")
+    {
+        one.now += 3s;
+        CHECK(one.place(one.request(500)).verdict == placing_verdict::here);
+    }
+}
+
+TEST_CASE("a prompt too long for the objective is served where nothing waits")
+{
+    fleet one;
+    const auto placed = one.place(one.request(60'000));
+    CHECK(placed.verdict == placing_verdict::here);
+    CHECK(placed.predicted > one.route->latency_objective);
+}
+
+TEST_CASE("upstreams fail")
+{
+    fleet one;
+
+    SECTION("one that can't be reached is left out at once, and tried again later")
+    {
+        auto sent = one.send("a", 100);
+        one.load.end(sent, send_outcome::unreachable, one.now);
+        CHECK(one.place(one.request(500)).upstream == upstream_name("b"));
+        CHECK(one.load.find(upstream_name("a"))->suspected_until < one.now + 1s);
+    }
+    SECTION("one that owes answers and is silent is left out, until it is heard")
+    {
+        auto owed = one.send("a", 100);
+        one.now += 1s;
+        CHECK(one.place(one.request(500)).upstream == upstream_name("b"));
+        one.load.heard(upstream_name("a"), one.now);
+        one.load.first_event(owed, one.now);
+        auto busy = one.send("b", 3'000);
+        CHECK(one.place(one.request(500)).upstream == upstream_name("a"));
+    }
+    SECTION("when all are suspected, none is left out")
+    {
+        for (const auto* id : {"a", "b", "c"}) {
+            auto sent = one.send(id, 100);
+            one.load.end(sent, send_outcome::unreachable, one.now);
+        }
+        CHECK(one.place(one.request(500)).verdict == placing_verdict::here);
+    }
+    SECTION("calls that fail everywhere make none look worse than the others")
+    {
+        for (int round = 0; round < 30; ++round) {
+            for (const auto* id : {"a", "b"}) {
+                auto sent = one.send(id, 10);
+                one.load.end(sent, send_outcome::failed, one.now);
+            }
+        }
+        CHECK(one.place(one.request(500)).verdict == placing_verdict::here);
+    }
+}
+
+TEST_CASE("a cold upstream gets no more than its part of a second")
+{
+    fleet one;
+    one.view.upstreams = {engine("a", here)};
+    one.view.upstreams[0].cold_until = one.now + 10s;
+    one.load.set_deployment(one.view);
+    known_vm neighbour;
+    neighbour.report.region = here;
+    known_vm second = neighbour;
+    one.placing.set_vms({neighbour, second});
+    // The whole region may send 2.9 a second; three VMs of it share what the settings allow.
+    int sent = 0;
+    for (int tried = 0; tried < 20; ++tried) {
+        if (one.place(one.request(100)).verdict == placing_verdict::here) {
+            auto kept = one.send("a", 100);
+            one.load.first_event(kept, one.now);
+            ++sent;
+        }
+    }
+    CHECK(sent == 2);
+    CHECK(one.place(one.request(100)).verdict == placing_verdict::cold);
+    one.now += 1'200ms;
+    CHECK(one.place(one.request(100)).verdict == placing_verdict::here);
+}
+
+TEST_CASE("homes bind")
+{
+    fleet one;
+    auto bound = one.request(500);
+    plan_customer customer;
+    customer.home_regions = {there};
+    bound.customer = &customer;
+    SECTION("the request goes to its home, though engines here are idle")
+    {
+        CHECK(one.place(bound).upstream == upstream_name("c"));
+    }
+    SECTION("and is refused when its home can't be reached")
+    {
+        one.placing.set_vms({});
+        CHECK(one.place(bound).verdict == placing_verdict::no_upstream);
+    }
+    SECTION("a request that another VM passed on goes no further")
+    {
+        bound.own_region_only = true;
+        CHECK(one.place(bound).verdict == placing_verdict::no_upstream);
+    }
+}
--- /dev/null
+++ b/src/request/quota/tests/fleet_quota_test.cpp
@@ -0,0 +1,132 @@
+#include "cardamomstream/request/quota/fleet_quota.h"
+
+#include <algorithm>
+#include <array>
+#include <deque>
+
+#include <catch2/catch.hpp>
+
+using namespace cardamomstream;
+using namespace std::chrono_literals;
+
+namespace {
+
+const customer_name busy("busy");
+
+service_plan plan_of(double rate, double burst)
+{
+    plan_customer customer;
+    customer.name = busy;
+    customer.allowance = {rate > 0, true, rate, burst, 1};
+    service_plan_document document;
+    document.customers = {customer};
+    return service_plan(document);
+}
+
+/// Plays a customer that sends far above its rate to every VM at once, and gives the largest sum that any
+/// window of eight seconds saw admitted.
+double worst_window(std::size_t vms, bool apart, std::chrono::milliseconds report_interval)
+{
+    constexpr auto tick = 10ms;
+    constexpr auto window = 8s;
+    constexpr double request = 1'000;
+    const auto plan = plan_of(100'000, 100'000);
+    std::vector<fleet_quota> fleet(vms);
+    const time_point start{1'000s};
+    for (auto& vm : fleet) {
+        vm.set_plan(plan, start);
+        vm.set_fleet(apart ? 0 : vms - 1, vms - 1);
+    }
+    std::deque<std::pair<time_point, double>> admitted;
+    double inside = 0;
+    double worst = 0;
+    for (auto now = start; now < start + 30s; now += tick) {
+        for (auto& vm : fleet) {
+            // Seven times the rate, over all VMs.
+            for (double sent = 0; sent < 7'000.0 / static_cast<double>(vms); sent += request) {
+                if (vm.admit(busy, request, now)) {
+                    admitted.emplace_back(now, request);
+                    inside += request;
+                }
+            }
+        }
+        while (!admitted.empty() && now - admitted.front().first >= window) {
+            inside -= admitted.front().second;
+            admitted.pop_front();
+        }
+        worst = std::max(worst, inside);
+        if (!apart && (now - start) % report_interval == 0ms) {
+            for (std::size_t from = 0; from < vms; ++from) {
+                vm_report report;
+                report.vm = vm_name(std::to_string(from));
+                report.process = {1};
+                report.uses = fleet[from].uses();
+                for (std::size_t to = 0; to < vms; ++to) {
+                    if (to != from) {
+                        fleet[to].apply(report);
+                    }
+                }
+            }
+        }
+    }
+    return worst;
+}
+
+} // namespace
+
+TEST_CASE("a customer sends seven times its rate to every VM")
+{
+    // What the users allow in a window of eight seconds: rate x 8 + burst, a quarter above, and 140,000.
+    constexpr double bound = (100'000.0 * 8 + 100'000) * 1.25 + 140'000;
+    SECTION("eight VMs that hear each other")
+    {
+        CHECK(worst_window(8, false, 200ms) <= bound);
+    }
+    SECTION("eight VMs that are all cut off from each other")
+    {
+        CHECK(worst_window(8, true, 200ms) <= bound);
+    }
+    SECTION("reports that come rarely")
+    {
+        CHECK(worst_window(8, false, 400ms) <= bound);
+    }
+}
+
+TEST_CASE("a customer within its rate is never refused")
+{
+    fleet_quota quota;
+    const time_point start{1'000s};
+    quota.set_plan(plan_of(10'000, 10'000), start);
+    bool refused = false;
+    for (auto now = start; now < start + 20s; now += 100ms) {
+        refused = refused || !quota.admit(busy, 900, now);
+    }
+    CHECK_FALSE(refused);
+}
+
+TEST_CASE("the allowance changes")
+{
+    fleet_quota quota;
+    const time_point start{1'000s};
+    SECTION("from none to a limit: what was admitted before does not count against it")
+    {
+        quota.set_plan(plan_of(0, 0), start);
+        CHECK(quota.admit(busy, 1e9, start));
+        quota.set_plan(plan_of(10'000, 10'000), start + 1s);
+        CHECK(quota.admit(busy, 100, start + 1s));
+    }
+    SECTION("a request that did not run gives back what it took")
+    {
+        quota.set_plan(plan_of(10'000, 10'000), start);
+        CHECK(quota.admit(busy, 6'000, start));
+        CHECK_FALSE(quota.admit(busy, 1, start));
+        quota.refund(busy, 6'000);
+        CHECK(quota.admit(busy, 1, start));
+    }
+    SECTION("a refusal tells when the level is above zero again")
+    {
+        quota.set_plan(plan_of(10'000, 10'000), start);
+        CHECK(quota.admit(busy, 25'000, start));
+        CHECK(quota.time_to_admit(busy, start) == 2s);
+    }
+}
