Placing: VMs tell each other which engine has read which shared prompt part

Reports now carry the parts, and the reading of an own prompt weighs more than the wait. A request that was sent before is no longer refused as late. Test: a prompt goes where another VM sent its shared part.

--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -233,6 +233,7 @@
     while (true) {
         m_placing.waited = waited_before + took();
         m_placing.time_left = time_left();
+        m_placing.begun = m_sends > 0;
         const auto where = m_state.placing.place(m_placing, *m_plan, m_state.load, boot_clock::now());
         const bool here = where.verdict == placing_verdict::here;
         if (!here && where.verdict != placing_verdict::other_region) {
@@ -551,6 +552,8 @@
 template <gateway_wire Wire>
 void request_flow<Wire>::refuse_placing(const placement& where)
 {
+    m_last_reason = std::string(to_text(where.verdict));
+    m_predicted = where.predicted;
     const bool overloaded = where.verdict == placing_verdict::overloaded;
     refuse({overloaded ? error_kind::overloaded : error_kind::upstream_unavailable,
             overloaded ? "every upstream would answer too late" : "no upstream can take the request now",
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -76,7 +76,8 @@
     const std::unordered_map<upstream_name, upstream_state>& all() const noexcept { return m_upstreams; }
 
     /// Loads of this VM, for its report.
-    std::vector<upstream_load> own_loads(time_point now) const;
+    /// Shared prompt parts are told once.
+    std::vector<upstream_load> take_loads(time_point now);
 
     /// True once after this VM's part of a backlog has grown so much that the others should hear of it soon.
     bool take_report_due();
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -31,6 +31,7 @@
     std::vector<upstream_name> tried; ///< not to be chosen again
     std::vector<region_name> refused_by; ///< regions that had no room a moment ago
     bool own_region_only = false;     ///< came from another VM
+    bool begun = false; ///< sent before, so that a late answer is better than none
 };
 
 enum class placing_verdict {
@@ -63,6 +64,7 @@
 };
 
 std::string_view to_text(send_outcome outcome) noexcept;
+std::string_view to_text(placing_verdict verdict) noexcept;
 
 /// Figures of placing. The speeds are those of the users' sheets; `prediction_scale` corrects them.
 struct placing_settings {
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -333,7 +333,7 @@
 
 void node_control::report_from_traffic()
 {
-    boost::asio::post(m_thread.io(), [this, loads = m_state.load.own_loads(boot_clock::now()),
+    boost::asio::post(m_thread.io(), [this, loads = m_state.load.take_loads(boot_clock::now()),
                                       uses = m_state.quota.uses()]() mutable {
         send_report(std::move(loads), std::move(uses));
     });
--- a/src/process/deployment/tests/vm_table_test.cpp
+++ b/src/process/deployment/tests/vm_table_test.cpp
@@ -61,7 +61,7 @@
 TEST_CASE("a report goes through its codec")
 {
     auto sent = report_of("a", 0xffffffffffffffffULL, 7);
-    sent.loads.push_back({upstream_name("u"), 3, 250ms, 9'000});
+    sent.loads.push_back({upstream_name("u"), 3, 250ms, 9'000, {0xffffffffffffffffULL, 4}});
     sent.uses.push_back({customer_name("c"), 12.5});
     sent.known_vms.push_back({"10.0.0.3", 7000});
 
@@ -72,6 +72,7 @@
         CHECK(read.value().process == sent.process);
         CHECK(read.value().loads[0].reading_left == 250ms);
         CHECK(read.value().loads[0].memory_tokens == 9'000);
+        CHECK(read.value().loads[0].new_parts == sent.loads[0].new_parts);
         CHECK(read.value().uses[0].admitted == 12.5);
         CHECK(read.value().known_vms == sent.known_vms);
     }
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -13,7 +13,11 @@
 
 json::array encode_load(const upstream_load& load)
 {
-    return {load.upstream.str(), load.running, load.memory_tokens, load.reading_left.count()};
+    json::array row{load.upstream.str(), load.running, load.memory_tokens, load.reading_left.count()};
+    for (const auto part : load.new_parts) {
+        row.emplace_back(part);
+    }
+    return row;
 }
 
 upstream_load decode_load(const json::array& row)
@@ -23,6 +27,9 @@
     load.running = row.at(1).to_number<std::uint32_t>();
     load.memory_tokens = row.at(2).to_number<token_count>();
     load.reading_left = std::chrono::milliseconds(row.at(3).to_number<std::int64_t>());
+    for (std::size_t at = 4; at < row.size(); ++at) {
+        load.new_parts.push_back(row.at(at).to_number<std::uint64_t>());
+    }
     return load;
 }
 
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -52,6 +52,23 @@
     return "unknown";
 }
 
+std::string_view to_text(placing_verdict verdict) noexcept
+{
+    switch (verdict) {
+    case placing_verdict::here:
+        return "here";
+    case placing_verdict::other_region:
+        return "other_region";
+    case placing_verdict::no_upstream:
+        return "no_upstream";
+    case placing_verdict::overloaded:
+        return "overloaded";
+    case placing_verdict::cold:
+        return "cold";
+    }
+    return "unknown";
+}
+
 fleet_load::fleet_load(placing_settings settings)
     : m_settings(settings)
 {
@@ -93,6 +110,9 @@
             others.running += load.running;
             others.memory_tokens += load.memory_tokens;
             others.reading_left += load.reading_left;
+            for (const auto part : load.new_parts) {
+                found->second.cached_parts[part] = vm.heard_at;
+            }
         }
     }
 }
@@ -134,6 +154,7 @@
     }
     for (std::size_t at = 0; at + 1 < request.parts.size(); ++at) {
         state.cached_parts[request.parts[at].id] = now;
+        state.own.new_parts.push_back(request.parts[at].id);
     }
     return sent;
 }
@@ -243,14 +264,15 @@
     return true;
 }
 
-std::vector<upstream_load> fleet_load::own_loads(time_point now) const
+std::vector<upstream_load> fleet_load::take_loads(time_point now)
 {
     std::vector<upstream_load> loads;
-    for (const auto& [id, state] : m_upstreams) {
-        if (state.own.running > 0) {
+    for (auto& [id, state] : m_upstreams) {
+        if (state.own.running > 0 || !state.own.new_parts.empty()) {
             loads.push_back(state.own);
             loads.back().upstream = id;
             loads.back().reading_left = own_reading_left(state, now);
+            state.own.new_parts.clear();
         }
     }
     return loads;
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -16,11 +16,11 @@
 /// engine come several times a second.
 constexpr std::chrono::milliseconds silence_limit{900};
 
-/// Part of an own prompt's reading time that counts twice: it also delays the requests after it.
-constexpr double reading_weight = 0.5;
+/// An own prompt's reading time counts so often again: it also delays the requests after it.
+constexpr double reading_weight = 2;
 
 /// Part of the shared prompt's reading time by which the VMs of a region prefer the same upstream for it.
-constexpr double agreement_bonus = 0.5;
+constexpr double agreement_bonus = 1;
 
 /// Cost of each running stream that a long prompt would hold up beyond its objective, and the part of the
 /// objective at which it counts as held up.
@@ -237,7 +237,7 @@
     const auto limit = std::min<milliseconds_f>(
         request.time_left, std::max<milliseconds_f>(soon, best->reading * 1.1 + objective * m_settings.shed_wait +
                                                               m_settings.region_round_trip));
-    if (best->first_byte > limit && request.tried.empty()) {
+    if (best->first_byte > limit && !request.begun) {
         return refuse(request, placing_verdict::overloaded, predicted);
     }
     placement chosen;
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -120,6 +120,20 @@
         first.parts.back().id = 3;
         CHECK(one.place(first).upstream == placed.upstream);
     }
+    SECTION("also when another VM sent it there")
+    {
+        known_vm other;
+        other.report.region = here;
+        other.heard_at = one.now;
+        other.report.loads = {{upstream_name("b"), 1, 0ms, 5'000, {1}}};
+        for (std::uint64_t shared = 1; shared < 4; ++shared) {
+            other.report.loads[0].new_parts = {shared};
+            one.load.set_reports({other});
+            auto first = one.request(5'000);
+            first.parts = {{shared, 4'800}, {9, 200}};
+            CHECK(one.place(first).upstream == upstream_name("b"));
+        }
+    }
     SECTION("a prompt that would hold up the streams of an engine goes where few run")
     {
         for (int stream = 0; stream < 12; ++stream) {
@@ -150,6 +164,7 @@
     {
         auto again = one.request(500);
         again.tried = {upstream_name("a")};
+        again.begun = true;
         CHECK(one.place(again).upstream == upstream_name("b"));
     }
     SECTION("and again served when the engines have read what was before it")
