--- a/include/cardamomstream/process/deployment/entry_directory.h
+++ b/include/cardamomstream/process/deployment/entry_directory.h
@@ -20,11 +20,21 @@
     data_centre_name data_centre;
 };
 
+/// A process that has run for less may not have heard of every VM yet.
+inline constexpr std::chrono::seconds directory_settling_time{3};
+
+/// What a VM knows when it is asked.
+struct directory_view {
+    const service_plan* plan = nullptr; ///< null: none known
+    std::vector<known_vm> vms;
+    bool self_ready = false;
+    bool settled = false; ///< the process has run for `directory_settling_time`
+};
+
 /// Entry addresses of the ready VMs of the caller's region. Where there are none, of the regions in which every
-/// route of the host may be served, since a caller's request body goes to the VM that it connects to; of every
-/// region where that leaves none.
-std::vector<endpoint> entry_addresses(const entry_question& question, const service_plan* plan,
-                                      const node_settings& self, const std::vector<known_vm>& vms,
-                                      bool self_ready);
+/// route of the host may be served, since a caller's request body goes to the VM that it connects to. Where that
+/// leaves none, of every region, but only from a settled VM: the caller asks another one meanwhile.
+std::vector<endpoint> entry_addresses(const entry_question& question, const node_settings& self,
+                                      const directory_view& known);
 
 } // namespace cardamomstream
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -87,6 +87,7 @@
     void stop();
 
     node_settings settings;
+    time_point started_at = boot_clock::now();
     decision_log log;
     gateway_metrics counters;
     traffic_thread control_thread;
@@ -123,7 +124,8 @@
     else if (platform::is_entry_path(request.path())) {
         const auto question = platform::read_entry_question(request);
         const auto* plan = state.deployment ? state.deployment->plan.get() : nullptr;
-        const auto entries = entry_addresses(question, plan, settings, state.vms, state.ready());
+        const bool settled = boot_clock::now() - started_at >= directory_settling_time;
+        const auto entries = entry_addresses(question, settings, {plan, state.vms, state.ready(), settled});
         response = platform::entry_answer(entries, entry_answer_lifetime);
         if (entries.empty()) {
             response.head.status = 503;
--- a/src/process/deployment/entry_directory.cpp
+++ b/src/process/deployment/entry_directory.cpp
@@ -22,9 +22,8 @@
 
 } // namespace
 
-std::vector<endpoint> entry_addresses(const entry_question& question, const service_plan* plan,
-                                      const node_settings& self, const std::vector<known_vm>& vms,
-                                      bool self_ready)
+std::vector<endpoint> entry_addresses(const entry_question& question, const node_settings& self,
+                                      const directory_view& known)
 {
     std::vector<endpoint> here;
     std::vector<endpoint> at_home;
@@ -34,16 +33,19 @@
             here.push_back(entry);
             return;
         }
-        (is_home(plan, question.host, region) ? at_home : elsewhere).push_back(entry);
+        (is_home(known.plan, question.host, region) ? at_home : elsewhere).push_back(entry);
     };
-    if (self_ready && self.entry_listener) {
+    if (known.self_ready && self.entry_listener) {
         add(self.region, *self.entry_listener);
     }
-    for (const auto& vm : vms) {
+    for (const auto& vm : known.vms) {
         if (vm.report.ready && !vm.report.leaving && vm.report.entry.port != 0) {
             add(vm.report.region, vm.report.entry);
         }
     }
+    if (!known.settled) {
+        elsewhere.clear();
+    }
     auto& chosen = !here.empty() ? here : !at_home.empty() ? at_home : elsewhere;
     chosen.resize(std::min(chosen.size(), max_addresses));
     return chosen;
