Retry budget grows with the traffic; reports by region; entry answers name the regions that serve most routes of a host

Loads go inside the region; one VM speaks for a large region; presence to others each 200 to 700 ms.

--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -68,6 +68,7 @@
     bool leaving = false;
     version_number plan_version = 0;
     std::vector<endpoint> known_vms; ///< inner addresses, so that new VMs find each other
+    bool speaks_for_region = false; ///< `loads` are those of all VMs of the region
     std::vector<upstream_load> loads;
     std::vector<customer_use> uses;
 };
--- a/include/cardamomstream/process/deployment/vm_table.h
+++ b/include/cardamomstream/process/deployment/vm_table.h
@@ -40,6 +40,18 @@
 
     std::vector<known_vm> alive(time_point now) const;
 
+    /// True when this VM tells the other regions the loads of its own: it has the lowest name of those alive.
+    /// Two VMs that both believe so do no harm, since readers take one of them for each region.
+    bool speaks_for(const region_name& region, time_point now) const;
+
+    /// Loads that the region's VMs have reported, summed by upstream, with `own` among them.
+    std::vector<upstream_load> region_loads(const region_name& region, std::vector<upstream_load> own,
+                                            time_point now) const;
+
+    /// Inner addresses of the VMs alive in the region, or of all other addresses known.
+    std::vector<endpoint> addresses_in(const region_name& region, time_point now) const;
+    std::vector<endpoint> addresses_outside(const region_name& region, time_point now) const;
+
     /// Number of VMs that may use fleet-wide rights beside this one: heard within `vm_forget_limit`.
     std::size_t sharers(time_point now) const;
 
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -32,6 +32,9 @@
     /// This VM's part of the fleet's budget for further sends to a service.
     retry_budget& retries_of(const pool_name& service);
 
+    /// Counts a request to a service: it fills the budget, and lets more of it be saved up.
+    void count_request(const pool_name& service, time_point now);
+
     /// True once requests can be served: a plan is known and no stop has begun.
     bool ready() const { return deployment && deployment->plan && !stopping; }
 
@@ -50,10 +53,17 @@
     std::function<void()> report_soon; ///< asks for a report to the other VMs before the next is due
 
 private:
-    double retry_burst() const;
+    struct service_retries {
+        retry_budget budget;
+        double recent_requests = 0; ///< over about one window of the bounds; older ones fade
+        time_point counted_at;
+    };
+
+    service_retries& retries_entry(const pool_name& service);
+    double retry_burst(double recent_requests) const;
 
     std::size_t m_sharers = 0;
-    std::unordered_map<pool_name, retry_budget> m_retries;
+    std::unordered_map<pool_name, service_retries> m_retries;
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -171,7 +171,7 @@
         }
         m_charged = amount;
     }
-    m_state.retries_of(m_placing.service).on_request();
+    m_state.count_request(m_placing.service, m_started);
     return std::nullopt;
 }
 
@@ -196,7 +196,7 @@
     prepare(hop.service, hop.urgency);
     m_placing.own_region_only = true;
     m_placing.waited = hop.waited;
-    m_state.retries_of(m_placing.service).on_request();
+    m_state.count_request(m_placing.service, m_started);
     return std::nullopt;
 }
 
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -55,8 +55,9 @@
 
     void set_deployment(const deployment_view& deployment);
 
-    /// Replaces what the other VMs have reported.
-    void set_reports(const std::vector<known_vm>& vms);
+    /// Replaces what the other VMs have reported. Of another region that has a VM which speaks for it, that
+    /// VM's report alone counts.
+    void set_reports(const region_name& here, const std::vector<known_vm>& vms);
 
     /// Begins to count a request at an upstream of the own region.
     sent_request begin(const upstream_name& upstream, const placing_request& request,
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -27,6 +27,16 @@
 constexpr std::chrono::milliseconds outage_memory{2'500};
 
 constexpr std::chrono::milliseconds report_interval{200};
+constexpr std::chrono::milliseconds least_report_interval{40};  ///< however fast the loads change
+constexpr std::chrono::milliseconds least_publish_interval{50}; ///< of what was heard, to the traffic thread
+
+// Reports to other regions come more rarely in a large fleet, and one VM of a large region speaks for all.
+constexpr std::size_t vms_for_far_step = 24;
+constexpr std::chrono::milliseconds longest_far_interval{700}; ///< below vm_alive_limit with one report lost
+constexpr std::size_t region_with_speaker = 5;
+constexpr std::size_t known_vms_told_up_to = 16;
+constexpr std::uint64_t known_vms_told_each = 10; ///< reports, in a larger fleet
+
 constexpr std::size_t max_report_bytes = 60'000; ///< below the largest datagram
 
 constexpr std::array<const char*, 2> followed_prefixes{"op/", "servers/"};
@@ -75,7 +85,7 @@
                      {}};
     }
     learn_seeds(m_settings.seeds);
-    boost::asio::post(m_traffic.io(), [this] { m_state.report_soon = [this] { report_from_traffic(); }; });
+    boost::asio::post(m_traffic.io(), [this] { m_state.report_soon = [this] { boost::asio::post(m_thread.io(), [this] { report_here(); }); }; });
     for (const auto* prefix : followed_prefixes) {
         m_thread.spawn([this, prefix] { follow(prefix); });
     }
@@ -88,7 +98,8 @@
 {
     boost::asio::post(m_thread.io(), [this] {
         m_leaving = true;
-        send_report({}, {});
+        const auto now = boot_clock::now();
+        send(describe({}, {}, now), m_vms.addresses());
     });
 }
 
@@ -300,11 +311,10 @@
             continue;
         }
         const auto now = boot_clock::now();
-        if (m_vms.apply(report.value(), now) && report.value().region == m_settings.region) {
-            // Loads on the upstreams of this region are placed on at once.
-            boost::asio::post(m_traffic.io(), [this, vms = m_vms.alive(now), sharers = m_vms.sharers(now)]() mutable {
-                m_state.set_vms(std::move(vms), sharers);
-            });
+        // Loads on the upstreams of this region are placed on at once.
+        if (m_vms.apply(report.value(), now) && report.value().region == m_settings.region &&
+            now - m_vms_published_at >= least_publish_interval) {
+            publish_vms(now);
         }
         for (const auto& vm : report.value().known_vms) {
             if (vm != m_settings.inner_listener) {
@@ -323,23 +333,44 @@
         if (m_upstreams.expire(now)) {
             publish();
         }
-        // The traffic thread takes what was heard and gives its own loads back for the next report.
-        boost::asio::post(m_traffic.io(), [this, vms = m_vms.alive(now), sharers = m_vms.sharers(now)]() mutable {
-            m_state.set_vms(std::move(vms), sharers);
-            report_from_traffic();
-        });
+        publish_vms(now);
+        report_from_traffic();
+    }
+}
+
+void node_control::report_here()
+{
+    if (boot_clock::now() - m_reported_at >= least_report_interval) {
+        report_from_traffic();
     }
 }
 
+void node_control::publish_vms(time_point now)
+{
+    m_vms_published_at = now;
+    boost::asio::post(m_traffic.io(), [this, vms = m_vms.alive(now), sharers = m_vms.sharers(now)]() mutable {
+        m_state.set_vms(std::move(vms), sharers);
+    });
+}
+
 void node_control::report_from_traffic()
 {
-    boost::asio::post(m_thread.io(), [this, loads = m_state.load.take_loads(boot_clock::now()),
-                                      uses = m_state.quota.uses()]() mutable {
-        send_report(std::move(loads), std::move(uses));
+    boost::asio::post(m_traffic.io(), [this] {
+        boost::asio::post(m_thread.io(), [this, loads = m_state.load.take_loads(boot_clock::now()),
+                                          uses = m_state.quota.uses()]() mutable {
+            report(std::move(loads), std::move(uses));
+        });
     });
 }
 
-void node_control::send_report(std::vector<upstream_load> loads, std::vector<customer_use> uses)
+std::chrono::milliseconds node_control::far_interval(time_point now) const
+{
+    const auto steps = std::max<std::size_t>(1, m_vms.sharers(now) / vms_for_far_step);
+    return std::min(report_interval * static_cast<int>(steps), longest_far_interval);
+}
+
+vm_report node_control::describe(std::vector<upstream_load> loads, std::vector<customer_use> uses,
+                                 time_point now)
 {
     vm_report report;
     report.vm = m_settings.vm;
@@ -352,11 +383,37 @@
     report.ready = m_plan.get() != nullptr && !m_leaving;
     report.leaving = m_leaving;
     report.plan_version = m_plan.get() ? m_plan.get()->version() : 0;
-    report.known_vms = m_vms.heard_addresses(boot_clock::now());
     report.loads = std::move(loads);
     report.uses = std::move(uses);
+    if (m_vms.sharers(now) < known_vms_told_up_to || m_sequence % known_vms_told_each == 0) {
+        report.known_vms = m_vms.heard_addresses(now);
+    }
+    return report;
+}
+
+void node_control::report(std::vector<upstream_load> loads, std::vector<customer_use> uses)
+{
+    const auto now = boot_clock::now();
+    m_reported_at = now;
+    auto told = describe(std::move(loads), std::move(uses), now);
+    send(told, m_vms.addresses_in(m_settings.region, now));
+    if (now - m_reported_far_at < far_interval(now)) {
+        return;
+    }
+    m_reported_far_at = now;
+    if (m_vms.addresses_in(m_settings.region, now).size() >= region_with_speaker) {
+        told.speaks_for_region = m_vms.speaks_for(m_settings.region, now);
+        told.loads = told.speaks_for_region
+                         ? m_vms.region_loads(m_settings.region, std::move(told.loads), now)
+                         : std::vector<upstream_load>{};
+    }
+    send(told, m_vms.addresses_outside(m_settings.region, now));
+}
+
+void node_control::send(const vm_report& report, const std::vector<endpoint>& addresses)
+{
     const auto text = encode_report(report);
-    for (const auto& address : m_vms.addresses()) {
+    for (const auto& address : addresses) {
         boost::system::error_code ec;
         const auto ip = boost::asio::ip::make_address(address.address, ec);
         if (!ec) {
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -44,7 +44,12 @@
     void receive_reports();
     void report_periodically();
     void report_from_traffic();
-    void send_report(std::vector<upstream_load> loads, std::vector<customer_use> uses);
+    void report_here();
+    void publish_vms(time_point now);
+    void report(std::vector<upstream_load> loads, std::vector<customer_use> uses);
+    vm_report describe(std::vector<upstream_load> loads, std::vector<customer_use> uses, time_point now);
+    void send(const vm_report& report, const std::vector<endpoint>& addresses);
+    std::chrono::milliseconds far_interval(time_point now) const;
 
     const node_settings& m_settings;
     traffic_thread& m_thread;
@@ -59,6 +64,9 @@
     vm_table m_vms;
     boost::asio::ip::udp::socket m_socket;
     std::uint64_t m_sequence = 0;
+    time_point m_reported_at;     ///< to the VMs of the own region
+    time_point m_reported_far_at; ///< to those of the others
+    time_point m_vms_published_at;
     bool m_leaving = false;
     bool m_store_lost = false;
     bool m_upstreams_listed = false;
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -18,7 +18,7 @@
 namespace {
 
 /// Callers keep an entry answer for a while after this VM has left it.
-constexpr std::chrono::milliseconds stop_accept_time{3'000};
+constexpr std::chrono::milliseconds stop_accept_time{2'000};
 
 /// The process ends so long before the kill.
 constexpr std::chrono::milliseconds stop_margin{600};
--- a/src/process/deployment/entry_directory.cpp
+++ b/src/process/deployment/entry_directory.cpp
@@ -1,6 +1,8 @@
 #include "cardamomstream/process/deployment/entry_directory.h"
 
 #include <algorithm>
+#include <cstddef>
+#include <map>
 
 namespace cardamomstream {
 
@@ -8,15 +10,15 @@
 
 constexpr std::size_t max_addresses = 64; ///< that callers take of one answer
 
-/// True when every route of the host may be served in the region.
-bool is_home(const service_plan* plan, const std::string& host, const region_name& region)
+/// Number of the host's routes that may be served in the region.
+std::ptrdiff_t routes_at_home(const service_plan* plan, const std::string& host, const region_name& region)
 {
     if (plan == nullptr) {
-        return true;
+        return 0;
     }
     const auto& routes = plan->document().routes;
-    return std::all_of(routes.begin(), routes.end(), [&](const plan_route& route) {
-        return route.host != host || may_run_in(region, route, nullptr);
+    return std::count_if(routes.begin(), routes.end(), [&](const plan_route& route) {
+        return route.host == host && may_run_in(region, route, nullptr);
     });
 }
 
@@ -26,14 +28,9 @@
                                       const directory_view& known)
 {
     std::vector<endpoint> here;
-    std::vector<endpoint> at_home;
-    std::vector<endpoint> elsewhere;
+    std::map<region_name, std::vector<endpoint>> elsewhere;
     const auto add = [&](const region_name& region, const endpoint& entry) {
-        if (region == question.region) {
-            here.push_back(entry);
-            return;
-        }
-        (is_home(known.plan, question.host, region) ? at_home : elsewhere).push_back(entry);
+        (region == question.region ? here : elsewhere[region]).push_back(entry);
     };
     if (known.self_ready && self.entry_listener) {
         add(self.region, *self.entry_listener);
@@ -43,12 +40,22 @@
             add(vm.report.region, vm.report.entry);
         }
     }
-    if (!known.settled) {
-        elsewhere.clear();
+    if (here.empty()) {
+        std::ptrdiff_t most = 0;
+        for (const auto& [data_centre, region] : self.regions) {
+            // What is known of the plan tells the best region, whether or not a VM of it has been heard of yet.
+            if (!known.settled || elsewhere.contains(region)) {
+                most = std::max(most, routes_at_home(known.plan, question.host, region));
+            }
+        }
+        for (const auto& [region, entries] : elsewhere) {
+            if (routes_at_home(known.plan, question.host, region) >= most) {
+                here.insert(here.end(), entries.begin(), entries.end());
+            }
+        }
     }
-    auto& chosen = !here.empty() ? here : !at_home.empty() ? at_home : elsewhere;
-    chosen.resize(std::min(chosen.size(), max_addresses));
-    return chosen;
+    here.resize(std::min(here.size(), max_addresses));
+    return here;
 }
 
 } // namespace cardamomstream
--- a/src/process/deployment/tests/entry_directory_test.cpp
+++ b/src/process/deployment/tests/entry_directory_test.cpp
@@ -35,6 +35,9 @@
     node_settings self;
     self.region = region_name("latgale");
     self.entry_listener = endpoint{"10.0.0.1", 1};
+    for (const auto* region : {"riga", "kurzeme", "latgale"}) {
+        self.regions[data_centre_name(std::string(region) + "-a")] = region_name(region);
+    }
     const auto plan = plan_with_homes();
     std::vector<known_vm> vms{vm_in("riga", 2), vm_in("kurzeme", 3)};
     const endpoint here{"10.0.0.1", 1};
@@ -65,6 +68,17 @@
                   std::vector<endpoint>{here});
         }
     }
+    SECTION("routes of one host have different homes: the regions that may serve most of them")
+    {
+        auto document = plan.document();
+        auto other = document.routes[0];
+        other.home_regions = {region_name("latgale"), region_name("riga")};
+        document.routes.push_back(other);
+        const service_plan mixed(document);
+        vms = {vm_in("riga", 2)};
+        CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self, {&mixed, vms, true, true}) ==
+              std::vector<endpoint>{riga});
+    }
     SECTION("a VM that has just started and heard of no other does not name itself for a host with homes elsewhere")
     {
         CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self, {&plan, {}, true, false}).empty());
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -57,6 +57,7 @@
     report.ready = root.at("ready").as_bool();
     report.leaving = root.at("leaving").as_bool();
     report.plan_version = root.at("plan").to_number<version_number>();
+    report.speaks_for_region = root.at("for_region").as_bool();
     for (const auto& vm : root.at("vms").as_array()) {
         report.known_vms.push_back(decode_endpoint(vm));
     }
@@ -97,6 +98,7 @@
                             {"ready", report.ready},
                             {"leaving", report.leaving},
                             {"plan", report.plan_version},
+                            {"for_region", report.speaks_for_region},
                             {"vms", std::move(vms)},
                             {"loads", std::move(loads)},
                             {"uses", std::move(uses)}};
--- a/src/process/deployment/vm_table.cpp
+++ b/src/process/deployment/vm_table.cpp
@@ -1,5 +1,6 @@
 #include "cardamomstream/process/deployment/vm_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace cardamomstream {
@@ -61,6 +62,65 @@
     return all;
 }
 
+bool vm_table::speaks_for(const region_name& region, time_point now) const
+{
+    for (const auto& [name, vm] : m_vms) {
+        if (name < m_self && vm.report.region == region && now - vm.heard_at < vm_alive_limit) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::vector<upstream_load> vm_table::region_loads(const region_name& region, std::vector<upstream_load> own,
+                                                  time_point now) const
+{
+    std::map<upstream_name, upstream_load> sums;
+    const auto add = [&](const upstream_load& load) {
+        auto& sum = sums[load.upstream];
+        sum.upstream = load.upstream;
+        sum.running += load.running;
+        sum.reading_left += load.reading_left;
+        sum.memory_tokens += load.memory_tokens;
+        sum.new_parts.insert(sum.new_parts.end(), load.new_parts.begin(), load.new_parts.end());
+    };
+    std::for_each(own.begin(), own.end(), add);
+    for (const auto& [name, vm] : m_vms) {
+        if (vm.report.region == region && now - vm.heard_at < vm_alive_limit) {
+            std::for_each(vm.report.loads.begin(), vm.report.loads.end(), add);
+        }
+    }
+    std::vector<upstream_load> all;
+    all.reserve(sums.size());
+    for (auto& [id, sum] : sums) {
+        all.push_back(std::move(sum));
+    }
+    return all;
+}
+
+std::vector<endpoint> vm_table::addresses_in(const region_name& region, time_point now) const
+{
+    std::vector<endpoint> inside;
+    for (const auto& [name, vm] : m_vms) {
+        if (vm.report.region == region && now - vm.heard_at < vm_alive_limit) {
+            inside.push_back(vm.report.inner);
+        }
+    }
+    return inside;
+}
+
+std::vector<endpoint> vm_table::addresses_outside(const region_name& region, time_point now) const
+{
+    const auto inside = addresses_in(region, now);
+    std::vector<endpoint> outside;
+    for (const auto& [address, heard] : m_addresses) {
+        if (std::find(inside.begin(), inside.end(), address) == inside.end()) {
+            outside.push_back(address);
+        }
+    }
+    return outside;
+}
+
 std::size_t vm_table::sharers(time_point now) const
 {
     std::size_t count = 0;
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -1,13 +1,15 @@
 #include "cardamomstream/request/gateway/gateway_state.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cardamomstream {
 
 namespace {
 
-/// Part of the published ratio that one VM uses: a request that is passed on counts at two VMs.
+/// Part of the published ratio that one VM uses. The budget that a window's requests fill may be spent together
+/// with what those of the window before have filled, and a request that is passed on counts at two VMs.
 constexpr double ratio_part = 0.4;
 
 /// Part of the further sends beside the ratio that all VMs together use.
@@ -54,7 +56,7 @@
 void gateway_state::set_vms(std::vector<known_vm> heard, std::size_t sharers)
 {
     vms = std::move(heard);
-    load.set_reports(vms);
+    load.set_reports(settings.region, vms);
     placing.set_vms(vms);
     quota.set_fleet(vms.size(), sharers);
     for (const auto& vm : vms) {
@@ -63,21 +65,36 @@
     counters.vms_heard.set(static_cast<double>(vms.size()));
     counters.prediction_scale.set(load.prediction_scale());
     counters.log_lines_left_out.set(static_cast<double>(log.left_out()));
-    if (sharers != m_sharers) {
-        m_sharers = sharers;
-        for (auto& [service, budget] : m_retries) {
-            budget.set_burst(retry_burst());
-        }
+    m_sharers = sharers;
+    for (auto& [service, retries] : m_retries) {
+        retries.budget.set_burst(retry_burst(retries.recent_requests));
     }
 }
 
-double gateway_state::retry_burst() const
+double gateway_state::retry_burst(double recent_requests) const
 {
     const auto vms_sharing = std::max(m_sharers + 1, min_budget_sharers);
-    return std::max(1.0, settings.bounds.retry_extra * extra_part / static_cast<double>(vms_sharing));
+    const double extra = settings.bounds.retry_extra * extra_part / static_cast<double>(vms_sharing);
+    return std::max(1.0, extra + settings.bounds.retry_ratio * ratio_part * recent_requests);
 }
 
 retry_budget& gateway_state::retries_of(const pool_name& service)
+{
+    return retries_entry(service).budget;
+}
+
+void gateway_state::count_request(const pool_name& service, time_point now)
+{
+    auto& retries = retries_entry(service);
+    const std::chrono::duration<double> passed = now - retries.counted_at;
+    const std::chrono::duration<double> window = settings.bounds.retry_window;
+    retries.recent_requests = retries.recent_requests * std::exp(-passed / window) + 1;
+    retries.counted_at = now;
+    retries.budget.set_burst(retry_burst(retries.recent_requests));
+    retries.budget.on_request();
+}
+
+gateway_state::service_retries& gateway_state::retries_entry(const pool_name& service)
 {
     const auto found = m_retries.find(service);
     if (found != m_retries.end()) {
@@ -85,11 +102,11 @@
     }
     retry_settings limits;
     limits.fraction = settings.bounds.retry_ratio * ratio_part;
-    limits.burst = retry_burst();
+    limits.burst = retry_burst(0);
     limits.max_attempts = max_sends;
     limits.backoff_base = std::chrono::milliseconds{4};
     limits.backoff_max = std::chrono::milliseconds{50};
-    return m_retries.emplace(service, retry_budget(limits)).first->second;
+    return m_retries.emplace(service, service_retries{retry_budget(limits), 0, boot_clock::now()}).first->second;
 }
 
 } // namespace cardamomstream
--- /dev/null
+++ b/src/request/gateway/tests/gateway_state_test.cpp
@@ -0,0 +1,56 @@
+#include "cardamomstream/connection/traffic_group.h"
+#include "cardamomstream/request/gateway/gateway_state.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cardamomstream;
+using namespace std::chrono_literals;
+
+TEST_CASE("an engine with many running streams goes dark")
+{
+    traffic_group threads{1};
+    http_client client(threads.front().io(), {});
+    node_settings settings;
+    settings.bounds.retry_ratio = 0.2;
+    settings.bounds.retry_extra = 52;
+    decision_log log;
+    gateway_metrics counters;
+    gateway_state state(settings, client, log, counters, 7);
+    const pool_name drafts("drafts");
+    std::mt19937_64 random(7);
+    const auto start = boot_clock::now();
+
+    // Eight VMs share the extra sends; this one gets 25 requests a second.
+    int requests = 0;
+    const auto send_requests = [&](std::chrono::seconds from, std::chrono::seconds to) {
+        for (auto at = start + from; at < start + to; at += 40ms, ++requests) {
+            state.count_request(drafts, at);
+        }
+    };
+    const auto repeats_allowed = [&] {
+        int allowed = 0;
+        retry_query query;
+        query.deadline = start + 100s;
+        while (state.retries_of(drafts).next(query, start, random).verdict == retry_verdict::allowed) {
+            ++allowed;
+        }
+        return allowed;
+    };
+
+    SECTION("its streams go on elsewhere all at once, from what the requests before have filled")
+    {
+        send_requests(0s, 10s);
+        CHECK(repeats_allowed() >= 15);
+    }
+    SECTION("but no window has more than the users allow")
+    {
+        send_requests(0s, 10s);
+        int repeats = repeats_allowed();
+        requests = 0;
+        for (auto second = 10s; second < 20s; second += 1s) {
+            send_requests(second, second + 1s);
+            repeats += repeats_allowed();
+        }
+        CHECK(repeats <= requests * 0.2 + 52.0 / 8);
+    }
+}
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -95,12 +95,22 @@
     m_upstreams = std::move(kept);
 }
 
-void fleet_load::set_reports(const std::vector<known_vm>& vms)
+void fleet_load::set_reports(const region_name& here, const std::vector<known_vm>& vms)
 {
+    std::unordered_map<region_name, const known_vm*> speakers;
+    for (const auto& vm : vms) {
+        if (vm.report.speaks_for_region && vm.report.region != here) {
+            speakers.emplace(vm.report.region, &vm);
+        }
+    }
     for (auto& [id, state] : m_upstreams) {
         state.others = {};
     }
     for (const auto& vm : vms) {
+        const auto speaker = speakers.find(vm.report.region);
+        if (speaker != speakers.end() && speaker->second != &vm) {
+            continue;
+        }
         for (const auto& load : vm.report.loads) {
             const auto found = m_upstreams.find(load.upstream);
             if (found == m_upstreams.end()) {
