--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -22,9 +22,9 @@
     data_centre_name data_centre;
     std::uint32_t slots = 1;
     bool leaving = false;
-    std::chrono::milliseconds cold_left{0};              ///< when the record was written
-    std::optional<std::chrono::milliseconds> leaves_in;  ///< set when it leaves at short notice
-    std::int64_t started_unix_ms = 0;                    ///< tells a restart under the same id; 0: unknown
+    std::chrono::milliseconds cold_left{0};             ///< when the record was written
+    std::optional<std::chrono::milliseconds> leaves_in; ///< set when it leaves at short notice
+    std::int64_t started_unix_ms = 0;                   ///< tells a restart under the same id; 0: unknown
 };
 
 /// An upstream that may get new requests.
@@ -68,7 +68,7 @@
     bool leaving = false;
     version_number plan_version = 0;
     std::vector<endpoint> known_vms; ///< inner addresses, so that new VMs find each other
-    bool speaks_for_region = false; ///< `loads` are those of all VMs of the region
+    bool speaks_for_region = false;  ///< `loads` are those of all VMs of the region
     std::vector<upstream_load> loads;
     std::vector<customer_use> uses;
 };
--- a/include/cardamomstream/process/deployment/entry_directory.h
+++ b/include/cardamomstream/process/deployment/entry_directory.h
@@ -31,9 +31,10 @@
     bool settled = false; ///< the process has run for `directory_settling_time`
 };
 
-/// Entry addresses of the ready VMs of the caller's region. Where there are none, of the regions in which most
-/// routes of the host may be served, since a caller's request body goes to the VM that it connects to. A VM that
-/// is not settled names no other region than the best ones of the plan: the caller asks another VM meanwhile.
+/// Entry addresses of the ready VMs of the caller's region. Where there are none, of the regions in which
+/// most routes of the host may be served, since a caller's request body goes to the VM that it connects to. A
+/// VM that is not settled names no other region than the best ones of the plan: the caller asks another VM
+/// meanwhile.
 std::vector<endpoint> entry_addresses(const entry_question& question, const node_settings& self,
                                       const directory_view& known);
 
--- a/include/cardamomstream/process/deployment/node_settings.h
+++ b/include/cardamomstream/process/deployment/node_settings.h
@@ -18,8 +18,8 @@
     double retry_ratio = 0.2;                    ///< further sends for each request to a service
     double retry_extra = 0;                      ///< further sends beside them in `retry_window`
     std::chrono::milliseconds retry_window{10'000};
-    double cold_factor = 1;  ///< times the published rate that a cold upstream may get
-    double cold_slack = 0;   ///< requests a second beside it
+    double cold_factor = 1; ///< times the published rate that a cold upstream may get
+    double cold_slack = 0;  ///< requests a second beside it
     std::chrono::milliseconds longest_entry_ttl{5'000}; ///< that callers keep an entry answer
 };
 
--- a/include/cardamomstream/process/deployment/upstream_registry.h
+++ b/include/cardamomstream/process/deployment/upstream_registry.h
@@ -41,9 +41,9 @@
 private:
     struct entry {
         upstream_record record;
-        time_point started_at;                   ///< when this process saw it start; epoch: it ran before
-        time_point cold_until;                   ///< by its own word
-        std::optional<time_point> gone_at;       ///< set while it is missing from the list
+        time_point started_at;             ///< when this process saw it start; epoch: it ran before
+        time_point cold_until;             ///< by its own word
+        std::optional<time_point> gone_at; ///< set while it is missing from the list
     };
 
     time_point cold_until(const entry& one, const service_plan* plan) const;
--- a/include/cardamomstream/request/gateway/gateway_types.h
+++ b/include/cardamomstream/request/gateway/gateway_types.h
@@ -47,11 +47,20 @@
 /// The wire format towards callers and upstreams.
 template <class Wire>
 concept gateway_wire = requires(const http_request& request, const upstream_call& call,
-                                const http_response_head& head, const error& reason, const request_id& id) {
-    { Wire::read_request(request) } -> std::same_as<caller_request>;
-    { Wire::upstream_headers(request, call) } -> std::same_as<std::vector<http_header>>;
-    { Wire::origin_of(head) } -> std::same_as<answer_origin>;
-    { Wire::refusal(reason, id) } -> std::same_as<http_response>;
+                                const http_response_head& head, const error& reason, const request_id& id)
+{
+    {
+        Wire::read_request(request)
+        } -> std::same_as<caller_request>;
+    {
+        Wire::upstream_headers(request, call)
+        } -> std::same_as<std::vector<http_header>>;
+    {
+        Wire::origin_of(head)
+        } -> std::same_as<answer_origin>;
+    {
+        Wire::refusal(reason, id)
+        } -> std::same_as<http_response>;
 };
 
 /// Headers that go on from one connection to the next: all but those that concern one connection only.
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -63,8 +63,8 @@
     static constexpr std::chrono::milliseconds default_time_left{15'000}; ///< where neither side sets one
     static constexpr std::chrono::milliseconds connect_limit{300};        ///< inside a region
     static constexpr std::chrono::milliseconds hop_connect_limit{700};    ///< between regions
-    static constexpr std::chrono::milliseconds silence_extra{800};  ///< beyond twice the prediction
-    static constexpr std::chrono::milliseconds plain_silence{400};  ///< to the answer of a repeatable call
+    static constexpr std::chrono::milliseconds silence_extra{800};        ///< beyond twice the prediction
+    static constexpr std::chrono::milliseconds plain_silence{400};    ///< to the answer of a repeatable call
     static constexpr std::chrono::milliseconds stream_silence{1'000}; ///< within a resumable stream
     static constexpr std::chrono::milliseconds give_up_margin{60};    ///< the answer is on its way by then
     static constexpr std::size_t max_whole_answer_bytes = 16 * 1024 * 1024;
@@ -96,8 +96,8 @@
     {
         return std::chrono::floor<std::chrono::milliseconds>(boot_clock::now() - m_started);
     }
-    /// Upstreams on which this VM may run the request. A VM to which it was passed on runs it once, so that the
-    /// first VM knows how often it ran.
+    /// Upstreams on which this VM may run the request. A VM to which it was passed on runs it once, so that
+    /// the first VM knows how often it ran.
     std::uint32_t allowed_runs() const
     {
         return m_placing.own_region_only ? 1 : std::max(1U, m_route->max_attempts);
@@ -118,11 +118,11 @@
     event_splitter m_events;
     std::optional<http_response> m_held; ///< an upstream's failure, delivered unless a repeat does better
     double m_charged = 0;
-    bool m_begun = false;          ///< the caller has the head of a stream
-    bool m_ran = false;            ///< some send may have run
+    bool m_begun = false; ///< the caller has the head of a stream
+    bool m_ran = false;   ///< some send may have run
     std::uint32_t m_sends = 0;
     std::uint32_t m_runs = 0;
-    std::string m_last_reason;     ///< why the last send failed; for logs
+    std::string m_last_reason; ///< why the last send failed; for logs
     std::string m_last_upstream;
     std::chrono::milliseconds m_predicted{0};
     std::uint32_t m_running_there = 0;
@@ -134,7 +134,8 @@
 {
     using namespace std::chrono_literals;
     if (!m_state.deployment || !m_state.deployment->plan) {
-        return error{error_kind::platform_unavailable, "no plan is known yet", "try again shortly", {}, 500ms};
+        return error{
+            error_kind::platform_unavailable, "no plan is known yet", "try again shortly", {}, 500ms};
     }
     m_plan = m_state.deployment->plan;
     m_route = m_plan->find_route(m_caller.host, m_request.path());
@@ -157,7 +158,8 @@
         weights.push_back(share.weight);
     }
     std::discrete_distribution<std::size_t> pick(weights.begin(), weights.end());
-    const auto urgency = m_customer != nullptr && m_customer->priority ? *m_customer->priority : m_route->priority;
+    const auto urgency =
+        m_customer != nullptr && m_customer->priority ? *m_customer->priority : m_route->priority;
     prepare(m_route->services[pick(m_state.random)].service, urgency);
     if (m_customer != nullptr) {
         const auto& allowance = m_customer->allowance;
@@ -185,12 +187,18 @@
         m_customer = hop.customer.empty() ? nullptr : m_plan->find_customer(hop.customer);
     }
     if (m_route == nullptr || (m_customer == nullptr && !hop.customer.empty())) {
-        return error{error_kind::stale_version, "this VM's plan has no such route or customer",
-                     "try another VM", {}, 300ms};
+        return error{error_kind::stale_version,
+                     "this VM's plan has no such route or customer",
+                     "try another VM",
+                     {},
+                     300ms};
     }
     if (!may_run_in(m_state.settings.region, *m_route, m_customer)) {
-        return error{error_kind::no_permitted_region, "the request may not be served in this region",
-                     "send it to one of its home regions", {}, {}};
+        return error{error_kind::no_permitted_region,
+                     "the request may not be served in this region",
+                     "send it to one of its home regions",
+                     {},
+                     {}};
     }
     m_deadline = m_started + m_caller.time_left.value_or(default_time_left);
     prepare(hop.service, hop.urgency);
@@ -300,8 +308,8 @@
     call_limits limits{connect, left, left, left};
     // A request that can't be repeated gains nothing from being cut off early.
     if (m_route->repeatable() && m_runs + 1 < allowed_runs()) {
-        const auto silence = is_stream() ? where.predicted * 2 + silence_extra
-                                         : std::max(plain_silence, where.predicted * 4);
+        const auto silence =
+            is_stream() ? where.predicted * 2 + silence_extra : std::max(plain_silence, where.predicted * 4);
         limits.first_byte = std::min(left, silence);
         limits.chunk_gap = std::min(left, is_stream() && m_begun ? stream_silence : silence);
     }
@@ -347,7 +355,7 @@
         const auto& failure = exchange.error();
         m_last_reason = failure.message;
         end = failure.outcome == run_outcome::not_run ? send_end::not_run : send_end::may_have_run;
-        outcome = end == send_end::not_run ? send_outcome::unreachable
+        outcome = end == send_end::not_run                       ? send_outcome::unreachable
                   : failure.kind == error_kind::upstream_timeout ? send_outcome::silent
                                                                  : send_outcome::broken;
     }
@@ -418,7 +426,8 @@
         }
     }
     if (!origin.from_upstream || (!origin.id.empty() && origin.id != m_caller.id)) {
-        m_last_reason = origin.from_upstream ? "the answer belongs to another request" : "no upstream's answer";
+        m_last_reason =
+            origin.from_upstream ? "the answer belongs to another request" : "no upstream's answer";
         return send_end::may_have_run;
     }
     const bool success = head.status < 300;
@@ -500,9 +509,9 @@
         }
     }
     if (write_events(m_events.rest(), exchange.head()) == send_end::caller_gone ||
-        (m_begun ? !m_writer.end_stream() : !m_writer.send({{exchange.head().status,
-                                                             end_to_end_headers(exchange.head().headers)},
-                                                            {}}))) {
+        (m_begun
+             ? !m_writer.end_stream()
+             : !m_writer.send({{exchange.head().status, end_to_end_headers(exchange.head().headers)}, {}}))) {
         return send_end::caller_gone;
     }
     log_end("answered", "stream");
@@ -545,8 +554,11 @@
         return;
     }
     const bool late = time_left() <= give_up_margin;
-    refuse({late ? error_kind::upstream_timeout : error_kind::upstream_failed, "the upstream gave no whole answer",
-            "read the status before you submit again", run_outcome::unknown, {}});
+    refuse({late ? error_kind::upstream_timeout : error_kind::upstream_failed,
+            "the upstream gave no whole answer",
+            "read the status before you submit again",
+            run_outcome::unknown,
+            {}});
 }
 
 template <gateway_wire Wire>
@@ -574,22 +586,23 @@
 {
     const bool ordinary = end == "answered" || end == "caller_gone";
     m_state.counters.requests.increment(m_placing.service, std::string(end));
-    m_state.log.write(ordinary ? log_weight::ordinary : log_weight::failure, "request",
-                      {{"request", m_caller.id.str()},
-                       {"end", end},
-                       {"reason", reason},
-                       {"last", m_last_reason},
-                       {"route", m_route == nullptr ? std::string_view{} : std::string_view(m_route->name.str())},
-                       {"customer", m_customer == nullptr ? std::string_view{} : std::string_view(m_customer->name.str())},
-                       {"hop", std::int64_t{m_placing.own_region_only ? 1 : 0}},
-                       {"upstream", m_last_upstream},
-                       {"sends", std::int64_t{m_sends}},
-                       {"predicted_ms", std::int64_t{m_predicted.count()}},
-                       {"running", std::int64_t{m_running_there}},
-                       {"prompt", std::int64_t{m_caller.prompt_tokens}},
-                       {"first_ms", std::int64_t{m_first_byte.count()}},
-                       {"took_ms", std::int64_t{took().count()}},
-                       {"plan", static_cast<std::int64_t>(m_plan ? m_plan->version() : 0)}});
+    m_state.log.write(
+        ordinary ? log_weight::ordinary : log_weight::failure, "request",
+        {{"request", m_caller.id.str()},
+         {"end", end},
+         {"reason", reason},
+         {"last", m_last_reason},
+         {"route", m_route == nullptr ? std::string_view{} : std::string_view(m_route->name.str())},
+         {"customer", m_customer == nullptr ? std::string_view{} : std::string_view(m_customer->name.str())},
+         {"hop", std::int64_t{m_placing.own_region_only ? 1 : 0}},
+         {"upstream", m_last_upstream},
+         {"sends", std::int64_t{m_sends}},
+         {"predicted_ms", std::int64_t{m_predicted.count()}},
+         {"running", std::int64_t{m_running_there}},
+         {"prompt", std::int64_t{m_caller.prompt_tokens}},
+         {"first_ms", std::int64_t{m_first_byte.count()}},
+         {"took_ms", std::int64_t{took().count()}},
+         {"plan", static_cast<std::int64_t>(m_plan ? m_plan->version() : 0)}});
 }
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -32,7 +32,8 @@
 
     candidate rate(const placing_request& request, const fleet_load& load,
                    const fleet_load::upstream_state& state, time_point now) const;
-    bool cold_room(const fleet_load::upstream_state& state, const plan_service& service, time_point now) const;
+    bool cold_room(const fleet_load::upstream_state& state, const plan_service& service,
+                   time_point now) const;
     static void add_failure_costs(std::vector<candidate>& candidates);
     endpoint vm_of(const region_name& region);
     placement refuse(const placing_request& request, placing_verdict verdict,
--- a/include/cardamomstream/version/service_plan/service_plan.h
+++ b/include/cardamomstream/version/service_plan/service_plan.h
@@ -32,7 +32,8 @@
 
 private:
     service_plan_document m_document;
-    std::unordered_map<std::string, std::vector<const plan_route*>> m_routes_by_host; ///< longest prefix first
+    std::unordered_map<std::string, std::vector<const plan_route*>>
+        m_routes_by_host; ///< longest prefix first
     std::unordered_map<std::string, const plan_customer*> m_customers_by_key;
     std::unordered_map<pool_name, const plan_service*> m_services;
 };
--- a/include/cardamomstream/version/service_plan/service_plan_types.h
+++ b/include/cardamomstream/version/service_plan/service_plan_types.h
@@ -34,10 +34,10 @@
     std::chrono::milliseconds event_gap_objective{0}; ///< longest pause between two events
     int priority = 0;                                 ///< 0 is the most urgent
     std::vector<service_share> services;
-    std::uint32_t max_attempts = 1;         ///< upstreams on which one request may run
-    bool open_to_all = false;               ///< needs no key
-    bool resumable = false;                 ///< a stream that may go on at another upstream
-    std::vector<region_name> home_regions;  ///< empty: any region
+    std::uint32_t max_attempts = 1;        ///< upstreams on which one request may run
+    bool open_to_all = false;              ///< needs no key
+    bool resumable = false;                ///< a stream that may go on at another upstream
+    std::vector<region_name> home_regions; ///< empty: any region
 
     bool repeatable() const noexcept
     {
@@ -47,8 +47,8 @@
 
 /// What is published of the model engines of a service.
 struct engine_traits {
-    std::uint32_t batch = 1;        ///< requests that run at once
-    token_count memory_tokens = 0;  ///< KV cache, shared by running requests and cached prompt parts
+    std::uint32_t batch = 1;       ///< requests that run at once
+    token_count memory_tokens = 0; ///< KV cache, shared by running requests and cached prompt parts
     std::uint32_t tokens_per_event = 1;
 };
 
@@ -63,10 +63,10 @@
 /// A customer's allowance over the whole fleet.
 struct customer_allowance {
     bool limited = false;
-    bool counts_tokens = false;      ///< else requests
+    bool counts_tokens = false; ///< else requests
     double rate_per_second = 0;
     double burst = 0;
-    token_count plain_tokens = 0;    ///< charge of a request that states no tokens
+    token_count plain_tokens = 0; ///< charge of a request that states no tokens
 };
 
 struct plan_customer {
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -18,7 +18,8 @@
 {
     static const std::array<command, 6> all{{
         {"serve", "run the gateway process of one VM", cardamomstream::serve_command},
-        {"node", "run the gateway of one VM of a platform that publishes in a store", cardamomstream::node_command},
+        {"node", "run the gateway of one VM of a platform that publishes in a store",
+         cardamomstream::node_command},
         {"check", "validate settings and rules", cardamomstream::check_command},
         {"timeline", "merge the events of several processes", cardamomstream::timeline_command},
         {"explain", "tell what was decided for one request", cardamomstream::explain_command},
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -1,12 +1,14 @@
 #include "node_control.h"
 
 #include "platform/store_values.h"
+#include "platform/wire_names.h"
 
 #include "cardamomstream/connection/use_fiber.h"
 #include "cardamomstream/process/deployment/vm_report_codec.h"
 
 #include <algorithm>
 #include <array>
+#include <string_view>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -39,7 +41,8 @@
 
 constexpr std::size_t max_report_bytes = 60'000; ///< below the largest datagram
 
-constexpr std::array<const char*, 2> followed_prefixes{"op/", "servers/"};
+constexpr std::array<std::string_view, 2> followed_prefixes{platform::wire::operator_prefix,
+                                                            platform::wire::upstream_prefix};
 
 http_client_settings store_connection()
 {
@@ -85,9 +88,11 @@
                      {}};
     }
     learn_seeds(m_settings.seeds);
-    boost::asio::post(m_traffic.io(), [this] { m_state.report_soon = [this] { boost::asio::post(m_thread.io(), [this] { report_here(); }); }; });
-    for (const auto* prefix : followed_prefixes) {
-        m_thread.spawn([this, prefix] { follow(prefix); });
+    boost::asio::post(m_traffic.io(), [this] {
+        m_state.report_soon = [this] { boost::asio::post(m_thread.io(), [this] { report_here(); }); };
+    });
+    for (const auto prefix : followed_prefixes) {
+        m_thread.spawn([this, prefix] { follow(std::string(prefix)); });
     }
     m_thread.spawn([this] { receive_reports(); });
     m_thread.spawn([this] { report_periodically(); });
@@ -195,7 +200,7 @@
 {
     std::set<upstream_name> upstreams;
     std::set<data_centre_name> evacuated;
-    bool lists_upstreams = prefix == followed_prefixes[1];
+    const bool lists_upstreams = prefix == platform::wire::upstream_prefix;
     for (const auto& item : batch.items) {
         apply(item, lists_upstreams && !m_upstreams_listed);
         const auto subject = platform::subject_of(item.key);
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -141,11 +141,10 @@
 
 result<void> node_process::impl::listen_for_questions(const endpoint& address)
 {
-    questions.push_back(std::make_unique<http_server>(
-        traffic, http_limits{},
-        [this](const http_request& request, std::size_t /*thread*/, response_writer& writer) {
-            serve_question(request, writer);
-        }));
+    questions.push_back(
+        std::make_unique<http_server>(traffic, http_limits{},
+                                      [this](const http_request& request, std::size_t /*thread*/,
+                                             response_writer& writer) { serve_question(request, writer); }));
     BOOST_OUTCOME_TRY(questions.back()->listen(address));
     return boost::outcome_v2::success();
 }
@@ -175,7 +174,8 @@
 void node_process::impl::stop()
 {
     const auto began = boot_clock::now();
-    log.write(log_weight::state, "stopping", {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())}});
+    log.write(log_weight::state, "stopping",
+              {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())}});
     state.stopping = true;
     control.announce_leaving();
     entry.announce_close();
@@ -190,7 +190,8 @@
             inner.stop_accepting();
         }
     }
-    log.write(log_weight::state, "stopped", {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())}});
+    log.write(log_weight::state, "stopped",
+              {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())}});
 }
 
 node_process::node_process(node_settings settings)
--- a/src/process/deployment/entry_directory.cpp
+++ b/src/process/deployment/entry_directory.cpp
@@ -43,7 +43,8 @@
     if (here.empty()) {
         std::ptrdiff_t most = 0;
         for (const auto& [data_centre, region] : self.regions) {
-            // What is known of the plan tells the best region, whether or not a VM of it has been heard of yet.
+            // What is known of the plan tells the best region, whether or not a VM of it has been heard of
+            // yet.
             if (!known.settled || elsewhere.contains(region)) {
                 most = std::max(most, routes_at_home(known.plan, question.host, region));
             }
--- a/src/process/deployment/tests/entry_directory_test.cpp
+++ b/src/process/deployment/tests/entry_directory_test.cpp
@@ -54,18 +54,18 @@
         vms = {vm_in("riga", 2)};
         SECTION("a host with homes: no VM of a region that is no home")
         {
-            CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self, {&plan, vms, true, true}) ==
-                  std::vector<endpoint>{riga});
+            CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self,
+                                  {&plan, vms, true, true}) == std::vector<endpoint>{riga});
         }
         SECTION("a host without homes: every region")
         {
-            CHECK(entry_addresses({"open.example", region_name("kurzeme"), {}}, self, {&plan, vms, true, true}) ==
-                  std::vector<endpoint>{here, riga});
+            CHECK(entry_addresses({"open.example", region_name("kurzeme"), {}}, self,
+                                  {&plan, vms, true, true}) == std::vector<endpoint>{here, riga});
         }
         SECTION("no home has a VM: every region, rather than no answer")
         {
-            CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self, {&plan, {}, true, true}) ==
-                  std::vector<endpoint>{here});
+            CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self,
+                                  {&plan, {}, true, true}) == std::vector<endpoint>{here});
         }
     }
     SECTION("routes of one host have different homes: the regions that may serve most of them")
@@ -76,17 +76,20 @@
         document.routes.push_back(other);
         const service_plan mixed(document);
         vms = {vm_in("riga", 2)};
-        CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self, {&mixed, vms, true, true}) ==
-              std::vector<endpoint>{riga});
+        CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self,
+                              {&mixed, vms, true, true}) == std::vector<endpoint>{riga});
     }
-    SECTION("a VM that has just started and heard of no other does not name itself for a host with homes elsewhere")
+    SECTION("a VM that has just started and heard of no other does not name itself for a host with homes "
+            "elsewhere")
     {
-        CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self, {&plan, {}, true, false}).empty());
+        CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self, {&plan, {}, true, false})
+                  .empty());
     }
     SECTION("a VM that leaves or is not ready is never named")
     {
         vms[0].report.leaving = true;
         vms[1].report.ready = false;
-        CHECK(entry_addresses({"open.example", region_name("riga"), {}}, self, {&plan, vms, false, true}).empty());
+        CHECK(entry_addresses({"open.example", region_name("riga"), {}}, self, {&plan, vms, false, true})
+                  .empty());
     }
 }
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -1,6 +1,5 @@
 #include "cardamomstream/process/deployment/vm_report_codec.h"
 
-
 #include <exception>
 
 #include <boost/json.hpp>
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -11,8 +11,8 @@
 const std::vector<std::chrono::milliseconds>& first_byte_bounds()
 {
     using namespace std::chrono_literals;
-    static const std::vector<std::chrono::milliseconds> bounds{25ms,  50ms,   100ms,  200ms,  400ms,
-                                                               600ms, 800ms,  1200ms, 2000ms, 4000ms};
+    static const std::vector<std::chrono::milliseconds> bounds{25ms,  50ms,  100ms,  200ms,  400ms,
+                                                               600ms, 800ms, 1200ms, 2000ms, 4000ms};
     return bounds;
 }
 
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-/// Part of the published ratio that one VM uses. The budget that a window's requests fill may be spent together
-/// with what those of the window before have filled, and a request that is passed on counts at two VMs.
+/// Part of the published ratio that one VM uses. The budget that a window's requests fill may be spent
+/// together with what those of the window before have filled, and a request that is passed on counts at two
+/// VMs.
 constexpr double ratio_part = 0.4;
 
 /// Part of the further sends beside the ratio that all VMs together use.
@@ -106,7 +107,8 @@
     limits.max_attempts = max_sends;
     limits.backoff_base = std::chrono::milliseconds{4};
     limits.backoff_max = std::chrono::milliseconds{50};
-    return m_retries.emplace(service, service_retries{retry_budget(limits), 0, boot_clock::now()}).first->second;
+    return m_retries.emplace(service, service_retries{retry_budget(limits), 0, boot_clock::now()})
+        .first->second;
 }
 
 } // namespace cardamomstream
--- a/src/request/gateway/gateway_types.cpp
+++ b/src/request/gateway/gateway_types.cpp
@@ -13,8 +13,8 @@
 using boost::beast::iequals;
 
 constexpr std::array<std::string_view, 10> connection_headers{
-    "Connection",          "Keep-Alive", "Proxy-Connection", "TE",     "Trailer", "Transfer-Encoding",
-    "Proxy-Authenticate",  "Upgrade",    "Content-Length",   "Expect",
+    "Connection",         "Keep-Alive", "Proxy-Connection", "TE",     "Trailer", "Transfer-Encoding",
+    "Proxy-Authenticate", "Upgrade",    "Content-Length",   "Expect",
 };
 
 bool is_connection_header(std::string_view name)
--- a/src/request/gateway/tests/gateway_types_test.cpp
+++ b/src/request/gateway/tests/gateway_types_test.cpp
@@ -7,10 +7,9 @@
 
 TEST_CASE("headers of one connection do not go on to the next")
 {
-    const std::vector<http_header> headers{{"Host", "h"},          {"Connection", "close, X-One"},
-                                           {"X-One", "1"},         {"x-two", "2"},
-                                           {"Keep-Alive", "5"},    {"Transfer-Encoding", "chunked"},
-                                           {"Content-Length", "3"}};
+    const std::vector<http_header> headers{
+        {"Host", "h"},       {"Connection", "close, X-One"},   {"X-One", "1"},         {"x-two", "2"},
+        {"Keep-Alive", "5"}, {"Transfer-Encoding", "chunked"}, {"Content-Length", "3"}};
     const auto kept = end_to_end_headers(headers);
     REQUIRE(kept.size() == 2);
     CHECK(kept[0].name == "Host");
@@ -21,8 +20,8 @@
 {
     std::vector<http_header> headers{{"Host", "h"}};
     CHECK_FALSE(read_hop_headers(headers));
-    write_hop_headers(headers, {route_name("r"), pool_name("s"), customer_name("c"), 2,
-                                std::chrono::milliseconds{120}});
+    write_hop_headers(
+        headers, {route_name("r"), pool_name("s"), customer_name("c"), 2, std::chrono::milliseconds{120}});
     SECTION("which reads the details")
     {
         const auto hop = read_hop_headers(headers);
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -16,8 +16,8 @@
 
 constexpr std::chrono::seconds cold_send_memory{2}; ///< the bound holds for each second
 
-constexpr double failure_weight = 0.04;    ///< of one send in the moving average
-constexpr double scale_weight = 0.05;      ///< of one first event in the moving average
+constexpr double failure_weight = 0.04;                         ///< of one send in the moving average
+constexpr double scale_weight = 0.05;                           ///< of one first event in the moving average
 constexpr std::chrono::milliseconds least_telling_reading{100}; ///< shorter ones drown in the batch step
 constexpr double min_scale = 0.5;
 constexpr double max_scale = 3;
@@ -182,8 +182,8 @@
     if (found->second.engine_batch > 0 && sent.reading >= least_telling_reading) {
         const double ratio = std::chrono::duration<double, std::milli>(now - sent.sent_at).count() /
                              static_cast<double>(sent.predicted.count());
-        m_scale = std::clamp(m_scale * (1 + scale_weight * (std::min(ratio, max_scale) - 1)), min_scale,
-                             max_scale);
+        m_scale =
+            std::clamp(m_scale * (1 + scale_weight * (std::min(ratio, max_scale) - 1)), min_scale, max_scale);
     }
 }
 
@@ -325,9 +325,9 @@
 {
     const auto step = static_cast<double>(m_settings.tokens_per_step);
     constexpr double million = 1e6;
-    const double step_ms = step / m_settings.prompt_tokens_per_ms +
-                           step * static_cast<double>(request.prompt_tokens) / million *
-                               m_settings.ms_per_million_pairs;
+    const double step_ms =
+        step / m_settings.prompt_tokens_per_ms +
+        step * static_cast<double>(request.prompt_tokens) / million * m_settings.ms_per_million_pairs;
     return std::chrono::milliseconds(static_cast<std::int64_t>(step_ms * state.tokens_per_event));
 }
 
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -138,8 +138,7 @@
     if (state.view.cold_until <= now || service.cold_requests_per_second <= 0) {
         return true;
     }
-    const double bound =
-        service.cold_requests_per_second * m_settings.cold_factor + m_settings.cold_slack;
+    const double bound = service.cold_requests_per_second * m_settings.cold_factor + m_settings.cold_slack;
     const auto vms = std::max(m_vms_here, min_vms_for_cold);
     const auto mine = static_cast<std::size_t>(std::floor(bound / static_cast<double>(vms)));
     const auto recent = std::count_if(state.cold_sends.begin(), state.cold_sends.end(), [&](time_point at) {
@@ -220,8 +219,8 @@
     }
     add_failure_costs(candidates);
     if (const auto prompt = shared_prompt_of(request.parts); prompt != 0) {
-        const auto preferred =
-            std::max_element(candidates.begin(), candidates.end(), [&](const candidate& one, const candidate& other) {
+        const auto preferred = std::max_element(
+            candidates.begin(), candidates.end(), [&](const candidate& one, const candidate& other) {
                 return std::pair(one.here, preference(prompt, one.state->view.record.id)) <
                        std::pair(other.here, preference(prompt, other.state->view.record.id));
             });
@@ -235,8 +234,9 @@
     const milliseconds_f objective = request.route->latency_objective;
     const auto soon = objective * m_settings.shed_objective - request.waited;
     const auto limit = std::min<milliseconds_f>(
-        request.time_left, std::max<milliseconds_f>(soon, best->reading * 1.1 + objective * m_settings.shed_wait +
-                                                              m_settings.region_round_trip));
+        request.time_left,
+        std::max<milliseconds_f>(soon, best->reading * 1.1 + objective * m_settings.shed_wait +
+                                           m_settings.region_round_trip));
     if (best->first_byte > limit && !request.begun) {
         return refuse(request, placing_verdict::overloaded, predicted);
     }
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -106,7 +106,8 @@
     {
         known_vm other;
         other.report.region = here;
-        other.report.loads = {{upstream_name("a"), 1, 900ms, 40'000, {}}, {upstream_name("b"), 0, 0ms, 0, {}}};
+        other.report.loads = {{upstream_name("a"), 1, 900ms, 40'000, {}},
+                              {upstream_name("b"), 0, 0ms, 0, {}}};
         one.load.set_reports(here, {other});
         CHECK(one.place(one.request(500)).upstream == upstream_name("b"));
     }
--- a/src/version/service_plan/service_plan.cpp
+++ b/src/version/service_plan/service_plan.cpp
@@ -51,8 +51,8 @@
 const plan_route* service_plan::find_route(const route_name& name) const
 {
     const auto& routes = m_document.routes;
-    const auto found =
-        std::find_if(routes.begin(), routes.end(), [&](const plan_route& route) { return route.name == name; });
+    const auto found = std::find_if(routes.begin(), routes.end(),
+                                    [&](const plan_route& route) { return route.name == name; });
     return found == routes.end() ? nullptr : &*found;
 }
 
