--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -114,10 +114,10 @@
     one.first_byte = engine ? milliseconds_f(m_settings.first_event_base) : run_time;
     one.first_byte += over / slots * run_time;
     if (engine) {
-        const milliseconds_f reading = load.reading_time(state, request, now);
-        const milliseconds_f queue = load.reading_left(state, now);
-        const double memory = static_cast<double>(state.own.memory_tokens + state.others.memory_tokens +
-                                                  request.prompt_tokens + request.answer_tokens);
+        const milliseconds_f reading(load.reading_time(state, request, now));
+        const milliseconds_f queue(load.reading_left(state, now));
+        const auto memory = static_cast<double>(state.own.memory_tokens + state.others.memory_tokens +
+                                                request.prompt_tokens + request.answer_tokens);
         const double room = std::max(1.0, static_cast<double>(state.memory_tokens) * m_settings.memory_use);
         one.first_byte += (reading + queue) * load.prediction_scale();
         one.first_byte += std::max(0.0, memory / room - 1) * milliseconds_f(m_settings.mean_run_time);
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -22,23 +22,26 @@
     return view;
 }
 
+std::shared_ptr<const service_plan> one_route()
+{
+    plan_service service;
+    service.name = drafts;
+    service.cold_requests_per_second = 2.9;
+    service.engine = engine_traits{64, 400'000, 7};
+    plan_route made;
+    made.name = route_name("r");
+    made.latency_objective = 600ms;
+    made.event_gap_objective = 300ms;
+    service_plan_document document;
+    document.services = {service};
+    document.routes = {made};
+    return std::make_shared<const service_plan>(document);
+}
+
 /// Two engines here, one there, and one VM there.
 struct fleet {
     fleet()
     {
-        plan_service service;
-        service.name = drafts;
-        service.cold_requests_per_second = 2.9;
-        service.engine = engine_traits{64, 400'000, 7};
-        plan_route made;
-        made.name = route_name("r");
-        made.latency_objective = 600ms;
-        made.event_gap_objective = 300ms;
-        service_plan_document document;
-        document.services = {service};
-        document.routes = {made};
-        plan = std::make_shared<const service_plan>(document);
-        route = &plan->document().routes.front();
         view.plan = plan;
         view.upstreams = {engine("a", here), engine("b", here), engine("c", there)};
         load.set_deployment(view);
@@ -68,8 +71,8 @@
     }
 
     time_point now{1'000s};
-    std::shared_ptr<const service_plan> plan;
-    const plan_route* route = nullptr;
+    std::shared_ptr<const service_plan> plan = one_route();
+    const plan_route* route = &plan->document().routes.front();
     deployment_view view;
     fleet_load load{placing_settings{}};
     placer placing{here, placing_settings{}, 7};
