A request whose caller left keeps its tokens: it may have run

Cause (read in the diff): a request whose caller left before the answer gave its tokens back though the upstream may have run it, so a customer whose callers leave early could pass its rate.

--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -269,6 +269,7 @@
         const auto end = here ? send_here(where) : send_away(where);
         if (end == send_end::answered || end == send_end::caller_gone) {
             if (end == send_end::caller_gone) {
+                m_ran = true; // nobody waits to learn whether it did
                 log_end("caller_gone", m_last_reason);
             }
             return;
