--- a/include/cardamomstream/process/deployment/entry_directory.h
+++ b/include/cardamomstream/process/deployment/entry_directory.h
@@ -5,6 +5,7 @@
 #include "cardamomstream/process/deployment/vm_table.h"
 
 #include <chrono>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -26,7 +27,7 @@
 /// What a VM knows when it is asked.
 struct directory_view {
     const service_plan* plan = nullptr; ///< null: none known
-    std::vector<known_vm> vms;
+    std::span<const known_vm> vms;      ///< must outlive the question
     bool self_ready = false;
     bool settled = false; ///< the process has run for `directory_settling_time`
 };
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -401,12 +401,13 @@
     const auto now = boot_clock::now();
     m_reported_at = now;
     auto told = describe(std::move(loads), std::move(uses), now);
-    send(told, m_vms.addresses_in(m_settings.region, now));
+    const auto neighbours = m_vms.addresses_in(m_settings.region, now);
+    send(told, neighbours);
     if (now - m_reported_far_at < far_interval(now)) {
         return;
     }
     m_reported_far_at = now;
-    if (m_vms.addresses_in(m_settings.region, now).size() >= region_with_speaker) {
+    if (neighbours.size() >= region_with_speaker) {
         told.speaks_for_region = m_vms.speaks_for(m_settings.region, now);
         told.loads = told.speaks_for_region
                          ? m_vms.region_loads(m_settings.region, std::move(told.loads), now)
--- a/src/request/gateway/hop_headers.cpp
+++ b/src/request/gateway/hop_headers.cpp
@@ -1,8 +1,8 @@
 #include "cardamomstream/request/gateway/hop_headers.h"
 
+#include "cardamomstream/connection/header_number.h"
 #include "cardamomstream/request/gateway/gateway_types.h"
 
-#include <charconv>
 #include <string>
 #include <string_view>
 
@@ -16,14 +16,6 @@
 constexpr std::string_view urgency_header = "Cs-Hop-Urgency";
 constexpr std::string_view waited_header = "Cs-Hop-Waited-Ms";
 
-template <class Number>
-std::optional<Number> number_of(std::string_view text)
-{
-    Number number{};
-    const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
-    return failure == std::errc{} ? std::optional<Number>(number) : std::nullopt;
-}
-
 } // namespace
 
 void write_hop_headers(std::vector<http_header>& headers, const hop_details& hop)
@@ -41,8 +33,8 @@
     hop.route = route_name(std::string(header_value(headers, route_header)));
     hop.service = pool_name(std::string(header_value(headers, service_header)));
     hop.customer = customer_name(std::string(header_value(headers, customer_header)));
-    const auto urgency = number_of<int>(header_value(headers, urgency_header));
-    const auto waited = number_of<std::int64_t>(header_value(headers, waited_header));
+    const auto urgency = leading_number<int>(header_value(headers, urgency_header));
+    const auto waited = leading_number<std::int64_t>(header_value(headers, waited_header));
     if (hop.service.empty() || !urgency || !waited) {
         return std::nullopt;
     }
