A VM that has just started takes a seventh of a cold upstream's bound

Ruled out: a view of the upstream as warm (all four read cold_ms 2989 before they sent). Test: placer_test.

--- a/include/cardamomstream/connection/header_number.h
+++ b/include/cardamomstream/connection/header_number.h
@@ -8,7 +8,8 @@
 
 namespace cardamomstream {
 
-/// The number with which the text begins, after spaces; empty when it begins with none or one that does not fit.
+/// The number with which the text begins, after spaces; empty when it begins with none or one that does not
+/// fit.
 template <class Number>
 std::optional<Number> leading_number(std::string_view text, int base = 10)
 {
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -12,7 +12,8 @@
 /// there, and is refused at once when no upstream would answer within its objective. Not thread safe.
 class placer {
 public:
-    placer(region_name region, placing_settings settings, std::uint64_t seed);
+    /// `started_at`: a process that has just started has not heard of every VM of its region yet.
+    placer(region_name region, placing_settings settings, std::uint64_t seed, time_point started_at = {});
 
     /// VMs of every region that take requests; the own region counts this VM beside them.
     void set_vms(const std::vector<known_vm>& vms);
@@ -42,6 +43,7 @@
     region_name m_region;
     placing_settings m_settings;
     std::mt19937_64 m_random;
+    time_point m_started_at;
     std::unordered_map<region_name, std::vector<endpoint>> m_vms;
     std::unordered_map<vm_name, time_point> m_neighbours; ///< VMs of the own region by their last report
 };
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -40,6 +40,10 @@
 /// of.
 constexpr std::size_t min_vms_for_cold = 3;
 
+/// The same for a VM that has just started: a whole region may have come back at once, with VMs added to it.
+constexpr std::size_t min_vms_for_cold_at_start = 7;
+constexpr std::chrono::seconds start_time{3};
+
 /// A VM of the region that has reported within this time still has its part of a cold upstream's bound.
 constexpr std::chrono::seconds cold_sharer_memory{10};
 
@@ -73,10 +77,11 @@
     milliseconds_f cost{0};
 };
 
-placer::placer(region_name region, placing_settings settings, std::uint64_t seed)
+placer::placer(region_name region, placing_settings settings, std::uint64_t seed, time_point started_at)
     : m_region(std::move(region))
     , m_settings(settings)
     , m_random(seed)
+    , m_started_at(started_at)
 {
 }
 
@@ -146,7 +151,8 @@
     const auto neighbours = std::count_if(m_neighbours.begin(), m_neighbours.end(), [&](const auto& vm) {
         return now - vm.second < cold_sharer_memory;
     });
-    const auto vms = std::max(static_cast<std::size_t>(neighbours) + 1, min_vms_for_cold);
+    const auto least = now - m_started_at < start_time ? min_vms_for_cold_at_start : min_vms_for_cold;
+    const auto vms = std::max(static_cast<std::size_t>(neighbours) + 1, least);
     const auto mine = static_cast<std::size_t>(std::floor(bound / static_cast<double>(vms)));
     const auto recent = std::count_if(state.cold_sends.begin(), state.cold_sends.end(), [&](time_point at) {
         return now - at < std::chrono::milliseconds{1'100};
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -259,6 +259,11 @@
     {
         CHECK(accepted() * 3 <= 7);
     }
+    SECTION("a VM that has just started, as a whole region may have, takes no more than one")
+    {
+        one.placing = placer{here, placing_settings{}, 7, one.now};
+        CHECK(accepted() == 1);
+    }
     SECTION("three VMs share it")
     {
         hear(2);
