Reports between VMs as protobuf; loads of the others counted by difference

Ruled out: the requests themselves (10 a second and VM) and the links.

Now a report is one protobuf message, reports are shared between the threads and never copied, and only the loads of a report that changed are taken off and added. A VM with many neighbours reports more rarely.

--- a/include/cardamomstream/process/deployment/entry_directory.h
+++ b/include/cardamomstream/process/deployment/entry_directory.h
@@ -5,7 +5,6 @@
 #include "cardamomstream/process/deployment/vm_table.h"
 
 #include <chrono>
-#include <span>
 #include <string>
 #include <vector>
 
@@ -27,7 +26,7 @@
 /// What a VM knows when it is asked.
 struct directory_view {
     const service_plan* plan = nullptr; ///< null: none known
-    std::span<const known_vm> vms;      ///< must outlive the question
+    const known_vms& vms;               ///< must outlive the question
     bool self_ready = false;
     bool settled = false; ///< the process has run for `directory_settling_time`
 };
--- a/include/cardamomstream/process/deployment/vm_report_codec.h
+++ b/include/cardamomstream/process/deployment/vm_report_codec.h
@@ -1,4 +1,4 @@
-/// Reports between VMs as datagrams: JSON with short member names.
+/// Reports between VMs as datagrams: one protobuf message of proto/cardamomstream/vm_report.proto each.
 #pragma once
 
 #include "cardamomstream/core/error.h"
--- a/include/cardamomstream/process/deployment/vm_table.h
+++ b/include/cardamomstream/process/deployment/vm_table.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <map>
+#include <memory>
 #include <vector>
 
 namespace cardamomstream {
@@ -15,6 +16,10 @@
     time_point heard_at;
 };
 
+/// VMs with their last reports. A report is never changed once it was taken, so that readers tell by the
+/// pointer whether there is a newer one.
+using known_vms = std::vector<std::shared_ptr<const known_vm>>;
+
 /// Reports that are older than this say nothing of the VM's present state.
 inline constexpr std::chrono::milliseconds vm_alive_limit{1'500};
 
@@ -38,7 +43,7 @@
     /// Addresses of VMs heard lately, to pass on.
     std::vector<endpoint> heard_addresses(time_point now) const;
 
-    std::vector<known_vm> alive(time_point now) const;
+    known_vms alive(time_point now) const;
 
     /// True when this VM tells the other regions the loads of its own: it has the lowest name of those alive.
     /// Two VMs that both believe so do no harm, since readers take one of them for each region.
@@ -60,7 +65,7 @@
 
 private:
     vm_name m_self;
-    std::map<vm_name, known_vm> m_vms;
+    std::map<vm_name, std::shared_ptr<const known_vm>> m_vms;
     std::map<endpoint, time_point> m_addresses; ///< when each was heard of last; epoch: from the settings
 };
 
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -27,7 +27,7 @@
     void set_deployment(std::shared_ptr<const deployment_view> deployment);
 
     /// The VMs that report at present, and how many may use fleet-wide rights beside this one.
-    void set_vms(std::vector<known_vm> vms, std::size_t sharers);
+    void set_vms(known_vms vms, std::size_t sharers);
 
     /// This VM's part of the fleet's budget for further sends to a service.
     retry_budget& retries_of(const pool_name& service);
@@ -43,7 +43,7 @@
     decision_log& log;
     gateway_metrics& counters;
     std::shared_ptr<const deployment_view> deployment;
-    std::vector<known_vm> vms;
+    known_vms vms;
     fleet_load load;
     placer placing;
     fleet_quota quota;
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -57,7 +57,7 @@
 
     /// Replaces what the other VMs have reported. Of another region that has a VM which speaks for it, that
     /// VM's report alone counts.
-    void set_reports(const region_name& here, const std::vector<known_vm>& vms);
+    void set_reports(const region_name& here, const known_vms& vms);
 
     /// Begins to count a request at an upstream of the own region.
     sent_request begin(const upstream_name& upstream, const placing_request& request,
@@ -104,7 +104,12 @@
     std::chrono::milliseconds own_reading_left(const upstream_state& state, time_point now) const;
 
     placing_settings m_settings;
+    void count_loads(const known_vm& vm);
+    void discount_loads(const known_vm& vm);
+
     std::unordered_map<upstream_name, upstream_state> m_upstreams;
+    std::unordered_map<vm_name, std::shared_ptr<const known_vm>>
+        m_counted; ///< VMs whose loads are in `others`
     double m_scale = 1;
     std::uint64_t m_last_number = 0;
     std::chrono::milliseconds m_unreported{0}; ///< reading time sent since the last report
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -16,7 +16,7 @@
     placer(region_name region, placing_settings settings, std::uint64_t seed, time_point started_at = {});
 
     /// VMs of every region that take requests; the own region counts this VM beside them.
-    void set_vms(const std::vector<known_vm>& vms);
+    void set_vms(const known_vms& vms);
 
     placement place(const placing_request& request, const service_plan& plan, const fleet_load& load,
                     time_point now);
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -29,12 +29,19 @@
 constexpr std::chrono::milliseconds outage_memory{2'500};
 
 constexpr std::chrono::milliseconds report_interval{200};
-constexpr std::chrono::milliseconds least_report_interval{40};  ///< however fast the loads change
+constexpr std::chrono::milliseconds least_report_interval{40}; ///< however fast the loads change
+
+/// Each VM hears the reports of its whole region: in a large one they come more rarely, so that what a VM
+/// spends on them stays the same.
+constexpr std::size_t neighbours_for_report_step = 32;
+constexpr std::chrono::milliseconds longest_report_interval{
+    700}; ///< below vm_alive_limit with one report lost
+constexpr std::chrono::milliseconds report_time_of_neighbour{5}; ///< between reports out of turn, for each
+
 constexpr std::chrono::milliseconds least_publish_interval{50}; ///< of what was heard, to the traffic thread
 
 // Reports to other regions come more rarely in a large fleet, and one VM of a large region speaks for all.
 constexpr std::size_t vms_for_far_step = 24;
-constexpr std::chrono::milliseconds longest_far_interval{700}; ///< below vm_alive_limit with one report lost
 constexpr std::size_t region_with_speaker = 5;
 constexpr std::size_t known_vms_told_up_to = 16;
 constexpr std::uint64_t known_vms_told_each = 10; ///< reports, in a larger fleet
@@ -332,7 +339,9 @@
 void node_control::report_periodically()
 {
     while (true) {
-        boost::this_fiber::sleep_for(report_interval);
+        const auto steps = m_neighbours / neighbours_for_report_step;
+        boost::this_fiber::sleep_for(std::min(
+            report_interval * static_cast<int>(std::max<std::size_t>(1, steps)), longest_report_interval));
         const auto now = boot_clock::now();
         m_vms.expire(now);
         if (m_upstreams.expire(now)) {
@@ -345,7 +354,9 @@
 
 void node_control::report_here()
 {
-    if (boot_clock::now() - m_reported_at >= least_report_interval) {
+    const auto least =
+        std::max(least_report_interval, report_time_of_neighbour * static_cast<int>(m_neighbours));
+    if (boot_clock::now() - m_reported_at >= least) {
         report_from_traffic();
     }
 }
@@ -371,7 +382,7 @@
 std::chrono::milliseconds node_control::far_interval(time_point now) const
 {
     const auto steps = std::max<std::size_t>(1, m_vms.sharers(now) / vms_for_far_step);
-    return std::min(report_interval * static_cast<int>(steps), longest_far_interval);
+    return std::min(report_interval * static_cast<int>(steps), longest_report_interval);
 }
 
 vm_report node_control::describe(std::vector<upstream_load> loads, std::vector<customer_use> uses,
@@ -402,6 +413,7 @@
     m_reported_at = now;
     auto told = describe(std::move(loads), std::move(uses), now);
     const auto neighbours = m_vms.addresses_in(m_settings.region, now);
+    m_neighbours = neighbours.size();
     send(told, neighbours);
     if (now - m_reported_far_at < far_interval(now)) {
         return;
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -67,6 +67,7 @@
     time_point m_reported_at;     ///< to the VMs of the own region
     time_point m_reported_far_at; ///< to those of the others
     time_point m_vms_published_at;
+    std::size_t m_neighbours = 0; ///< VMs of the own region that were told at the last report
     bool m_leaving = false;
     bool m_store_lost = false;
     bool m_upstreams_listed = false;
--- a/src/process/deployment/entry_directory.cpp
+++ b/src/process/deployment/entry_directory.cpp
@@ -36,8 +36,8 @@
         add(self.region, *self.entry_listener);
     }
     for (const auto& vm : known.vms) {
-        if (vm.report.ready && !vm.report.leaving && vm.report.entry.port != 0) {
-            add(vm.report.region, vm.report.entry);
+        if (vm->report.ready && !vm->report.leaving && vm->report.entry.port != 0) {
+            add(vm->report.region, vm->report.entry);
         }
     }
     if (here.empty()) {
--- a/src/process/deployment/tests/entry_directory_test.cpp
+++ b/src/process/deployment/tests/entry_directory_test.cpp
@@ -6,14 +6,15 @@
 
 namespace {
 
-known_vm vm_in(const std::string& region, std::uint16_t port)
+std::shared_ptr<known_vm> vm_in(const std::string& region, std::uint16_t port)
 {
-    known_vm vm;
+    auto made = std::make_shared<known_vm>();
+    auto& vm = *made;
     vm.report.vm = vm_name(region + std::to_string(port));
     vm.report.region = region_name(region);
     vm.report.entry = {"10.0.0.1", port};
     vm.report.ready = true;
-    return vm;
+    return made;
 }
 
 service_plan plan_with_homes()
@@ -39,7 +40,10 @@
         self.regions[data_centre_name(std::string(region) + "-a")] = region_name(region);
     }
     const auto plan = plan_with_homes();
-    std::vector<known_vm> vms{vm_in("riga", 2), vm_in("kurzeme", 3)};
+    const auto in_riga = vm_in("riga", 2);
+    const auto in_kurzeme = vm_in("kurzeme", 3);
+    known_vms vms{in_riga, in_kurzeme};
+    const known_vms none;
     const endpoint here{"10.0.0.1", 1};
     const endpoint riga{"10.0.0.1", 2};
     const endpoint kurzeme{"10.0.0.1", 3};
@@ -65,7 +69,7 @@
         SECTION("no home has a VM: every region, rather than no answer")
         {
             CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self,
-                                  {&plan, {}, true, true}) == std::vector<endpoint>{here});
+                                  {&plan, none, true, true}) == std::vector<endpoint>{here});
         }
     }
     SECTION("routes of one host have different homes: the regions that may serve most of them")
@@ -82,13 +86,13 @@
     SECTION("a VM that has just started and heard of no other does not name itself for a host with homes "
             "elsewhere")
     {
-        CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self, {&plan, {}, true, false})
+        CHECK(entry_addresses({"bound.example", region_name("kurzeme"), {}}, self, {&plan, none, true, false})
                   .empty());
     }
     SECTION("a VM that leaves or is not ready is never named")
     {
-        vms[0].report.leaving = true;
-        vms[1].report.ready = false;
+        in_riga->report.leaving = true;
+        in_kurzeme->report.ready = false;
         CHECK(entry_addresses({"open.example", region_name("riga"), {}}, self, {&plan, vms, false, true})
                   .empty());
     }
--- a/src/process/deployment/tests/vm_table_test.cpp
+++ b/src/process/deployment/tests/vm_table_test.cpp
@@ -70,6 +70,16 @@
         const auto read = decode_report(encode_report(sent));
         REQUIRE(read);
         CHECK(read.value().process == sent.process);
+        CHECK(read.value().vm == sent.vm);
+        CHECK(read.value().sequence == sent.sequence);
+        CHECK(read.value().region == sent.region);
+        CHECK(read.value().data_centre == sent.data_centre);
+        CHECK(read.value().entry == sent.entry);
+        CHECK(read.value().inner == sent.inner);
+        CHECK(read.value().ready);
+        CHECK_FALSE(read.value().leaving);
+        CHECK(read.value().loads[0].upstream == sent.loads[0].upstream);
+        CHECK(read.value().loads[0].running == 3);
         CHECK(read.value().loads[0].reading_left == 250ms);
         CHECK(read.value().loads[0].memory_tokens == 9'000);
         CHECK(read.value().loads[0].new_parts == sent.loads[0].new_parts);
@@ -78,9 +88,11 @@
     }
     SECTION("bytes that are none are refused")
     {
+        CHECK_FALSE(decode_report(""));
         CHECK_FALSE(decode_report("\xff\x00"));
         CHECK_FALSE(decode_report("[]"));
         CHECK_FALSE(decode_report(R"({"vm":"a"})"));
+        CHECK_FALSE(decode_report(encode_report({})));
         const auto text = encode_report(sent);
         CHECK_FALSE(decode_report(text.substr(0, text.size() / 2)));
     }
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -1,126 +1,125 @@
 #include "cardamomstream/process/deployment/vm_report_codec.h"
 
-#include <exception>
+#include <algorithm>
+#include <array>
 
-#include <boost/json.hpp>
+#include <arpa/inet.h>
+#include <vm_report.pb.h>
 
 namespace cardamomstream {
 
-namespace json = boost::json;
-
 namespace {
 
-json::array encode_load(const upstream_load& load)
-{
-    json::array row{load.upstream.str(), load.running, load.memory_tokens, load.reading_left.count()};
-    for (const auto part : load.new_parts) {
-        row.emplace_back(part);
-    }
-    return row;
-}
+/// Changes whenever VMs with the former meaning of a field must not read the reports.
+constexpr std::uint32_t report_format = 1;
 
-upstream_load decode_load(const json::array& row)
+void encode_endpoint(const endpoint& value, report_messages::Endpoint& message)
 {
-    upstream_load load;
-    load.upstream = upstream_name(std::string(row.at(0).as_string()));
-    load.running = row.at(1).to_number<std::uint32_t>();
-    load.memory_tokens = row.at(2).to_number<token_count>();
-    load.reading_left = std::chrono::milliseconds(row.at(3).to_number<std::int64_t>());
-    for (std::size_t at = 4; at < row.size(); ++at) {
-        load.new_parts.push_back(row.at(at).to_number<std::uint64_t>());
+    in_addr address{};
+    if (inet_pton(AF_INET, value.address.c_str(), &address) == 1) {
+        message.set_ipv4(ntohl(address.s_addr));
     }
-    return load;
+    message.set_port(value.port);
 }
 
-endpoint decode_endpoint(const json::value& value)
+endpoint decode_endpoint(const report_messages::Endpoint& message)
 {
-    const auto& pair = value.as_array();
-    return {std::string(pair.at(0).as_string()), pair.at(1).to_number<std::uint16_t>()};
+    if (message.ipv4() == 0) {
+        return {{}, static_cast<std::uint16_t>(message.port())};
+    }
+    const in_addr address{htonl(message.ipv4())};
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &address, text.data(), text.size());
+    return {text.data(), static_cast<std::uint16_t>(message.port())};
 }
 
-json::array encode_endpoint(const endpoint& value)
+void encode_load(const upstream_load& load, report_messages::Load& message)
 {
-    return {value.address, value.port};
+    message.set_upstream(load.upstream.str());
+    message.set_running(load.running);
+    message.set_memory_tokens(static_cast<std::uint64_t>(std::max<token_count>(0, load.memory_tokens)));
+    message.set_reading_left_ms(
+        static_cast<std::uint64_t>(std::max<std::int64_t>(0, load.reading_left.count())));
+    message.mutable_new_parts()->Add(load.new_parts.begin(), load.new_parts.end());
 }
 
-vm_report decode_members(const json::object& root)
+upstream_load decode_load(const report_messages::Load& message)
 {
-    vm_report report;
-    report.vm = vm_name(std::string(root.at("vm").as_string()));
-    report.process = {root.at("process").to_number<std::uint64_t>()};
-    report.sequence = root.at("seq").to_number<std::uint64_t>();
-    report.region = region_name(std::string(root.at("region").as_string()));
-    report.data_centre = data_centre_name(std::string(root.at("dc").as_string()));
-    report.entry = decode_endpoint(root.at("entry"));
-    report.inner = decode_endpoint(root.at("inner"));
-    report.ready = root.at("ready").as_bool();
-    report.leaving = root.at("leaving").as_bool();
-    report.plan_version = root.at("plan").to_number<version_number>();
-    report.speaks_for_region = root.at("for_region").as_bool();
-    for (const auto& vm : root.at("vms").as_array()) {
-        report.known_vms.push_back(decode_endpoint(vm));
-    }
-    for (const auto& row : root.at("loads").as_array()) {
-        report.loads.push_back(decode_load(row.as_array()));
-    }
-    for (const auto& use : root.at("uses").as_array()) {
-        const auto& pair = use.as_array();
-        report.uses.push_back(
-            {customer_name(std::string(pair.at(0).as_string())), pair.at(1).to_number<double>()});
-    }
-    return report;
+    upstream_load load;
+    load.upstream = upstream_name(message.upstream());
+    load.running = message.running();
+    load.memory_tokens = static_cast<token_count>(message.memory_tokens());
+    load.reading_left = std::chrono::milliseconds(message.reading_left_ms());
+    load.new_parts.assign(message.new_parts().begin(), message.new_parts().end());
+    return load;
 }
 
 } // namespace
 
 std::string encode_report(const vm_report& report)
 {
-    json::array vms;
+    report_messages::Report message;
+    message.set_vm(report.vm.str());
+    message.set_process(report.process.value);
+    message.set_sequence(report.sequence);
+    message.set_region(report.region.str());
+    message.set_data_centre(report.data_centre.str());
+    encode_endpoint(report.entry, *message.mutable_entry());
+    encode_endpoint(report.inner, *message.mutable_inner());
+    message.set_ready(report.ready);
+    message.set_leaving(report.leaving);
+    message.set_plan_version(report.plan_version);
+    message.set_speaks_for_region(report.speaks_for_region);
     for (const auto& vm : report.known_vms) {
-        vms.push_back(encode_endpoint(vm));
+        encode_endpoint(vm, *message.add_known_vms());
     }
-    json::array loads;
     for (const auto& load : report.loads) {
-        loads.push_back(encode_load(load));
+        encode_load(load, *message.add_loads());
     }
-    json::array uses;
     for (const auto& use : report.uses) {
-        uses.push_back(json::array{use.customer.str(), use.admitted});
+        auto& added = *message.add_uses();
+        added.set_customer(use.customer.str());
+        added.set_admitted(use.admitted);
     }
-    const json::object root{{"vm", report.vm.str()},
-                            {"process", report.process.value},
-                            {"seq", report.sequence},
-                            {"region", report.region.str()},
-                            {"dc", report.data_centre.str()},
-                            {"entry", encode_endpoint(report.entry)},
-                            {"inner", encode_endpoint(report.inner)},
-                            {"ready", report.ready},
-                            {"leaving", report.leaving},
-                            {"plan", report.plan_version},
-                            {"for_region", report.speaks_for_region},
-                            {"vms", std::move(vms)},
-                            {"loads", std::move(loads)},
-                            {"uses", std::move(uses)}};
-    return json::serialize(root);
+    message.set_format(report_format);
+    return message.SerializeAsString();
 }
 
 result<vm_report> decode_report(std::string_view text)
 {
-    boost::system::error_code ec;
-    const auto value = json::parse(json::string_view(text.data(), text.size()), ec);
-    if (!ec && value.is_object()) {
-        try {
-            return decode_members(value.as_object());
-        }
-        catch (const std::exception&) {
-            // A member is missing or of another type: refused below like text that is no JSON.
-        }
+    report_messages::Report message;
+    const bool parsed = message.ParseFromArray(text.data(), static_cast<int>(text.size()));
+    // What else parses by chance names no VM that could be reached.
+    if (!parsed || message.format() != report_format || message.vm().empty() || message.region().empty() ||
+        message.inner().ipv4() == 0) {
+        return error{error_kind::invalid_argument,
+                     "a datagram on the inner port is no VM report",
+                     "check that only VMs of one release send to the inner port",
+                     {},
+                     {}};
+    }
+    vm_report report;
+    report.vm = vm_name(message.vm());
+    report.process = {message.process()};
+    report.sequence = message.sequence();
+    report.region = region_name(message.region());
+    report.data_centre = data_centre_name(message.data_centre());
+    report.entry = decode_endpoint(message.entry());
+    report.inner = decode_endpoint(message.inner());
+    report.ready = message.ready();
+    report.leaving = message.leaving();
+    report.plan_version = message.plan_version();
+    report.speaks_for_region = message.speaks_for_region();
+    for (const auto& vm : message.known_vms()) {
+        report.known_vms.push_back(decode_endpoint(vm));
+    }
+    for (const auto& load : message.loads()) {
+        report.loads.push_back(decode_load(load));
     }
-    return error{error_kind::invalid_argument,
-                 "a datagram on the inner port is no VM report",
-                 "check that only VMs of one release send to the inner port",
-                 {},
-                 {}};
+    for (const auto& use : message.uses()) {
+        report.uses.push_back({customer_name(use.customer()), use.admitted()});
+    }
+    return report;
 }
 
 } // namespace cardamomstream
--- a/src/process/deployment/vm_table.cpp
+++ b/src/process/deployment/vm_table.cpp
@@ -15,12 +15,11 @@
     if (report.vm == m_self) {
         return false;
     }
-    auto [found, is_new] = m_vms.try_emplace(report.vm);
-    auto& known = found->second;
-    if (!is_new && known.report.process == report.process && report.sequence <= known.report.sequence) {
+    auto& known = m_vms[report.vm];
+    if (known && known->report.process == report.process && report.sequence <= known->report.sequence) {
         return false;
     }
-    known = {report, now};
+    known = std::make_shared<const known_vm>(known_vm{report, now});
     m_addresses[report.inner] = now;
     return true;
 }
@@ -44,18 +43,18 @@
 {
     std::vector<endpoint> heard;
     for (const auto& [name, vm] : m_vms) {
-        if (now - vm.heard_at < vm_alive_limit) {
-            heard.push_back(vm.report.inner);
+        if (now - vm->heard_at < vm_alive_limit) {
+            heard.push_back(vm->report.inner);
         }
     }
     return heard;
 }
 
-std::vector<known_vm> vm_table::alive(time_point now) const
+known_vms vm_table::alive(time_point now) const
 {
-    std::vector<known_vm> all;
+    known_vms all;
     for (const auto& [name, vm] : m_vms) {
-        if (now - vm.heard_at < vm_alive_limit) {
+        if (now - vm->heard_at < vm_alive_limit) {
             all.push_back(vm);
         }
     }
@@ -65,7 +64,7 @@
 bool vm_table::speaks_for(const region_name& region, time_point now) const
 {
     for (const auto& [name, vm] : m_vms) {
-        if (name < m_self && vm.report.region == region && now - vm.heard_at < vm_alive_limit) {
+        if (name < m_self && vm->report.region == region && now - vm->heard_at < vm_alive_limit) {
             return false;
         }
     }
@@ -86,8 +85,8 @@
     };
     std::for_each(own.begin(), own.end(), add);
     for (const auto& [name, vm] : m_vms) {
-        if (vm.report.region == region && now - vm.heard_at < vm_alive_limit) {
-            std::for_each(vm.report.loads.begin(), vm.report.loads.end(), add);
+        if (vm->report.region == region && now - vm->heard_at < vm_alive_limit) {
+            std::for_each(vm->report.loads.begin(), vm->report.loads.end(), add);
         }
     }
     std::vector<upstream_load> all;
@@ -102,8 +101,8 @@
 {
     std::vector<endpoint> inside;
     for (const auto& [name, vm] : m_vms) {
-        if (vm.report.region == region && now - vm.heard_at < vm_alive_limit) {
-            inside.push_back(vm.report.inner);
+        if (vm->report.region == region && now - vm->heard_at < vm_alive_limit) {
+            inside.push_back(vm->report.inner);
         }
     }
     return inside;
@@ -125,14 +124,14 @@
 {
     std::size_t count = 0;
     for (const auto& [name, vm] : m_vms) {
-        count += now - vm.heard_at < vm_forget_limit ? 1 : 0;
+        count += now - vm->heard_at < vm_forget_limit ? 1 : 0;
     }
     return count;
 }
 
 void vm_table::expire(time_point now)
 {
-    std::erase_if(m_vms, [&](const auto& item) { return now - item.second.heard_at >= vm_forget_limit; });
+    std::erase_if(m_vms, [&](const auto& item) { return now - item.second->heard_at >= vm_forget_limit; });
 }
 
 } // namespace cardamomstream
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -54,14 +54,14 @@
     deployment = std::move(next);
 }
 
-void gateway_state::set_vms(std::vector<known_vm> heard, std::size_t sharers)
+void gateway_state::set_vms(known_vms heard, std::size_t sharers)
 {
     vms = std::move(heard);
     load.set_reports(settings.region, vms);
     placing.set_vms(vms);
     quota.set_fleet(vms.size(), sharers);
     for (const auto& vm : vms) {
-        quota.apply(vm.report);
+        quota.apply(vm->report);
     }
     counters.vms_heard.set(static_cast<double>(vms.size()));
     counters.prediction_scale.set(load.prediction_scale());
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -93,37 +93,74 @@
         }
     }
     m_upstreams = std::move(kept);
+    // Reports may tell of upstreams that were not known when they came.
+    for (auto& [id, state] : m_upstreams) {
+        state.others = {};
+    }
+    for (const auto& [name, vm] : m_counted) {
+        count_loads(*vm);
+    }
 }
 
-void fleet_load::set_reports(const region_name& here, const std::vector<known_vm>& vms)
+void fleet_load::set_reports(const region_name& here, const known_vms& vms)
 {
     std::unordered_map<region_name, const known_vm*> speakers;
     for (const auto& vm : vms) {
-        if (vm.report.speaks_for_region && vm.report.region != here) {
-            speakers.emplace(vm.report.region, &vm);
+        if (vm->report.speaks_for_region && vm->report.region != here) {
+            speakers.emplace(vm->report.region, vm.get());
         }
     }
-    for (auto& [id, state] : m_upstreams) {
-        state.others = {};
-    }
+    std::unordered_map<vm_name, std::shared_ptr<const known_vm>> counted;
     for (const auto& vm : vms) {
-        const auto speaker = speakers.find(vm.report.region);
-        if (speaker != speakers.end() && speaker->second != &vm) {
+        const auto speaker = speakers.find(vm->report.region);
+        if (speaker != speakers.end() && speaker->second != vm.get()) {
+            continue;
+        }
+        auto node = m_counted.extract(vm->report.vm);
+        if (node && node.mapped() == vm) {
+            counted.insert(std::move(node));
             continue;
         }
-        for (const auto& load : vm.report.loads) {
-            const auto found = m_upstreams.find(load.upstream);
-            if (found == m_upstreams.end()) {
-                continue;
-            }
-            auto& others = found->second.others;
-            others.running += load.running;
-            others.memory_tokens += load.memory_tokens;
-            others.reading_left += load.reading_left;
-            for (const auto part : load.new_parts) {
-                found->second.cached_parts[part] = vm.heard_at;
-            }
+        if (node) {
+            discount_loads(*node.mapped());
+        }
+        count_loads(*vm);
+        counted.emplace(vm->report.vm, vm);
+    }
+    for (const auto& [name, vm] : m_counted) {
+        discount_loads(*vm);
+    }
+    m_counted = std::move(counted);
+}
+
+void fleet_load::count_loads(const known_vm& vm)
+{
+    for (const auto& load : vm.report.loads) {
+        const auto found = m_upstreams.find(load.upstream);
+        if (found == m_upstreams.end()) {
+            continue;
+        }
+        auto& others = found->second.others;
+        others.running += load.running;
+        others.memory_tokens += load.memory_tokens;
+        others.reading_left += load.reading_left;
+        for (const auto part : load.new_parts) {
+            found->second.cached_parts[part] = vm.heard_at;
+        }
+    }
+}
+
+void fleet_load::discount_loads(const known_vm& vm)
+{
+    for (const auto& load : vm.report.loads) {
+        const auto found = m_upstreams.find(load.upstream);
+        if (found == m_upstreams.end()) {
+            continue;
         }
+        auto& others = found->second.others;
+        others.running -= std::min(others.running, load.running);
+        others.memory_tokens -= std::min(others.memory_tokens, load.memory_tokens);
+        others.reading_left -= std::min(others.reading_left, load.reading_left);
     }
 }
 
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -85,15 +85,15 @@
 {
 }
 
-void placer::set_vms(const std::vector<known_vm>& vms)
+void placer::set_vms(const known_vms& vms)
 {
     m_vms.clear();
     for (const auto& vm : vms) {
-        if (vm.report.region == m_region) {
-            m_neighbours[vm.report.vm] = vm.heard_at;
+        if (vm->report.region == m_region) {
+            m_neighbours[vm->report.vm] = vm->heard_at;
         }
-        else if (vm.report.ready && !vm.report.leaving) {
-            m_vms[vm.report.region].push_back(vm.report.inner);
+        else if (vm->report.ready && !vm->report.leaving) {
+            m_vms[vm->report.region].push_back(vm->report.inner);
         }
     }
 }
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -38,6 +38,15 @@
     return std::make_shared<const service_plan>(document);
 }
 
+known_vms heard(const std::vector<known_vm>& vms)
+{
+    known_vms all;
+    for (const auto& vm : vms) {
+        all.push_back(std::make_shared<const known_vm>(vm));
+    }
+    return all;
+}
+
 /// Two engines here, one there, and one VM there.
 struct fleet {
     fleet()
@@ -49,7 +58,7 @@
         vm.report.region = there;
         vm.report.inner = {"10.0.1.1", 7000};
         vm.report.ready = true;
-        placing.set_vms({vm});
+        placing.set_vms(heard({vm}));
     }
 
     placing_request request(token_count prompt) const
@@ -111,7 +120,7 @@
         other.report.region = here;
         other.report.loads = {{upstream_name("a"), 1, 900ms, 40'000, {}},
                               {upstream_name("b"), 0, 0ms, 0, {}}};
-        one.load.set_reports(here, {other});
+        one.load.set_reports(here, heard({other}));
         CHECK(one.place(one.request(500)).upstream == upstream_name("b"));
     }
     SECTION("a prompt whose shared part an engine has read goes there")
@@ -132,7 +141,7 @@
         other.report.loads = {{upstream_name("b"), 1, 0ms, 5'000, {1}}};
         for (std::uint64_t shared = 1; shared < 4; ++shared) {
             other.report.loads[0].new_parts = {shared};
-            one.load.set_reports(here, {other});
+            one.load.set_reports(here, heard({other}));
             auto first = one.request(5'000);
             first.parts = {{shared, 4'800}, {9, 200}};
             CHECK(one.place(first).upstream == upstream_name("b"));
@@ -246,13 +255,14 @@
         return sent;
     };
     const auto hear = [&](int vms) {
-        std::vector<known_vm> heard(static_cast<std::size_t>(vms));
+        std::vector<known_vm> neighbours(static_cast<std::size_t>(vms));
         for (int vm = 0; vm < vms; ++vm) {
-            heard[static_cast<std::size_t>(vm)].report.vm = vm_name(std::to_string(vm));
-            heard[static_cast<std::size_t>(vm)].report.region = here;
-            heard[static_cast<std::size_t>(vm)].heard_at = one.now;
+            auto& neighbour = neighbours[static_cast<std::size_t>(vm)];
+            neighbour.report.vm = vm_name(std::to_string(vm));
+            neighbour.report.region = here;
+            neighbour.heard_at = one.now;
         }
-        one.placing.set_vms(heard);
+        one.placing.set_vms(heard(neighbours));
     };
 
     SECTION("a VM that has heard of none yet leaves room for those that may run")
--- a/src/request/quota/fleet_quota.cpp
+++ b/src/request/quota/fleet_quota.cpp
@@ -79,8 +79,12 @@
     auto& peer = m_peers[report.vm];
     const bool base = peer.process != report.process;
     if (base) {
-        peer = {report.process, {}};
+        peer = {report.process, 0, {}};
     }
+    if (!base && report.sequence <= peer.sequence) {
+        return;
+    }
+    peer.sequence = report.sequence;
     for (const auto& use : report.uses) {
         auto& seen = peer.admitted[use.customer];
         const auto found = m_buckets.find(use.customer);
--- a/src/request/quota/tests/fleet_quota_test.cpp
+++ b/src/request/quota/tests/fleet_quota_test.cpp
@@ -60,6 +60,7 @@
                 vm_report report;
                 report.vm = vm_name(std::to_string(from));
                 report.process = {1};
+                report.sequence = static_cast<std::uint64_t>((now - start) / report_interval) + 1;
                 report.uses = fleet[from].uses();
                 for (std::size_t to = 0; to < vms; ++to) {
                     if (to != from) {
