Callers and upstreams of the own data centre first

An entry answer now names the VMs of the caller's data centre when three or more are ready there; an upstream in another one of the region costs 15 ms more.

--- a/include/cardamomstream/process/deployment/entry_directory.h
+++ b/include/cardamomstream/process/deployment/entry_directory.h
@@ -23,6 +23,9 @@
 /// A process that has run for less may not have heard of every VM yet.
 inline constexpr std::chrono::seconds directory_settling_time{3};
 
+/// With so many ready VMs in its data centre a caller can try another one when one fails.
+inline constexpr std::size_t enough_near_vms = 3;
+
 /// What a VM knows when it is asked.
 struct directory_view {
     const service_plan* plan = nullptr; ///< null: none known
@@ -31,7 +34,8 @@
     bool settled = false; ///< the process has run for `directory_settling_time`
 };
 
-/// Entry addresses of the ready VMs of the caller's region. Where there are none, of the regions in which
+/// Entry addresses of the ready VMs of the caller's data centre, or of its region while fewer than
+/// `enough_near_vms` of them are ready. Where there are none, of the regions in which
 /// most routes of the host may be served, since a caller's request body goes to the VM that it connects to. A
 /// VM that is not settled names no other region than the best ones of the plan: the caller asks another VM
 /// meanwhile.
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -13,7 +13,8 @@
 class placer {
 public:
     /// `started_at`: a process that has just started has not heard of every VM of its region yet.
-    placer(region_name region, placing_settings settings, std::uint64_t seed, time_point started_at = {});
+    placer(region_name region, data_centre_name data_centre, placing_settings settings, std::uint64_t seed,
+           time_point started_at = {});
 
     /// VMs of every region that take requests; the own region counts this VM beside them.
     void set_vms(const known_vms& vms);
@@ -41,6 +42,7 @@
                      std::chrono::milliseconds predicted);
 
     region_name m_region;
+    data_centre_name m_data_centre;
     placing_settings m_settings;
     std::mt19937_64 m_random;
     time_point m_started_at;
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -72,6 +72,7 @@
     double ms_per_million_pairs = 0.63; ///< of attention between a prompt's tokens and those before them
     std::chrono::milliseconds first_event_base{25};   ///< batch step and network of an idle engine
     std::chrono::milliseconds region_round_trip{170}; ///< twice 80 ms between regions, and the hop
+    std::chrono::milliseconds data_centre_cost{15};   ///< of an upstream in another one of the region
     std::chrono::milliseconds mean_run_time{1'500};   ///< of a stream; a slot frees each run time / slots
     std::chrono::milliseconds plain_run_time{40};     ///< of a plain call
     token_count tokens_per_step = 1'024; ///< of a prompt that an engine reads between two answer tokens
--- a/src/process/deployment/entry_directory.cpp
+++ b/src/process/deployment/entry_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <map>
+#include <utility>
 
 namespace cardamomstream {
 
@@ -27,19 +28,27 @@
 std::vector<endpoint> entry_addresses(const entry_question& question, const node_settings& self,
                                       const directory_view& known)
 {
+    std::vector<endpoint> near;
     std::vector<endpoint> here;
     std::map<region_name, std::vector<endpoint>> elsewhere;
-    const auto add = [&](const region_name& region, const endpoint& entry) {
+    const auto add = [&](const region_name& region, const data_centre_name& data_centre,
+                         const endpoint& entry) {
         (region == question.region ? here : elsewhere[region]).push_back(entry);
+        if (region == question.region && data_centre == question.data_centre) {
+            near.push_back(entry);
+        }
     };
     if (known.self_ready && self.entry_listener) {
-        add(self.region, *self.entry_listener);
+        add(self.region, self.data_centre, *self.entry_listener);
     }
     for (const auto& vm : known.vms) {
         if (vm->report.ready && !vm->report.leaving && vm->report.entry.port != 0) {
-            add(vm->report.region, vm->report.entry);
+            add(vm->report.region, vm->report.data_centre, vm->report.entry);
         }
     }
+    if (near.size() >= enough_near_vms) {
+        here = std::move(near);
+    }
     if (here.empty()) {
         std::ptrdiff_t most = 0;
         for (const auto& [data_centre, region] : self.regions) {
--- a/src/process/deployment/tests/entry_directory_test.cpp
+++ b/src/process/deployment/tests/entry_directory_test.cpp
@@ -53,6 +53,30 @@
         CHECK(entry_addresses({"open.example", region_name("riga"), {}}, self, {&plan, vms, true, true}) ==
               std::vector<endpoint>{riga});
     }
+    SECTION("its region has two data centres")
+    {
+        const auto add = [&](const std::string& data_centre, std::uint16_t port) {
+            auto vm = vm_in("riga", port);
+            vm->report.data_centre = data_centre_name(data_centre);
+            vms.push_back(vm);
+        };
+        in_riga->report.data_centre = data_centre_name("riga-b");
+        add("riga-a", 10);
+        add("riga-a", 11);
+        const auto ask = [&] {
+            return entry_addresses({"open.example", region_name("riga"), data_centre_name("riga-a")}, self,
+                                   {&plan, vms, true, true});
+        };
+        SECTION("enough VMs in its own: those, so that its bytes stay there")
+        {
+            add("riga-a", 12);
+            CHECK(ask() == std::vector<endpoint>{{"10.0.0.1", 10}, {"10.0.0.1", 11}, {"10.0.0.1", 12}});
+        }
+        SECTION("fewer: those of the whole region, so that it has others to try")
+        {
+            CHECK(ask() == std::vector<endpoint>{riga, {"10.0.0.1", 10}, {"10.0.0.1", 11}});
+        }
+    }
     SECTION("its own region has none")
     {
         vms = {vm_in("riga", 2)};
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -38,7 +38,7 @@
     , log(decisions)
     , counters(metrics)
     , load(placing_of(node))
-    , placing(node.region, placing_of(node), seed, boot_clock::now())
+    , placing(node.region, node.data_centre, placing_of(node), seed, boot_clock::now())
     , random(seed)
 {
 }
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -77,8 +77,10 @@
     milliseconds_f cost{0};
 };
 
-placer::placer(region_name region, placing_settings settings, std::uint64_t seed, time_point started_at)
+placer::placer(region_name region, data_centre_name data_centre, placing_settings settings,
+               std::uint64_t seed, time_point started_at)
     : m_region(std::move(region))
+    , m_data_centre(std::move(data_centre))
     , m_settings(settings)
     , m_random(seed)
     , m_started_at(started_at)
@@ -137,6 +139,9 @@
     if (!one.here) {
         one.first_byte += m_settings.region_round_trip;
     }
+    else if (state.view.record.data_centre != m_data_centre) {
+        one.cost += m_settings.data_centre_cost;
+    }
     one.cost += one.first_byte;
     return one;
 }
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -84,7 +84,7 @@
     const plan_route* route = &plan->document().routes.front();
     deployment_view view;
     fleet_load load{placing_settings{}};
-    placer placing{here, placing_settings{}, 7};
+    placer placing{here, data_centre_name("riga-a"), placing_settings{}, 7};
 };
 
 } // namespace
@@ -114,6 +114,18 @@
         one.send("b", 4'000);
         CHECK(one.place(one.request(500)).verdict == placing_verdict::here);
     }
+    SECTION("of two that are alike, the one in its own data centre")
+    {
+        one.view.upstreams[0].record.data_centre = data_centre_name("riga-b");
+        one.view.upstreams[1].record.data_centre = data_centre_name("riga-a");
+        one.load.set_deployment(one.view);
+        CHECK(one.place(one.request(500)).upstream == upstream_name("b"));
+        SECTION("unless that is the busier one")
+        {
+            one.send("b", 2'000);
+            CHECK(one.place(one.request(500)).upstream == upstream_name("a"));
+        }
+    }
     SECTION("what other VMs of the region sent counts as they report it")
     {
         known_vm other;
@@ -271,7 +283,7 @@
     }
     SECTION("a VM that has just started, as a whole region may have, takes no more than one")
     {
-        one.placing = placer{here, placing_settings{}, 7, one.now};
+        one.placing = placer{here, data_centre_name("riga-a"), placing_settings{}, 7, one.now};
         CHECK(accepted() == 1);
     }
     SECTION("three VMs share it")
