Some upstreams are compared at random; tokens of requests that did not run are given back at all VMs

A VM now compares three times the upstreams that would be its own if they were divided, four at least, the one that its prompt prefers, and those that have read its shared part; small fleets still compare all. Test in fleet_quota_test, failed before.

--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -47,9 +47,12 @@
     std::chrono::milliseconds reading_left{0}; ///< of prompts whose first event has not come, as predicted
     token_count memory_tokens = 0;             ///< engine memory that the requests may take
     std::vector<std::uint64_t> new_parts;      ///< shared prompt parts sent there since the last report
+    std::chrono::milliseconds lateness{0}; ///< mean by which first bytes came later than predicted from loads
+    std::uint32_t lateness_samples = 0;    ///< first bytes since the last report
 };
 
-/// Tokens (or requests) that one VM has admitted for a customer since its start.
+/// Tokens (or requests) that one VM has admitted for a customer since its start, less those of requests that
+/// did not run.
 struct customer_use {
     customer_name customer;
     double admitted = 0;
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -20,6 +20,7 @@
     token_count memory = 0;
     time_point sent_at;
     std::chrono::milliseconds predicted{0};
+    std::chrono::milliseconds modelled{0}; ///< the part of `predicted` that follows from known loads
     bool first_event_seen = false;
 };
 
@@ -30,6 +31,21 @@
     struct unread_prompt {
         std::uint64_t number = 0;
         std::chrono::milliseconds reading{0};
+        time_point due; ///< of its first event, by the known loads
+    };
+
+    /// A moving average of how much later first bytes come than the known loads explain, at one upstream or
+    /// over all of a service. It shows load of VMs that are not heard, and upstreams that are slow.
+    struct lateness_average {
+        double ms = 0;
+        time_point at;
+    };
+
+    /// How fast an average of lateness takes samples and fades.
+    struct lateness_memory {
+        double least_weight = 0; ///< of one sample
+        double most_weight = 0;  ///< of one sample, when the average is old
+        std::chrono::milliseconds time{0};
     };
 
     struct upstream_state {
@@ -49,6 +65,10 @@
         std::uint32_t failures_in_row = 0;
         time_point suspected_until;
         time_point heard_at; ///< last byte from it
+        lateness_average lateness;
+        double unreported_lateness_ms = 0; ///< sum over the samples since the last report
+        std::uint32_t unreported_samples = 0;
+        time_point full_until; ///< it has rejected a request for lack of room
     };
 
     explicit fleet_load(placing_settings settings);
@@ -88,12 +108,19 @@
 
     std::uint32_t running(const upstream_state& state, time_point now) const;
 
+    /// Time by which the first byte is expected later than the known loads explain; never negative.
+    std::chrono::milliseconds lateness(const upstream_state& state, time_point now) const;
+
     /// Time until an engine has read the prompts that were sent to it before.
     std::chrono::milliseconds reading_left(const upstream_state& state, time_point now) const;
 
     /// Longest pause between two events of the streams at an engine while it reads the request's prompt.
     std::chrono::milliseconds event_gap(const upstream_state& state, const placing_request& request) const;
 
+    /// Tokens at the beginning of the request's prompt that the engine has read lately.
+    token_count cached_tokens(const upstream_state& state, const placing_request& request,
+                              time_point now) const;
+
     /// Time in which the engine reads what it has not cached of the request's prompt.
     std::chrono::milliseconds reading_time(const upstream_state& state, const placing_request& request,
                                            time_point now) const;
@@ -106,10 +133,16 @@
     placing_settings m_settings;
     void count_loads(const known_vm& vm);
     void discount_loads(const known_vm& vm);
+    void learn_lateness(const known_vm& vm);
+    void add_lateness(upstream_state& state, double mean_ms, std::uint32_t samples, time_point now);
+    void sample_lateness(upstream_state& state, const sent_request& sent, time_point now);
+    double usual_lateness_ms(const pool_name& service, time_point now) const;
+    double signed_lateness_ms(const upstream_state& state, time_point now) const;
 
     std::unordered_map<upstream_name, upstream_state> m_upstreams;
     std::unordered_map<vm_name, std::shared_ptr<const known_vm>>
-        m_counted; ///< VMs whose loads are in `others`
+        m_counted;                                                    ///< VMs whose loads are in `others`
+    std::unordered_map<pool_name, lateness_average> m_usual_lateness; ///< over all upstreams of a service
     double m_scale = 1;
     std::uint64_t m_last_number = 0;
     std::chrono::milliseconds m_unreported{0}; ///< reading time sent since the last report
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -37,6 +37,7 @@
     bool cold_room(const fleet_load::upstream_state& state, const plan_service& service,
                    time_point now) const;
     static void add_failure_costs(std::vector<candidate>& candidates);
+    void keep_some(std::vector<candidate>& candidates, const upstream_name* preferred);
     endpoint vm_of(const region_name& region);
     placement refuse(const placing_request& request, placing_verdict verdict,
                      std::chrono::milliseconds predicted);
--- a/include/cardamomstream/request/quota/fleet_quota.h
+++ b/include/cardamomstream/request/quota/fleet_quota.h
@@ -27,7 +27,7 @@
     /// Gives back what a request took that did not run.
     void refund(const customer_name& customer, double amount);
 
-    /// Takes what another VM has admitted since its last report. The first report of a process is its base.
+    /// Takes what another VM has admitted since its last report, and gives back what it gave back. The first report of a process is its base.
     void apply(const vm_report& report);
 
     /// Time until the customer's level is above zero, at the present rate.
@@ -39,7 +39,8 @@
     struct bucket {
         customer_allowance allowance;
         double level = 0;
-        double admitted = 0; ///< here, since the start
+        double admitted = 0; ///< here, since the start, less what was given back
+        bool used = false;   ///< something was admitted here
         time_point filled_at;
     };
 
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -41,6 +41,8 @@
     message.set_reading_left_ms(
         static_cast<std::uint64_t>(std::max<std::int64_t>(0, load.reading_left.count())));
     message.mutable_new_parts()->Add(load.new_parts.begin(), load.new_parts.end());
+    message.set_lateness_ms(static_cast<std::int32_t>(load.lateness.count()));
+    message.set_lateness_samples(load.lateness_samples);
 }
 
 upstream_load decode_load(const report_messages::Load& message)
@@ -51,6 +53,8 @@
     load.memory_tokens = static_cast<token_count>(message.memory_tokens());
     load.reading_left = std::chrono::milliseconds(message.reading_left_ms());
     load.new_parts.assign(message.new_parts().begin(), message.new_parts().end());
+    load.lateness = std::chrono::milliseconds(message.lateness_ms());
+    load.lateness_samples = message.lateness_samples();
     return load;
 }
 
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -1,6 +1,7 @@
 #include "cardamomstream/request/placing/fleet_load.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace cardamomstream {
@@ -22,6 +23,18 @@
 constexpr double min_scale = 0.5;
 constexpr double max_scale = 3;
 
+// Weight of one sample in the averages of lateness at least, and when the average is older than its memory;
+// and the time in which an average fades: that of an upstream towards its service's, that one towards none.
+// An upstream that was left out for its lateness is so tried again.
+constexpr fleet_load::lateness_memory upstream_lateness{0.25, 0.5, std::chrono::milliseconds{1'500}};
+constexpr fleet_load::lateness_memory service_lateness{0.03, 0.15, std::chrono::milliseconds{3'000}};
+constexpr double least_lateness_ms = -500; ///< of one sample
+constexpr double most_lateness_ms = 4'000;
+
+/// Time in which an upstream that rejected a request for lack of room is left out: some requests end within
+/// it.
+constexpr std::chrono::milliseconds full_time{150};
+
 /// Reading time sent since the last report that makes another one due.
 constexpr std::chrono::milliseconds report_due{60};
 
@@ -29,6 +42,23 @@
 constexpr std::chrono::milliseconds longest_suspicion{3'000};
 constexpr std::uint32_t failures_until_suspected = 3; ///< broken answers in a row; one when unreachable
 
+/// An average as it stands at `now`: it has moved from its last value towards `rest`.
+double faded(const fleet_load::lateness_average& average, double rest,
+             const fleet_load::lateness_memory& memory, time_point now)
+{
+    const std::chrono::duration<double> passed = now - average.at;
+    return rest + (average.ms - rest) * std::exp(-passed / std::chrono::duration<double>(memory.time));
+}
+
+/// Weight of `samples` that come at once.
+double weight_of(std::uint32_t samples, const fleet_load::lateness_average& average,
+                 const fleet_load::lateness_memory& memory, time_point now)
+{
+    const std::chrono::duration<double> age = now - average.at;
+    const double by_age = 1 - std::exp(-age / std::chrono::duration<double>(memory.time));
+    return std::max(1 - std::pow(1 - memory.least_weight, samples), std::min(by_age, memory.most_weight));
+}
+
 } // namespace
 
 std::string_view to_text(send_outcome outcome) noexcept
@@ -125,6 +155,7 @@
             discount_loads(*node.mapped());
         }
         count_loads(*vm);
+        learn_lateness(*vm);
         counted.emplace(vm->report.vm, vm);
     }
     for (const auto& [name, vm] : m_counted) {
@@ -164,6 +195,58 @@
     }
 }
 
+void fleet_load::learn_lateness(const known_vm& vm)
+{
+    for (const auto& load : vm.report.loads) {
+        const auto found = m_upstreams.find(load.upstream);
+        if (found != m_upstreams.end() && load.lateness_samples > 0) {
+            add_lateness(found->second, static_cast<double>(load.lateness.count()), load.lateness_samples,
+                         vm.heard_at);
+        }
+    }
+}
+
+double fleet_load::usual_lateness_ms(const pool_name& service, time_point now) const
+{
+    const auto found = m_usual_lateness.find(service);
+    return found == m_usual_lateness.end() ? 0 : faded(found->second, 0, service_lateness, now);
+}
+
+double fleet_load::signed_lateness_ms(const upstream_state& state, time_point now) const
+{
+    return faded(state.lateness, usual_lateness_ms(state.view.record.service, now), upstream_lateness, now);
+}
+
+std::chrono::milliseconds fleet_load::lateness(const upstream_state& state, time_point now) const
+{
+    auto late = std::chrono::milliseconds(static_cast<std::int64_t>(signed_lateness_ms(state, now)));
+    if (!state.unread.empty()) {
+        // A first event that is overdue says so before it comes.
+        late = std::max(late, std::chrono::floor<std::chrono::milliseconds>(now - state.unread.front().due));
+    }
+    return std::max(late, std::chrono::milliseconds{0});
+}
+
+void fleet_load::add_lateness(upstream_state& state, double mean_ms, std::uint32_t samples, time_point now)
+{
+    const auto sample = std::clamp(mean_ms, least_lateness_ms, most_lateness_ms);
+    const auto towards = [&](double from, const lateness_average& average, const lateness_memory& memory) {
+        return from + weight_of(samples, average, memory, now) * (sample - from);
+    };
+    const auto& service = state.view.record.service;
+    auto& usual = m_usual_lateness[service];
+    state.lateness = {towards(signed_lateness_ms(state, now), state.lateness, upstream_lateness), now};
+    usual = {towards(usual_lateness_ms(service, now), usual, service_lateness), now};
+}
+
+void fleet_load::sample_lateness(upstream_state& state, const sent_request& sent, time_point now)
+{
+    const auto late = std::chrono::duration<double, std::milli>(now - sent.sent_at - sent.modelled).count();
+    add_lateness(state, late, 1, now);
+    state.unreported_lateness_ms += std::clamp(late, least_lateness_ms, most_lateness_ms);
+    state.unreported_samples += 1;
+}
+
 sent_request fleet_load::begin(const upstream_name& upstream, const placing_request& request,
                                std::chrono::milliseconds predicted, time_point now)
 {
@@ -177,6 +260,7 @@
         return sent;
     }
     auto& state = found->second;
+    sent.modelled = std::max(predicted - lateness(state, now), std::chrono::milliseconds{0});
     sent.reading = reading_time(state, request, now);
     sent.memory = request.prompt_tokens + request.answer_tokens;
     if (state.own.running == 0) {
@@ -186,7 +270,7 @@
     if (state.unread.empty()) {
         state.reading_since = now;
     }
-    state.unread.push_back({sent.number, sent.reading});
+    state.unread.push_back({sent.number, sent.reading, now + sent.modelled});
     m_unreported += sent.reading;
     state.own.memory_tokens += sent.memory;
     if (state.view.cold_until > now) {
@@ -216,6 +300,7 @@
         return;
     }
     forget_prompt(found->second, sent.number, now);
+    sample_lateness(found->second, sent, now);
     if (found->second.engine_batch > 0 && sent.reading >= least_telling_reading) {
         const double ratio = std::chrono::duration<double, std::milli>(now - sent.sent_at).count() /
                              static_cast<double>(sent.predicted.count());
@@ -239,6 +324,13 @@
     if (outcome == send_outcome::abandoned) {
         return;
     }
+    if (outcome == send_outcome::rejected) {
+        state.full_until = now + full_time;
+    }
+    const bool answered = outcome == send_outcome::answered || outcome == send_outcome::failed;
+    if (!sent.first_event_seen && (answered || outcome == send_outcome::silent)) {
+        sample_lateness(state, sent, now);
+    }
     const bool failure = outcome != send_outcome::answered && outcome != send_outcome::rejected;
     state.outcomes += 1;
     state.failure_rate += failure_weight * ((failure ? 1.0 : 0.0) - state.failure_rate);
@@ -315,10 +407,16 @@
 {
     std::vector<upstream_load> loads;
     for (auto& [id, state] : m_upstreams) {
-        if (state.own.running > 0 || !state.own.new_parts.empty()) {
+        if (state.own.running > 0 || !state.own.new_parts.empty() || state.unreported_samples > 0) {
             loads.push_back(state.own);
-            loads.back().upstream = id;
-            loads.back().reading_left = own_reading_left(state, now);
+            auto& load = loads.back();
+            load.upstream = id;
+            load.reading_left = own_reading_left(state, now);
+            if (state.unreported_samples > 0) {
+                load.lateness_samples = std::exchange(state.unreported_samples, 0);
+                load.lateness = std::chrono::milliseconds(static_cast<std::int64_t>(
+                    std::exchange(state.unreported_lateness_ms, 0) / load.lateness_samples));
+            }
             state.own.new_parts.clear();
         }
     }
@@ -368,8 +466,8 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(step_ms * state.tokens_per_event));
 }
 
-std::chrono::milliseconds fleet_load::reading_time(const upstream_state& state,
-                                                   const placing_request& request, time_point now) const
+token_count fleet_load::cached_tokens(const upstream_state& state, const placing_request& request,
+                                      time_point now) const
 {
     token_count cached = 0;
     for (std::size_t at = 0; at + 1 < request.parts.size(); ++at) {
@@ -379,6 +477,13 @@
         }
         cached += request.parts[at].tokens;
     }
+    return cached;
+}
+
+std::chrono::milliseconds fleet_load::reading_time(const upstream_state& state,
+                                                   const placing_request& request, time_point now) const
+{
+    const auto cached = cached_tokens(state, request, now);
     const auto unread = static_cast<double>(std::max<token_count>(0, request.prompt_tokens - cached));
     const double pairs = unread * (static_cast<double>(cached) + unread / 2);
     constexpr double million = 1e6;
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -33,9 +33,17 @@
 constexpr double failure_tolerance = 0.08;
 constexpr std::uint64_t telling_outcomes = 5; ///< fewer say nothing of an upstream
 
+/// Cached tokens of a prompt that make an upstream worth comparing: they save some 20 ms of reading.
+constexpr token_count telling_cached_tokens = 1'024;
+
 constexpr std::chrono::milliseconds min_retry_after{200};
 constexpr std::chrono::milliseconds no_upstream_retry_after{800};
 
+/// Upstreams that are compared for one request: this many for each one that the VM would have for itself if
+/// those of a region were divided between its VMs, and the least number.
+constexpr std::size_t compared_for_share = 3;
+constexpr std::size_t least_compared = 4;
+
 /// VMs of a region that share a cold upstream's bound at least: one that was killed may be back and not heard
 /// of.
 constexpr std::size_t min_vms_for_cold = 3;
@@ -72,6 +80,7 @@
     const fleet_load::upstream_state* state = nullptr;
     bool here = true;
     bool suspected = false;
+    bool knows_prompt = false; ///< it has read a large shared part of the prompt
     milliseconds_f reading{0}; ///< of the request's own prompt
     milliseconds_f first_byte{0};
     milliseconds_f cost{0};
@@ -129,6 +138,7 @@
         one.first_byte += (reading + queue) * load.prediction_scale();
         one.first_byte += std::max(0.0, memory / room - 1) * milliseconds_f(m_settings.mean_run_time);
         one.reading = reading * load.prediction_scale();
+        one.knows_prompt = load.cached_tokens(state, request, now) >= telling_cached_tokens;
         one.cost = reading * reading_weight;
         const auto gap_objective = request.route->event_gap_objective;
         if (gap_objective > std::chrono::milliseconds::zero() &&
@@ -201,12 +211,29 @@
     }
 }
 
+void placer::keep_some(std::vector<candidate>& candidates, const upstream_name* preferred)
+{
+    // The VMs of a region see the same loads, some of them late. If all took the best upstream, it would get
+    // the requests of all until the next reports.
+    const auto vms = m_neighbours.size() + 1;
+    const auto kept = std::max<std::size_t>(least_compared, compared_for_share * candidates.size() / vms);
+    if (kept >= candidates.size()) {
+        return;
+    }
+    std::shuffle(candidates.begin(), candidates.end(), m_random);
+    std::erase_if(candidates, [&, number = std::size_t{0}](const candidate& one) mutable {
+        const bool wanted = preferred != nullptr && one.state->view.record.id == *preferred;
+        return ++number > kept && !wanted && !one.knows_prompt;
+    });
+}
+
 placement placer::place(const placing_request& request, const service_plan& plan, const fleet_load& load,
                         time_point now)
 {
     const auto* service = plan.find_service(request.service);
     std::vector<candidate> candidates;
     bool any_cold = false;
+    bool any_full = false;
     for (const auto& [id, state] : load.all()) {
         const auto& view = state.view;
         const bool here = view.region == m_region;
@@ -220,6 +247,10 @@
         if (!here && (!m_vms.contains(view.region) || view.cold_until > now)) {
             continue;
         }
+        if (state.full_until > now) {
+            any_full = true;
+            continue;
+        }
         if (here && service != nullptr && !cold_room(state, *service, now)) {
             any_cold = true;
             continue;
@@ -227,7 +258,11 @@
         candidates.push_back(rate(request, load, state, now));
     }
     if (candidates.empty()) {
-        return refuse(request, any_cold ? placing_verdict::cold : placing_verdict::no_upstream, {});
+        return refuse(request,
+                      any_cold   ? placing_verdict::cold
+                      : any_full ? placing_verdict::overloaded
+                                 : placing_verdict::no_upstream,
+                      {});
     }
     // A pool in which every upstream is suspected is more likely a fault of this VM's view: all stay in.
     const bool all_suspected =
@@ -236,15 +271,18 @@
         std::erase_if(candidates, [](const candidate& one) { return one.suspected; });
     }
     add_failure_costs(candidates);
+    const upstream_name* preferred_id = nullptr;
     if (const auto prompt = shared_prompt_of(request.parts); prompt != 0) {
         const auto preferred = std::max_element(
             candidates.begin(), candidates.end(), [&](const candidate& one, const candidate& other) {
                 return std::pair(one.here, preference(prompt, one.state->view.record.id)) <
                        std::pair(other.here, preference(prompt, other.state->view.record.id));
             });
+        preferred_id = &preferred->state->view.record.id;
         preferred->cost -= milliseconds_f(static_cast<double>(shared_tokens(request.parts)) /
                                           m_settings.prompt_tokens_per_ms * agreement_bonus);
     }
+    keep_some(candidates, preferred_id);
     const auto best =
         std::min_element(candidates.begin(), candidates.end(),
                          [](const candidate& one, const candidate& other) { return one.cost < other.cost; });
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -76,7 +76,9 @@
 
     sent_request send(const std::string& upstream, token_count prompt)
     {
-        return load.begin(upstream_name(upstream), request(prompt), 100ms, now);
+        const auto made = request(prompt);
+        const auto predicted = placing.predict(made, load, *load.find(upstream_name(upstream)), now);
+        return load.begin(upstream_name(upstream), made, predicted, now);
     }
 
     time_point now{1'000s};
@@ -175,8 +177,8 @@
     fleet one;
     one.view.upstreams.pop_back(); // no other region
     one.load.set_deployment(one.view);
-    one.send("a", 60'000);
-    one.send("b", 60'000);
+    auto at_a = one.send("a", 60'000);
+    auto at_b = one.send("b", 60'000);
 
     SECTION("with the time after which the wait is over")
     {
@@ -194,7 +196,9 @@
     }
     SECTION("and again served when the engines have read what was before it")
     {
-        one.now += 3s;
+        one.now += 2'400ms;
+        one.load.first_event(at_a, one.now);
+        one.load.first_event(at_b, one.now);
         CHECK(one.place(one.request(500)).verdict == placing_verdict::here);
     }
 }
@@ -225,7 +229,8 @@
         CHECK(one.place(one.request(500)).upstream == upstream_name("b"));
         one.load.heard(upstream_name("a"), one.now);
         one.load.first_event(owed, one.now);
-        auto busy = one.send("b", 3'000);
+        auto busy = one.send("b", 30'000);
+        one.placing.set_vms({}); // no other region
         CHECK(one.place(one.request(500)).upstream == upstream_name("a"));
     }
     SECTION("when all are suspected, none is left out")
@@ -306,6 +311,84 @@
     }
 }
 
+TEST_CASE("first events come later than the known loads explain")
+{
+    // As when other VMs that are not heard send to the same engine, or when it is slow.
+    fleet one;
+    const auto answer = [&](const std::string& upstream, std::chrono::milliseconds after, int times) {
+        std::vector<sent_request> sent;
+        for (int number = 0; number < times; ++number) {
+            sent.push_back(one.send(upstream, 500));
+        }
+        one.now += after;
+        for (auto& made : sent) {
+            one.load.first_event(made, one.now);
+            one.load.end(made, send_outcome::answered, one.now);
+        }
+    };
+
+    SECTION("at one engine: requests go to the other")
+    {
+        answer("a", 500ms, 3);
+        CHECK(one.place(one.request(500)).upstream == upstream_name("b"));
+        SECTION("and it is tried again after a while")
+        {
+            one.now += 10s;
+            one.send("b", 4'000);
+            CHECK(one.place(one.request(500)).upstream == upstream_name("a"));
+        }
+    }
+    SECTION("at an engine that another VM has sent to, as that one reports")
+    {
+        known_vm other;
+        other.report.vm = vm_name("other");
+        other.report.region = here;
+        other.heard_at = one.now;
+        upstream_load late{upstream_name("a"), 0, 0ms, 0, {}};
+        late.lateness = 400ms;
+        late.lateness_samples = 4;
+        other.report.loads = {late};
+        one.load.set_reports(here, heard({other}));
+        CHECK(one.place(one.request(500)).upstream == upstream_name("b"));
+    }
+    SECTION("at all of them by more than the objective: a refusal at once, with a time to come back")
+    {
+        one.placing.set_vms({});
+        answer("a", 900ms, 10);
+        answer("b", 900ms, 10);
+        const auto refused = one.place(one.request(500));
+        CHECK(refused.verdict == placing_verdict::overloaded);
+        CHECK(refused.retry_after >= 150ms);
+    }
+    SECTION("one that is overdue says so before it comes")
+    {
+        one.send("a", 500);
+        one.now += 400ms;
+        CHECK(one.place(one.request(500)).upstream == upstream_name("b"));
+    }
+}
+
+TEST_CASE("an upstream rejects a request because it is full")
+{
+    fleet one;
+    auto sent = one.send("a", 500);
+    one.load.end(sent, send_outcome::rejected, one.now);
+    SECTION("it gets no other for a moment")
+    {
+        one.send("b", 3'000);
+        CHECK(one.place(one.request(500)).upstream == upstream_name("b"));
+        one.now += 1s;
+        CHECK(one.place(one.request(500)).upstream == upstream_name("a"));
+    }
+    SECTION("all are full: a refusal at once")
+    {
+        one.placing.set_vms({});
+        auto other = one.send("b", 500);
+        one.load.end(other, send_outcome::rejected, one.now);
+        CHECK(one.place(one.request(500)).verdict == placing_verdict::overloaded);
+    }
+}
+
 TEST_CASE("homes bind")
 {
     fleet one;
--- a/src/request/quota/fleet_quota.cpp
+++ b/src/request/quota/fleet_quota.cpp
@@ -61,6 +61,7 @@
         one.level -= amount;
     }
     one.admitted += amount;
+    one.used = true;
     return true;
 }
 
@@ -70,8 +71,8 @@
     if (found == m_buckets.end()) {
         return;
     }
-    // `admitted` never shrinks, since the others take its growth off; the local level alone is raised.
     found->second.level += amount;
+    found->second.admitted -= amount; // the others give it back when they hear of it
 }
 
 void fleet_quota::apply(const vm_report& report)
@@ -88,10 +89,10 @@
     for (const auto& use : report.uses) {
         auto& seen = peer.admitted[use.customer];
         const auto found = m_buckets.find(use.customer);
-        if (!base && found != m_buckets.end() && found->second.allowance.limited && use.admitted > seen) {
+        if (!base && found != m_buckets.end() && found->second.allowance.limited) {
             found->second.level -= use.admitted - seen;
         }
-        seen = std::max(seen, use.admitted);
+        seen = use.admitted;
     }
 }
 
@@ -112,7 +113,7 @@
 {
     std::vector<customer_use> all;
     for (const auto& [name, one] : m_buckets) {
-        if (one.admitted > 0) {
+        if (one.used) {
             all.push_back({name, one.admitted});
         }
     }
--- a/src/request/quota/tests/fleet_quota_test.cpp
+++ b/src/request/quota/tests/fleet_quota_test.cpp
@@ -124,6 +124,27 @@
         quota.refund(busy, 6'000);
         CHECK(quota.admit(busy, 1, start));
     }
+    SECTION("and gives it back at the other VMs, though they have heard of it")
+    {
+        fleet_quota other;
+        quota.set_plan(plan_of(10'000, 10'000), start);
+        other.set_plan(plan_of(10'000, 10'000), start);
+        vm_report report;
+        report.vm = vm_name("vm");
+        report.process = {1};
+        const auto tell = [&] {
+            report.sequence += 1;
+            report.uses = quota.uses();
+            other.apply(report);
+        };
+        tell();
+        CHECK(quota.admit(busy, 6'000, start));
+        tell();
+        CHECK_FALSE(other.admit(busy, 1, start));
+        quota.refund(busy, 6'000);
+        tell();
+        CHECK(other.admit(busy, 1, start));
+    }
     SECTION("a refusal tells when the level is above zero again")
     {
         quota.set_plan(plan_of(10'000, 10'000), start);
