Refusals and the choice of a region look at how late first events come in the region

Now the mean lateness beyond the prediction is kept for each service and region from own requests and from reports, and added to the prediction. It is the same for all upstreams of a region, so it moves nothing between them.

--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -6,6 +6,7 @@
 #include "cardamomstream/request/placing/placing_types.h"
 
 #include <deque>
+#include <map>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -31,23 +32,15 @@
     struct unread_prompt {
         std::uint64_t number = 0;
         std::chrono::milliseconds reading{0};
-        time_point due; ///< of its first event, by the known loads
     };
 
-    /// A moving average of how much later first bytes come than the known loads explain, at one upstream or
-    /// over all of a service. It shows load of VMs that are not heard, and upstreams that are slow.
+    /// A moving average of how much later first bytes come than the known loads explain, over all upstreams
+    /// of a service in a region. It shows load of VMs that are not heard, and that of the last moment.
     struct lateness_average {
         double ms = 0;
         time_point at;
     };
 
-    /// How fast an average of lateness takes samples and fades.
-    struct lateness_memory {
-        double least_weight = 0; ///< of one sample
-        double most_weight = 0;  ///< of one sample, when the average is old
-        std::chrono::milliseconds time{0};
-    };
-
     struct upstream_state {
         upstream_view view;
         std::uint32_t engine_batch = 0; ///< 0: a plain service
@@ -64,8 +57,7 @@
         std::uint64_t outcomes = 0; ///< sends that the average is made of
         std::uint32_t failures_in_row = 0;
         time_point suspected_until;
-        time_point heard_at; ///< last byte from it
-        lateness_average lateness;
+        time_point heard_at;               ///< last byte from it
         double unreported_lateness_ms = 0; ///< sum over the samples since the last report
         std::uint32_t unreported_samples = 0;
         time_point full_until; ///< it has rejected a request for lack of room
@@ -108,8 +100,10 @@
 
     std::uint32_t running(const upstream_state& state, time_point now) const;
 
-    /// Time by which the first byte is expected later than the known loads explain; never negative.
-    std::chrono::milliseconds lateness(const upstream_state& state, time_point now) const;
+    /// Time by which a first byte of the service in the region is expected later than the known loads
+    /// explain; never negative.
+    std::chrono::milliseconds usual_lateness(const pool_name& service, const region_name& region,
+                                             time_point now) const;
 
     /// Time until an engine has read the prompts that were sent to it before.
     std::chrono::milliseconds reading_left(const upstream_state& state, time_point now) const;
@@ -134,15 +128,14 @@
     void count_loads(const known_vm& vm);
     void discount_loads(const known_vm& vm);
     void learn_lateness(const known_vm& vm);
-    void add_lateness(upstream_state& state, double mean_ms, std::uint32_t samples, time_point now);
+    void add_lateness(const upstream_state& state, double mean_ms, std::uint32_t samples, time_point now);
     void sample_lateness(upstream_state& state, const sent_request& sent, time_point now);
-    double usual_lateness_ms(const pool_name& service, time_point now) const;
-    double signed_lateness_ms(const upstream_state& state, time_point now) const;
+    double signed_lateness_ms(const lateness_average& average, time_point now) const;
 
     std::unordered_map<upstream_name, upstream_state> m_upstreams;
     std::unordered_map<vm_name, std::shared_ptr<const known_vm>>
-        m_counted;                                                    ///< VMs whose loads are in `others`
-    std::unordered_map<pool_name, lateness_average> m_usual_lateness; ///< over all upstreams of a service
+        m_counted; ///< VMs whose loads are in `others`
+    std::map<std::pair<pool_name, region_name>, lateness_average> m_lateness;
     double m_scale = 1;
     std::uint64_t m_last_number = 0;
     std::chrono::milliseconds m_unreported{0}; ///< reading time sent since the last report
--- a/include/cardamomstream/request/quota/fleet_quota.h
+++ b/include/cardamomstream/request/quota/fleet_quota.h
@@ -27,7 +27,8 @@
     /// Gives back what a request took that did not run.
     void refund(const customer_name& customer, double amount);
 
-    /// Takes what another VM has admitted since its last report, and gives back what it gave back. The first report of a process is its base.
+    /// Takes what another VM has admitted since its last report, and gives back what that one has given back.
+    /// The first report of a process is its base.
     void apply(const vm_report& report);
 
     /// Time until the customer's level is above zero, at the present rate.
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -23,13 +23,14 @@
 constexpr double min_scale = 0.5;
 constexpr double max_scale = 3;
 
-// Weight of one sample in the averages of lateness at least, and when the average is older than its memory;
-// and the time in which an average fades: that of an upstream towards its service's, that one towards none.
-// An upstream that was left out for its lateness is so tried again.
-constexpr fleet_load::lateness_memory upstream_lateness{0.25, 0.5, std::chrono::milliseconds{1'500}};
-constexpr fleet_load::lateness_memory service_lateness{0.03, 0.15, std::chrono::milliseconds{3'000}};
-constexpr double least_lateness_ms = -500; ///< of one sample
-constexpr double most_lateness_ms = 4'000;
+// An average of lateness takes a sample with this weight, more when it is old, and fades towards none.
+constexpr double least_lateness_weight = 0.03;
+constexpr double most_lateness_weight = 0.15;
+constexpr std::chrono::duration<double> lateness_memory{3};
+
+// Bounds of one sample: a prompt that was read far slower than predicted says little of the wait before it.
+constexpr double least_lateness_ms = -200;
+constexpr double most_lateness_ms = 800;
 
 /// Time in which an upstream that rejected a request for lack of room is left out: some requests end within
 /// it.
@@ -42,23 +43,6 @@
 constexpr std::chrono::milliseconds longest_suspicion{3'000};
 constexpr std::uint32_t failures_until_suspected = 3; ///< broken answers in a row; one when unreachable
 
-/// An average as it stands at `now`: it has moved from its last value towards `rest`.
-double faded(const fleet_load::lateness_average& average, double rest,
-             const fleet_load::lateness_memory& memory, time_point now)
-{
-    const std::chrono::duration<double> passed = now - average.at;
-    return rest + (average.ms - rest) * std::exp(-passed / std::chrono::duration<double>(memory.time));
-}
-
-/// Weight of `samples` that come at once.
-double weight_of(std::uint32_t samples, const fleet_load::lateness_average& average,
-                 const fleet_load::lateness_memory& memory, time_point now)
-{
-    const std::chrono::duration<double> age = now - average.at;
-    const double by_age = 1 - std::exp(-age / std::chrono::duration<double>(memory.time));
-    return std::max(1 - std::pow(1 - memory.least_weight, samples), std::min(by_age, memory.most_weight));
-}
-
 } // namespace
 
 std::string_view to_text(send_outcome outcome) noexcept
@@ -206,44 +190,38 @@
     }
 }
 
-double fleet_load::usual_lateness_ms(const pool_name& service, time_point now) const
-{
-    const auto found = m_usual_lateness.find(service);
-    return found == m_usual_lateness.end() ? 0 : faded(found->second, 0, service_lateness, now);
-}
-
-double fleet_load::signed_lateness_ms(const upstream_state& state, time_point now) const
+double fleet_load::signed_lateness_ms(const lateness_average& average, time_point now) const
 {
-    return faded(state.lateness, usual_lateness_ms(state.view.record.service, now), upstream_lateness, now);
+    const std::chrono::duration<double> age = now - average.at;
+    return average.ms * std::exp(-age / lateness_memory);
 }
 
-std::chrono::milliseconds fleet_load::lateness(const upstream_state& state, time_point now) const
+std::chrono::milliseconds fleet_load::usual_lateness(const pool_name& service, const region_name& region,
+                                                     time_point now) const
 {
-    auto late = std::chrono::milliseconds(static_cast<std::int64_t>(signed_lateness_ms(state, now)));
-    if (!state.unread.empty()) {
-        // A first event that is overdue says so before it comes.
-        late = std::max(late, std::chrono::floor<std::chrono::milliseconds>(now - state.unread.front().due));
-    }
-    return std::max(late, std::chrono::milliseconds{0});
+    const auto found = m_lateness.find({service, region});
+    const double late = found == m_lateness.end() ? 0 : signed_lateness_ms(found->second, now);
+    return std::chrono::milliseconds(static_cast<std::int64_t>(std::max(late, 0.0)));
 }
 
-void fleet_load::add_lateness(upstream_state& state, double mean_ms, std::uint32_t samples, time_point now)
+void fleet_load::add_lateness(const upstream_state& state, double mean_ms, std::uint32_t samples,
+                              time_point now)
 {
-    const auto sample = std::clamp(mean_ms, least_lateness_ms, most_lateness_ms);
-    const auto towards = [&](double from, const lateness_average& average, const lateness_memory& memory) {
-        return from + weight_of(samples, average, memory, now) * (sample - from);
-    };
-    const auto& service = state.view.record.service;
-    auto& usual = m_usual_lateness[service];
-    state.lateness = {towards(signed_lateness_ms(state, now), state.lateness, upstream_lateness), now};
-    usual = {towards(usual_lateness_ms(service, now), usual, service_lateness), now};
+    auto& average = m_lateness[{state.view.record.service, state.view.region}];
+    const std::chrono::duration<double> age = now - average.at;
+    const double by_age = std::min(1 - std::exp(-age / lateness_memory), most_lateness_weight);
+    const double weight = std::max(1 - std::pow(1 - least_lateness_weight, samples), by_age);
+    const double before = signed_lateness_ms(average, now);
+    average = {before + weight * (mean_ms - before), now};
 }
 
 void fleet_load::sample_lateness(upstream_state& state, const sent_request& sent, time_point now)
 {
-    const auto late = std::chrono::duration<double, std::milli>(now - sent.sent_at - sent.modelled).count();
+    const auto late =
+        std::clamp(std::chrono::duration<double, std::milli>(now - sent.sent_at - sent.modelled).count(),
+                   least_lateness_ms, most_lateness_ms);
     add_lateness(state, late, 1, now);
-    state.unreported_lateness_ms += std::clamp(late, least_lateness_ms, most_lateness_ms);
+    state.unreported_lateness_ms += late;
     state.unreported_samples += 1;
 }
 
@@ -260,7 +238,8 @@
         return sent;
     }
     auto& state = found->second;
-    sent.modelled = std::max(predicted - lateness(state, now), std::chrono::milliseconds{0});
+    sent.modelled = std::max(predicted - usual_lateness(state.view.record.service, state.view.region, now),
+                             std::chrono::milliseconds{0});
     sent.reading = reading_time(state, request, now);
     sent.memory = request.prompt_tokens + request.answer_tokens;
     if (state.own.running == 0) {
@@ -270,7 +249,7 @@
     if (state.unread.empty()) {
         state.reading_since = now;
     }
-    state.unread.push_back({sent.number, sent.reading, now + sent.modelled});
+    state.unread.push_back({sent.number, sent.reading});
     m_unreported += sent.reading;
     state.own.memory_tokens += sent.memory;
     if (state.view.cold_until > now) {
