--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -47,8 +47,15 @@
     std::chrono::milliseconds reading_left{0}; ///< of prompts whose first event has not come, as predicted
     token_count memory_tokens = 0;             ///< engine memory that the requests may take
     std::vector<std::uint64_t> new_parts;      ///< shared prompt parts sent there since the last report
-    std::chrono::milliseconds lateness{0}; ///< mean by which first bytes came later than predicted from loads
-    std::uint32_t lateness_samples = 0;    ///< first bytes since the last report
+};
+
+/// By how much first bytes of a service came later than the loads explained, in the region of the VM that
+/// tells.
+struct lateness_sample {
+    pool_name service;
+    int urgency = 0; ///< engines begin with the most urgent requests, so the others wait longer
+    std::chrono::milliseconds mean{0};
+    std::uint32_t samples = 0; ///< first bytes since the last report
 };
 
 /// Tokens (or requests) that one VM has admitted for a customer since its start, less those of requests that
@@ -74,6 +81,7 @@
     bool speaks_for_region = false;  ///< `loads` are those of all VMs of the region
     std::vector<upstream_load> loads;
     std::vector<customer_use> uses;
+    std::vector<lateness_sample> lateness;
     std::vector<std::uint64_t> known_changes; ///< newest change known under each followed part of the store
     bool store_failing = false;               ///< the store has not answered this VM a moment ago
 };
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -3,10 +3,10 @@
 
 #include "cardamomstream/process/deployment/deployment_types.h"
 #include "cardamomstream/process/deployment/vm_table.h"
+#include "cardamomstream/request/placing/lateness_table.h"
 #include "cardamomstream/request/placing/placing_types.h"
 
 #include <deque>
-#include <map>
 #include <memory>
 #include <unordered_map>
 #include <vector>
@@ -16,6 +16,7 @@
 /// Load that one request puts on an upstream, from its sending to its end.
 struct sent_request {
     upstream_name upstream;
+    lateness_key kind;                    ///< of request, for the lateness of its first event
     std::uint64_t number = 0;             ///< tells it from the other requests of this VM
     std::chrono::milliseconds reading{0}; ///< of its prompt, as predicted
     token_count memory = 0;
@@ -34,13 +35,6 @@
         std::chrono::milliseconds reading{0};
     };
 
-    /// A moving average of how much later first bytes come than the known loads explain, over all upstreams
-    /// of a service in a region. It shows load of VMs that are not heard, and that of the last moment.
-    struct lateness_average {
-        double ms = 0;
-        time_point at;
-    };
-
     struct upstream_state {
         upstream_view view;
         std::uint32_t engine_batch = 0; ///< 0: a plain service
@@ -57,9 +51,7 @@
         std::uint64_t outcomes = 0; ///< sends that the average is made of
         std::uint32_t failures_in_row = 0;
         time_point suspected_until;
-        time_point heard_at;               ///< last byte from it
-        double unreported_lateness_ms = 0; ///< sum over the samples since the last report
-        std::uint32_t unreported_samples = 0;
+        time_point heard_at;   ///< last byte from it
         time_point full_until; ///< it has rejected a request for lack of room
     };
 
@@ -100,10 +92,16 @@
 
     std::uint32_t running(const upstream_state& state, time_point now) const;
 
-    /// Time by which a first byte of the service in the region is expected later than the known loads
-    /// explain; never negative.
-    std::chrono::milliseconds usual_lateness(const pool_name& service, const region_name& region,
-                                             time_point now) const;
+    /// Takes how late first bytes were at another VM, once for each report.
+    void learn_lateness(const known_vm& vm);
+
+    /// How late first bytes were here since the last call.
+    std::vector<lateness_sample> take_lateness();
+
+    /// Time by which the first byte of a request is expected later than the known loads explain; never
+    /// negative.
+    std::chrono::milliseconds lateness(const placing_request& request, const region_name& region,
+                                       time_point now) const;
 
     /// Time until an engine has read the prompts that were sent to it before.
     std::chrono::milliseconds reading_left(const upstream_state& state, time_point now) const;
@@ -127,15 +125,12 @@
     placing_settings m_settings;
     void count_loads(const known_vm& vm);
     void discount_loads(const known_vm& vm);
-    void learn_lateness(const known_vm& vm);
-    void add_lateness(const upstream_state& state, double mean_ms, std::uint32_t samples, time_point now);
-    void sample_lateness(upstream_state& state, const sent_request& sent, time_point now);
-    double signed_lateness_ms(const lateness_average& average, time_point now) const;
+    void sample_lateness(const sent_request& sent, time_point now);
 
     std::unordered_map<upstream_name, upstream_state> m_upstreams;
     std::unordered_map<vm_name, std::shared_ptr<const known_vm>>
         m_counted; ///< VMs whose loads are in `others`
-    std::map<std::pair<pool_name, region_name>, lateness_average> m_lateness;
+    lateness_table m_lateness;
     double m_scale = 1;
     std::uint64_t m_last_number = 0;
     std::chrono::milliseconds m_unreported{0}; ///< reading time sent since the last report
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -115,7 +115,7 @@
     boost::asio::post(m_thread.io(), [this] {
         m_leaving = true;
         const auto now = boot_clock::now();
-        send(describe({}, {}, now), m_vms.addresses());
+        send(describe({}, now), m_vms.addresses());
     });
 }
 
@@ -343,10 +343,10 @@
 void node_control::report_from_traffic()
 {
     boost::asio::post(m_traffic.io(), [this] {
-        boost::asio::post(m_thread.io(), [this, loads = m_state.load.take_loads(boot_clock::now()),
-                                          uses = m_state.quota.uses()]() mutable {
-            report(std::move(loads), std::move(uses));
-        });
+        traffic_figures traffic{m_state.load.take_loads(boot_clock::now()), m_state.quota.uses(),
+                                m_state.load.take_lateness()};
+        boost::asio::post(m_thread.io(),
+                          [this, traffic = std::move(traffic)]() mutable { report(std::move(traffic)); });
     });
 }
 
@@ -356,8 +356,7 @@
     return std::min(report_interval * static_cast<int>(steps), longest_report_interval);
 }
 
-vm_report node_control::describe(std::vector<upstream_load> loads, std::vector<customer_use> uses,
-                                 time_point now)
+vm_report node_control::describe(traffic_figures traffic, time_point now)
 {
     vm_report report;
     report.vm = m_settings.vm;
@@ -370,8 +369,9 @@
     report.ready = m_plan.get() != nullptr && !m_leaving;
     report.leaving = m_leaving;
     report.plan_version = m_plan.get() ? m_plan.get()->version() : 0;
-    report.loads = std::move(loads);
-    report.uses = std::move(uses);
+    report.loads = std::move(traffic.loads);
+    report.uses = std::move(traffic.uses);
+    report.lateness = std::move(traffic.lateness);
     report.known_changes = {m_operator_entries.newest_change(), m_upstream_entries.newest_change()};
     report.store_failing = store_failed_lately(now);
     if (m_vms.sharers(now) < known_vms_told_up_to || m_sequence % known_vms_told_each == 0) {
@@ -380,11 +380,11 @@
     return report;
 }
 
-void node_control::report(std::vector<upstream_load> loads, std::vector<customer_use> uses)
+void node_control::report(traffic_figures traffic)
 {
     const auto now = boot_clock::now();
     m_reported_at = now;
-    auto told = describe(std::move(loads), std::move(uses), now);
+    auto told = describe(std::move(traffic), now);
     const auto neighbours = m_vms.addresses_in(m_settings.region, now);
     m_neighbours = neighbours.size();
     send(told, neighbours);
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -13,6 +13,13 @@
 
 namespace cardamomstream {
 
+/// What the traffic thread has for the next report.
+struct traffic_figures {
+    std::vector<upstream_load> loads;
+    std::vector<customer_use> uses;
+    std::vector<lateness_sample> lateness;
+};
+
 class node_control {
 public:
     /// All must outlive this object's thread.
@@ -46,8 +53,8 @@
     void report_from_traffic();
     void report_here();
     void publish_vms(time_point now);
-    void report(std::vector<upstream_load> loads, std::vector<customer_use> uses);
-    vm_report describe(std::vector<upstream_load> loads, std::vector<customer_use> uses, time_point now);
+    void report(traffic_figures traffic);
+    vm_report describe(traffic_figures traffic, time_point now);
     void send(const vm_report& report, const std::vector<endpoint>& addresses);
     std::chrono::milliseconds far_interval(time_point now) const;
 
--- a/src/process/deployment/tests/vm_table_test.cpp
+++ b/src/process/deployment/tests/vm_table_test.cpp
@@ -93,7 +93,8 @@
 TEST_CASE("a report goes through its codec")
 {
     auto sent = report_of("a", 0xffffffffffffffffULL, 7);
-    sent.loads.push_back({upstream_name("u"), 3, 250ms, 9'000, {0xffffffffffffffffULL, 4}, -30ms, 2});
+    sent.loads.push_back({upstream_name("u"), 3, 250ms, 9'000, {0xffffffffffffffffULL, 4}});
+    sent.lateness.push_back({pool_name("s"), 2, -30ms, 7});
     sent.uses.push_back({customer_name("c"), 12.5});
     sent.known_vms.push_back({"10.0.0.3", 7000});
     sent.known_changes = {1ULL << 40U, 7};
@@ -114,8 +115,10 @@
         CHECK_FALSE(read.value().leaving);
         CHECK(read.value().loads[0].upstream == sent.loads[0].upstream);
         CHECK(read.value().loads[0].running == 3);
-        CHECK(read.value().loads[0].lateness == -30ms);
-        CHECK(read.value().loads[0].lateness_samples == 2);
+        CHECK(read.value().lateness[0].service == pool_name("s"));
+        CHECK(read.value().lateness[0].urgency == 2);
+        CHECK(read.value().lateness[0].mean == -30ms);
+        CHECK(read.value().lateness[0].samples == 7);
         CHECK(read.value().loads[0].reading_left == 250ms);
         CHECK(read.value().loads[0].memory_tokens == 9'000);
         CHECK(read.value().loads[0].new_parts == sent.loads[0].new_parts);
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -41,8 +41,6 @@
     message.set_reading_left_ms(
         static_cast<std::uint64_t>(std::max<std::int64_t>(0, load.reading_left.count())));
     message.mutable_new_parts()->Add(load.new_parts.begin(), load.new_parts.end());
-    message.set_lateness_ms(static_cast<std::int32_t>(load.lateness.count()));
-    message.set_lateness_samples(load.lateness_samples);
 }
 
 upstream_load decode_load(const report_messages::Load& message)
@@ -53,8 +51,6 @@
     load.memory_tokens = static_cast<token_count>(message.memory_tokens());
     load.reading_left = std::chrono::milliseconds(message.reading_left_ms());
     load.new_parts.assign(message.new_parts().begin(), message.new_parts().end());
-    load.lateness = std::chrono::milliseconds(message.lateness_ms());
-    load.lateness_samples = message.lateness_samples();
     return load;
 }
 
@@ -86,6 +82,13 @@
         added.set_admitted(use.admitted);
     }
     message.set_format(report_format);
+    for (const auto& late : report.lateness) {
+        auto& added = *message.add_lateness();
+        added.set_service(late.service.str());
+        added.set_urgency(static_cast<std::uint32_t>(std::max(late.urgency, 0)));
+        added.set_mean_ms(static_cast<std::int32_t>(late.mean.count()));
+        added.set_samples(late.samples);
+    }
     message.mutable_known_changes()->Add(report.known_changes.begin(), report.known_changes.end());
     message.set_store_failing(report.store_failing);
     return message.SerializeAsString();
@@ -125,6 +128,10 @@
     for (const auto& use : message.uses()) {
         report.uses.push_back({customer_name(use.customer()), use.admitted()});
     }
+    for (const auto& late : message.lateness()) {
+        report.lateness.push_back({pool_name(late.service()), static_cast<int>(late.urgency()),
+                                   std::chrono::milliseconds(late.mean_ms()), late.samples()});
+    }
     report.known_changes.assign(message.known_changes().begin(), message.known_changes().end());
     report.store_failing = message.store_failing();
     return report;
--- a/src/process/deployment/vm_table.cpp
+++ b/src/process/deployment/vm_table.cpp
@@ -89,11 +89,6 @@
         sum.running += load.running;
         sum.reading_left += load.reading_left;
         sum.memory_tokens += load.memory_tokens;
-        if (load.lateness_samples > 0) {
-            const auto samples = sum.lateness_samples + load.lateness_samples;
-            sum.lateness += (load.lateness - sum.lateness) * load.lateness_samples / samples;
-            sum.lateness_samples = samples;
-        }
         sum.new_parts.insert(sum.new_parts.end(), load.new_parts.begin(), load.new_parts.end());
     };
     std::for_each(own.begin(), own.end(), add);
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -62,6 +62,11 @@
     quota.set_fleet(vms.size(), sharers);
     for (const auto& vm : vms) {
         quota.apply(vm->report);
+        auto& learnt = m_learnt[vm->report.vm];
+        if (learnt != vm) {
+            load.learn_lateness(*vm);
+            learnt = vm;
+        }
     }
     counters.vms_heard.set(static_cast<double>(vms.size()));
     counters.prediction_scale.set(load.prediction_scale());
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -1,7 +1,6 @@
 #include "cardamomstream/request/placing/fleet_load.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace cardamomstream {
@@ -23,15 +22,6 @@
 constexpr double min_scale = 0.5;
 constexpr double max_scale = 3;
 
-// An average of lateness takes a sample with this weight, more when it is old, and fades towards none.
-constexpr double least_lateness_weight = 0.03;
-constexpr double most_lateness_weight = 0.15;
-constexpr std::chrono::duration<double> lateness_memory{3};
-
-// Bounds of one sample: a prompt that was read far slower than predicted says little of the wait before it.
-constexpr double least_lateness_ms = -200;
-constexpr double most_lateness_ms = 800;
-
 /// Time in which an upstream that rejected a request for lack of room is left out: some requests end within
 /// it.
 constexpr std::chrono::milliseconds full_time{150};
@@ -139,7 +129,6 @@
             discount_loads(*node.mapped());
         }
         count_loads(*vm);
-        learn_lateness(*vm);
         counted.emplace(vm->report.vm, vm);
     }
     for (const auto& [name, vm] : m_counted) {
@@ -181,48 +170,23 @@
 
 void fleet_load::learn_lateness(const known_vm& vm)
 {
-    for (const auto& load : vm.report.loads) {
-        const auto found = m_upstreams.find(load.upstream);
-        if (found != m_upstreams.end() && load.lateness_samples > 0) {
-            add_lateness(found->second, static_cast<double>(load.lateness.count()), load.lateness_samples,
-                         vm.heard_at);
-        }
-    }
-}
-
-double fleet_load::signed_lateness_ms(const lateness_average& average, time_point now) const
-{
-    const std::chrono::duration<double> age = now - average.at;
-    return average.ms * std::exp(-age / lateness_memory);
+    m_lateness.learn(vm.report.region, vm.report.lateness, vm.heard_at);
 }
 
-std::chrono::milliseconds fleet_load::usual_lateness(const pool_name& service, const region_name& region,
-                                                     time_point now) const
+std::vector<lateness_sample> fleet_load::take_lateness()
 {
-    const auto found = m_lateness.find({service, region});
-    const double late = found == m_lateness.end() ? 0 : signed_lateness_ms(found->second, now);
-    return std::chrono::milliseconds(static_cast<std::int64_t>(std::max(late, 0.0)));
+    return m_lateness.take();
 }
 
-void fleet_load::add_lateness(const upstream_state& state, double mean_ms, std::uint32_t samples,
-                              time_point now)
+std::chrono::milliseconds fleet_load::lateness(const placing_request& request, const region_name& region,
+                                               time_point now) const
 {
-    auto& average = m_lateness[{state.view.record.service, state.view.region}];
-    const std::chrono::duration<double> age = now - average.at;
-    const double by_age = std::min(1 - std::exp(-age / lateness_memory), most_lateness_weight);
-    const double weight = std::max(1 - std::pow(1 - least_lateness_weight, samples), by_age);
-    const double before = signed_lateness_ms(average, now);
-    average = {before + weight * (mean_ms - before), now};
+    return m_lateness.expected({request.service, region, request.urgency}, now);
 }
 
-void fleet_load::sample_lateness(upstream_state& state, const sent_request& sent, time_point now)
+void fleet_load::sample_lateness(const sent_request& sent, time_point now)
 {
-    const auto late =
-        std::clamp(std::chrono::duration<double, std::milli>(now - sent.sent_at - sent.modelled).count(),
-                   least_lateness_ms, most_lateness_ms);
-    add_lateness(state, late, 1, now);
-    state.unreported_lateness_ms += late;
-    state.unreported_samples += 1;
+    m_lateness.sample(sent.kind, now - sent.sent_at - sent.modelled, now);
 }
 
 sent_request fleet_load::begin(const upstream_name& upstream, const placing_request& request,
@@ -238,8 +202,9 @@
         return sent;
     }
     auto& state = found->second;
-    sent.modelled = std::max(predicted - usual_lateness(state.view.record.service, state.view.region, now),
-                             std::chrono::milliseconds{0});
+    sent.kind = {request.service, state.view.region, request.urgency};
+    sent.modelled =
+        std::max(predicted - lateness(request, state.view.region, now), std::chrono::milliseconds{0});
     sent.reading = reading_time(state, request, now);
     sent.memory = request.prompt_tokens + request.answer_tokens;
     if (state.own.running == 0) {
@@ -279,7 +244,7 @@
         return;
     }
     forget_prompt(found->second, sent.number, now);
-    sample_lateness(found->second, sent, now);
+    sample_lateness(sent, now);
     if (found->second.engine_batch > 0 && sent.reading >= least_telling_reading) {
         const double ratio = std::chrono::duration<double, std::milli>(now - sent.sent_at).count() /
                              static_cast<double>(sent.predicted.count());
@@ -308,7 +273,7 @@
     }
     const bool answered = outcome == send_outcome::answered || outcome == send_outcome::failed;
     if (!sent.first_event_seen && (answered || outcome == send_outcome::silent)) {
-        sample_lateness(state, sent, now);
+        sample_lateness(sent, now);
     }
     const bool failure = outcome != send_outcome::answered && outcome != send_outcome::rejected;
     state.outcomes += 1;
@@ -386,16 +351,10 @@
 {
     std::vector<upstream_load> loads;
     for (auto& [id, state] : m_upstreams) {
-        if (state.own.running > 0 || !state.own.new_parts.empty() || state.unreported_samples > 0) {
+        if (state.own.running > 0 || !state.own.new_parts.empty()) {
             loads.push_back(state.own);
-            auto& load = loads.back();
-            load.upstream = id;
-            load.reading_left = own_reading_left(state, now);
-            if (state.unreported_samples > 0) {
-                load.lateness_samples = std::exchange(state.unreported_samples, 0);
-                load.lateness = std::chrono::milliseconds(static_cast<std::int64_t>(
-                    std::exchange(state.unreported_lateness_ms, 0) / load.lateness_samples));
-            }
+            loads.back().upstream = id;
+            loads.back().reading_left = own_reading_left(state, now);
             state.own.new_parts.clear();
         }
     }
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -146,7 +146,7 @@
             one.cost += static_cast<double>(running) * milliseconds_f(disturbed_stream_cost);
         }
     }
-    one.first_byte += load.usual_lateness(request.service, state.view.region, now);
+    one.first_byte += load.lateness(request, state.view.region, now);
     if (!one.here) {
         one.first_byte += m_settings.region_round_trip;
     }
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -347,6 +347,19 @@
             CHECK(one.place(one.request(500)).verdict == placing_verdict::here);
         }
     }
+    SECTION("of the least urgent requests, which engines begin last: the urgent ones are served")
+    {
+        one.placing.set_vms({});
+        known_vm other;
+        other.report.region = here;
+        other.heard_at = one.now;
+        other.report.lateness = {{drafts, 2, 700ms, 100}};
+        one.load.learn_lateness(other);
+        auto wanted = one.request(500);
+        CHECK(one.place(wanted).verdict == placing_verdict::here);
+        wanted.urgency = 2;
+        CHECK(one.place(wanted).verdict == placing_verdict::overloaded);
+    }
     SECTION("one late answer refuses nothing")
     {
         one.placing.set_vms({});
@@ -360,11 +373,8 @@
         other.report.vm = vm_name("other");
         other.report.region = here;
         other.heard_at = one.now;
-        upstream_load late{upstream_name("a"), 0, 0ms, 0, {}};
-        late.lateness = 700ms;
-        late.lateness_samples = 100;
-        other.report.loads = {late};
-        one.load.set_reports(here, heard({other}));
+        other.report.lateness = {{drafts, 0, 700ms, 100}};
+        one.load.learn_lateness(other);
         CHECK(one.place(one.request(500)).verdict == placing_verdict::overloaded);
     }
 }
