Callers who are refused in an overload come back later; refuse at 0.85 of the objective

The time to come back now grows by up to 4 s with the part of its last requests that the VM has refused; callers cap it themselves. Requests predicted beyond 0.85 of the objective are refused, since half of those at the bound came late. Test in placer_test.

--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -77,7 +77,7 @@
     std::chrono::milliseconds plain_run_time{40};     ///< of a plain call
     token_count tokens_per_step = 1'024; ///< of a prompt that an engine reads between two answer tokens
     double memory_use = 0.92;            ///< part of an engine's memory that is planned with
-    double shed_objective = 1.0;         ///< refuse when the prediction passes this part of the objective
+    double shed_objective = 0.85;        ///< refuse when the prediction passes this part of the objective
     double shed_wait = 0.25;  ///< or, for prompts too long for the objective, when the wait before them does
     double cold_factor = 1.5; ///< times the published rate that a cold upstream may get
     double cold_slack = 3;    ///< requests a second beside it
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -37,6 +37,10 @@
 constexpr token_count telling_cached_tokens = 1'024;
 
 constexpr std::chrono::milliseconds min_retry_after{200};
+
+/// Added while all are refused; overloads of some seconds are usual.
+constexpr std::chrono::milliseconds overload_retry_after{4'000};
+constexpr double refused_part_weight = 0.02; ///< of one request: the last few seconds of one VM
 constexpr std::chrono::milliseconds no_upstream_retry_after{800};
 
 /// Upstreams that are compared for one request: this many for each one that the VM would have for itself if
@@ -189,10 +193,14 @@
     placement refused;
     refused.verdict = verdict;
     refused.predicted = predicted;
-    // The time after which the objective could be met again, spread so that callers do not return together.
-    auto wait = verdict == placing_verdict::overloaded
-                    ? std::max(predicted - request.route->latency_objective / 2, min_retry_after)
-                    : no_upstream_retry_after;
+    // The time after which the objective could be met again, longer while many are refused: those who come
+    // back at once are refused again and keep out new requests. Spread so that callers do not return
+    // together.
+    auto wait = no_upstream_retry_after;
+    if (verdict == placing_verdict::overloaded) {
+        wait = std::max(predicted - request.route->latency_objective / 2, min_retry_after) +
+               std::chrono::duration_cast<std::chrono::milliseconds>(m_refused_part * overload_retry_after);
+    }
     std::uniform_real_distribution<double> spread(0.75, 1.5);
     refused.retry_after = std::chrono::duration_cast<std::chrono::milliseconds>(wait * spread(m_random));
     return refused;
@@ -294,7 +302,9 @@
         request.time_left,
         std::max<milliseconds_f>(soon, best->reading * 1.1 + objective * m_settings.shed_wait +
                                            m_settings.region_round_trip));
-    if (best->first_byte > limit && !request.begun) {
+    const bool too_late = best->first_byte > limit && !request.begun;
+    m_refused_part += refused_part_weight * ((too_late ? 1.0 : 0.0) - m_refused_part);
+    if (too_late) {
         return refuse(request, placing_verdict::overloaded, predicted);
     }
     placement chosen;
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -187,6 +187,19 @@
         CHECK(refused.retry_after >= 200ms);
         CHECK(refused.retry_after < 2 * refused.predicted);
     }
+    SECTION("while many are refused, callers come back later, so that new requests find room")
+    {
+        const auto mean_wait = [&](int refusals) {
+            std::chrono::milliseconds sum{0};
+            for (int number = 0; number < refusals; ++number) {
+                sum += one.place(one.request(500)).retry_after;
+            }
+            return sum / refusals;
+        };
+        const auto first = mean_wait(5);
+        (void)mean_wait(100);
+        CHECK(mean_wait(5) > first + 2s);
+    }
     SECTION("one that was sent before and did not run is tried on, since it has its caller's time behind it")
     {
         auto again = one.request(500);
