A VM that begins to leave tells its data centre at once

Now the round is due at once and goes to the whole data centre. Test in member_table_test, failed before (0 messages instead of 2).

--- a/include/cardamomstream/process/member_table.h
+++ b/include/cardamomstream/process/member_table.h
@@ -162,6 +162,7 @@
     summary_store m_summaries;
     std::optional<time_point> m_last_tick;
     std::optional<time_point> m_next_round;
+    bool m_told_leaving = false; ///< a round to the whole data centre has told that this VM leaves
     std::optional<vm_name> m_last_direct;
 };
 
--- a/src/process/membership/member_table.cpp
+++ b/src/process/membership/member_table.cpp
@@ -105,6 +105,9 @@
     if (own.allowance.size() > m_settings.max_allowance_reports) {
         own.allowance.resize(m_settings.max_allowance_reports);
     }
+    if (own.leaving && !m_own.leaving) {
+        m_next_round.reset(); // the others must hear of it before callers are sent here again
+    }
     m_own = std::move(own);
 }
 
@@ -295,7 +298,10 @@
         return m_last_direct && vm.str() > m_last_direct->str();
     });
     std::rotate(targets.begin(), next, targets.end());
-    targets.resize(std::min(targets.size(), m_settings.direct_targets));
+    const bool first_word_of_leaving = m_own.leaving && !std::exchange(m_told_leaving, m_own.leaving);
+    if (!first_word_of_leaving) {
+        targets.resize(std::min(targets.size(), m_settings.direct_targets));
+    }
     if (!targets.empty()) {
         m_last_direct = targets.back();
     }
--- a/src/process/membership/tests/member_table_test.cpp
+++ b/src/process/membership/tests/member_table_test.cpp
@@ -1,6 +1,8 @@
 #include "cardamomstream/process/member_table.h"
 #include "cardamomstream/process/rendezvous.h"
 
+#include <random>
+
 #include <catch2/catch.hpp>
 
 using namespace cardamomstream;
@@ -116,6 +118,26 @@
         CHECK(table.find(two)->successor->vm == one);
         CHECK_FALSE(table.is_usable(two));
     }
+    SECTION("a VM that begins to leave tells its data centre at once, not with the next round")
+    {
+        std::mt19937_64 random(7);
+        membership_settings few;
+        few.direct_targets = 1;
+        const vm_name three{"riga-3"};
+        member_table leaver(one, {100}, few);
+        leaver.apply_list(list_of(1, {one, two, three}), start);
+        REQUIRE_FALSE(leaver.plan_heartbeats(start, random).empty());
+        REQUIRE(leaver.plan_heartbeats(start + 100ms, random).empty());
+        heartbeat own;
+        own.leaving = true;
+        leaver.set_own(own);
+        const auto round = leaver.plan_heartbeats(start + 200ms, random);
+        REQUIRE(round.size() == 2);
+        CHECK(round[0].message.sender.leaving);
+        CHECK(round[1].message.sender.leaving);
+        leaver.set_own(own);
+        CHECK(leaver.plan_heartbeats(start + 300ms, random).empty());
+    }
 }
 
 TEST_CASE("what is said under one name merges to the greatest stamp")
