--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -37,6 +37,14 @@
     bool cold_room(const fleet_load::upstream_state& state, const plan_service& service,
                    time_point now) const;
     static void add_failure_costs(std::vector<candidate>& candidates);
+    /// Upstreams that the request may use; `without` tells why there is none.
+    std::vector<candidate> candidates_for(const placing_request& request, const service_plan& plan,
+                                          const fleet_load& load, time_point now,
+                                          placing_verdict& without) const;
+
+    /// The upstream on which the VMs of a region agree for the request's shared prompt; null without one.
+    const upstream_name* prefer_one(const placing_request& request, std::vector<candidate>& candidates) const;
+
     void keep_some(std::vector<candidate>& candidates, const upstream_name* preferred);
     endpoint vm_of(const region_name& region);
     placement refuse(const placing_request& request, placing_verdict verdict,
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -236,13 +236,13 @@
     });
 }
 
-placement placer::place(const placing_request& request, const service_plan& plan, const fleet_load& load,
-                        time_point now)
+std::vector<placer::candidate> placer::candidates_for(const placing_request& request,
+                                                      const service_plan& plan, const fleet_load& load,
+                                                      time_point now, placing_verdict& without) const
 {
     const auto* service = plan.find_service(request.service);
     std::vector<candidate> candidates;
-    bool any_cold = false;
-    bool any_full = false;
+    without = placing_verdict::no_upstream;
     for (const auto& [id, state] : load.all()) {
         const auto& view = state.view;
         const bool here = view.region == m_region;
@@ -257,21 +257,42 @@
             continue;
         }
         if (state.full_until > now) {
-            any_full = true;
+            without = without == placing_verdict::no_upstream ? placing_verdict::overloaded : without;
             continue;
         }
         if (here && service != nullptr && !cold_room(state, *service, now)) {
-            any_cold = true;
+            without = placing_verdict::cold;
             continue;
         }
         candidates.push_back(rate(request, load, state, now));
     }
+    return candidates;
+}
+
+const upstream_name* placer::prefer_one(const placing_request& request,
+                                        std::vector<candidate>& candidates) const
+{
+    const auto prompt = shared_prompt_of(request.parts);
+    if (prompt == 0) {
+        return nullptr;
+    }
+    const auto preferred = std::max_element(
+        candidates.begin(), candidates.end(), [&](const candidate& one, const candidate& other) {
+            return std::pair(one.here, preference(prompt, one.state->view.record.id)) <
+                   std::pair(other.here, preference(prompt, other.state->view.record.id));
+        });
+    preferred->cost -= milliseconds_f(static_cast<double>(shared_tokens(request.parts)) /
+                                      m_settings.prompt_tokens_per_ms * agreement_bonus);
+    return &preferred->state->view.record.id;
+}
+
+placement placer::place(const placing_request& request, const service_plan& plan, const fleet_load& load,
+                        time_point now)
+{
+    auto without = placing_verdict::no_upstream;
+    auto candidates = candidates_for(request, plan, load, now, without);
     if (candidates.empty()) {
-        return refuse(request,
-                      any_cold   ? placing_verdict::cold
-                      : any_full ? placing_verdict::overloaded
-                                 : placing_verdict::no_upstream,
-                      {});
+        return refuse(request, without, {});
     }
     // A pool in which every upstream is suspected is more likely a fault of this VM's view: all stay in.
     const bool all_suspected =
@@ -280,18 +301,7 @@
         std::erase_if(candidates, [](const candidate& one) { return one.suspected; });
     }
     add_failure_costs(candidates);
-    const upstream_name* preferred_id = nullptr;
-    if (const auto prompt = shared_prompt_of(request.parts); prompt != 0) {
-        const auto preferred = std::max_element(
-            candidates.begin(), candidates.end(), [&](const candidate& one, const candidate& other) {
-                return std::pair(one.here, preference(prompt, one.state->view.record.id)) <
-                       std::pair(other.here, preference(prompt, other.state->view.record.id));
-            });
-        preferred_id = &preferred->state->view.record.id;
-        preferred->cost -= milliseconds_f(static_cast<double>(shared_tokens(request.parts)) /
-                                          m_settings.prompt_tokens_per_ms * agreement_bonus);
-    }
-    keep_some(candidates, preferred_id);
+    keep_some(candidates, prefer_one(request, candidates));
     const auto best =
         std::min_element(candidates.begin(), candidates.end(),
                          [](const candidate& one, const candidate& other) { return one.cost < other.cost; });
--- a/tests/support/http_caller.cpp
+++ b/tests/support/http_caller.cpp
@@ -31,6 +31,10 @@
         request.set(http::field::content_type, "application/json");
     }
     for (const auto& [name, value] : source.headers) {
+        if (boost::beast::iequals(name, "Host")) {
+            request.set(http::field::host, value); // in place of the address
+            continue;
+        }
         request.insert(name, value);
     }
     request.body() = source.body;
