--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -330,6 +330,7 @@
     fleet one;
     const auto answer = [&](std::chrono::milliseconds after, int times) {
         std::vector<sent_request> sent;
+        sent.reserve(static_cast<std::size_t>(times));
         for (int number = 0; number < times; ++number) {
             sent.push_back(one.send(number % 2 == 0 ? "a" : "b", 500));
         }
