A stop that begins during an answer closes its connection with the next answer

Ruled out: requests that were passed on (none of them ran), new connections. Now what the head said holds, and the next answer says Connection: close.

--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -107,7 +107,8 @@
         return false;
     }
     answer(incoming);
-    return m_ended && !will_close() && m_stream.socket().is_open();
+    // What the answer's head said holds: a stop that began since then closes with the next answer.
+    return m_ended && m_keep_alive && m_stream.socket().is_open();
 }
 
 boost::beast::error_code http_session::read_request(parser& incoming)
@@ -207,6 +208,7 @@
 
 result<void> http_session::send(const http_response& response)
 {
+    m_keep_alive = !will_close();
     http::response<http::string_body> message(make_head(response.head).base());
     message.body() = response.body;
     message.prepare_payload();
@@ -228,6 +230,7 @@
 
 result<void> http_session::begin_stream(const http_response_head& head)
 {
+    m_keep_alive = !will_close();
     auto message = make_head(head);
     message.chunked(true);
     http::response_serializer<http::empty_body> serializer{message};
