--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -233,6 +233,28 @@
     CHECK(contains(answer, "Connection: close"));
 }
 
+TEST_CASE("a stop begins while a stream whose head said nothing of it is sent")
+{
+    running_server* stopping = nullptr;
+    running_server running([&](const http_request& request, std::size_t /*thread*/, response_writer& writer) {
+        (void)writer.begin_stream({200, {}});
+        stopping->server.announce_close();
+        (void)writer.write_chunk(request.body);
+        (void)writer.end_stream();
+    });
+    stopping = &running;
+    raw_caller caller(running.address);
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nfirst"
+                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n\r\nsecond");
+    const auto answers = caller.read_all();
+    SECTION("the connection serves the next request, whose answer says that it is the last")
+    {
+        CHECK(contains(answers, "first"));
+        CHECK(contains(answers, "second"));
+        CHECK(contains(answers.substr(answers.find("first")), "Connection: close"));
+    }
+}
+
 TEST_CASE("an address is held by one listener at a time")
 {
     running_server first(echo);
