--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -64,8 +64,7 @@
 
     std::size_t m_sharers = 0;
     std::unordered_map<pool_name, service_retries> m_retries;
-    std::unordered_map<vm_name, std::shared_ptr<const known_vm>>
-        m_learnt; ///< reports whose lateness is counted
+    std::unordered_map<vm_name, std::shared_ptr<const known_vm>> m_learnt; ///< last report taken of each
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/quota/fleet_quota.h
+++ b/include/cardamomstream/request/quota/fleet_quota.h
@@ -47,7 +47,6 @@
 
     struct peer_uses {
         incarnation process;
-        std::uint64_t sequence = 0; ///< of the last report taken
         std::unordered_map<customer_name, double> admitted;
     };
 
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -53,6 +53,13 @@
 
 constexpr std::size_t max_report_bytes = 60'000; ///< below the largest datagram
 
+/// Time between two reports to `vms` receivers; `step`: so many of them cost one usual interval more.
+std::chrono::milliseconds interval_for(std::size_t vms, std::size_t step)
+{
+    const auto steps = std::max<std::size_t>(1, vms / step);
+    return std::min(report_interval * static_cast<int>(steps), longest_report_interval);
+}
+
 http_client_settings store_connection()
 {
     http_client_settings settings;
@@ -309,9 +316,7 @@
 void node_control::report_periodically()
 {
     while (true) {
-        const auto steps = m_neighbours / neighbours_for_report_step;
-        boost::this_fiber::sleep_for(std::min(
-            report_interval * static_cast<int>(std::max<std::size_t>(1, steps)), longest_report_interval));
+        boost::this_fiber::sleep_for(interval_for(m_neighbours, neighbours_for_report_step));
         const auto now = boot_clock::now();
         m_vms.expire(now);
         set_watch_pace(now);
@@ -352,8 +357,7 @@
 
 std::chrono::milliseconds node_control::far_interval(time_point now) const
 {
-    const auto steps = std::max<std::size_t>(1, m_vms.sharers(now) / vms_for_far_step);
-    return std::min(report_interval * static_cast<int>(steps), longest_report_interval);
+    return interval_for(m_vms.sharers(now), vms_for_far_step);
 }
 
 vm_report node_control::describe(traffic_figures traffic, time_point now)
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -61,9 +61,9 @@
     placing.set_vms(vms);
     quota.set_fleet(vms.size(), sharers);
     for (const auto& vm : vms) {
-        quota.apply(vm->report);
         auto& learnt = m_learnt[vm->report.vm];
         if (learnt != vm) {
+            quota.apply(vm->report);
             load.learn_lateness(*vm);
             learnt = vm;
         }
--- a/src/request/quota/fleet_quota.cpp
+++ b/src/request/quota/fleet_quota.cpp
@@ -80,12 +80,8 @@
     auto& peer = m_peers[report.vm];
     const bool base = peer.process != report.process;
     if (base) {
-        peer = {report.process, 0, {}};
+        peer = {report.process, {}};
     }
-    if (!base && report.sequence <= peer.sequence) {
-        return;
-    }
-    peer.sequence = report.sequence;
     for (const auto& use : report.uses) {
         auto& seen = peer.admitted[use.customer];
         const auto found = m_buckets.find(use.customer);
