The shipped build uses no ccache and needs no writable home directory

Cause: the CMake files wrapped the compiler in ccache wherever ccache was found, and the deploy file listed it. A developers' tool decided how the shipped program is built, and by its presence changed the result.

Why it works: only the Makefile, which developers and the tests use, passes a compiler launcher. Without one in the CMake files, the shipped build finds the same programs whether ccache is there or not, and the check fails when it touches ccache again.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,15 @@
 # Entry points for people and CI. The build itself is CMake and Ninja.
 BUILD ?= build
 BUILD_TYPE ?= RelWithDebInfo
+# Developers' builds go through ccache where it is there; the shipped build of deploy/system.toml never does.
+LAUNCHER ?= $(shell command -v ccache)
 
 .PHONY: configure build run test unit format format-check tidy capacity clean
 
 configure:
 	@tools/install_dependencies.sh
-	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=$(BUILD_TYPE) > $(BUILD).configure.log 2>&1 || (cat $(BUILD).configure.log; exit 1)
+	@cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=$(BUILD_TYPE) \
+		-DCMAKE_CXX_COMPILER_LAUNCHER=$(LAUNCHER) > $(BUILD).configure.log 2>&1 || (cat $(BUILD).configure.log; exit 1)
 	@rm -f $(BUILD).configure.log
 
 build: configure
--- a/tests/shipped_build/check_shipped_build.py
+++ b/tests/shipped_build/check_shipped_build.py
@@ -1,8 +1,8 @@
 #!/usr/bin/env python3
 """Builds a fresh clone as the deploy file says and fails when the build needs more than the deploy file lists.
 
-The command runs with an empty environment and without root. It may write only below target/ and to the temporary
-directory, and open no network connection.
+The command runs with an empty environment, a home directory that can't be written, and without root. It may write
+only below target/ and to the temporary directory, and open no network connection.
 """
 
 import argparse
@@ -19,6 +19,8 @@
 
 # Where the standard build command of a POSIX machine is looked up.
 SEARCH_PATH = "/usr/local/sbin:/usr/local/bin:/usr/sbin:/usr/bin:/sbin:/bin"
+# No user, root included, can create files below it.
+UNWRITABLE_HOME = "/proc/none"
 # Half of the 15 minutes that the platform gives a build, in seconds.
 TIME_LIMIT_S = 450
 # Debian's user without rights, "nobody".
@@ -73,7 +75,7 @@
     user = UNPRIVILEGED_USER if os.geteuid() == 0 else None
     if user is not None:
         give_to(scratch, user)
-    environment = {"PATH": SEARCH_PATH, "HOME": str(scratch / "home")}
+    environment = {"PATH": SEARCH_PATH, "HOME": UNWRITABLE_HOME}
     start = time.monotonic()
     trace = build_trace.trace_build(deploy["build"], clone, environment, scratch / "trace", user)
     duration = time.monotonic() - start
