A stopping VM takes only requests that it can answer before its end

Cause: a stop closes idle connections after 2 s, but an answer whose head went out before the signal promised to keep its connection, so its caller may send one more request on it at any time until the process ends, and nothing compared the time that request needs with the time that is left.

Change: `serving_times` learns by route how long requests take to the end of their answer (mean plus four deviations, as RFC 6298 bounds round trips). A stopping VM refuses at once, as not run and with `Connection: close`, a caller's request or a hop whose bound (or its remaining time, if that is shorter) reaches beyond the end of the process. A route without any answer yet counts with all of its time.

Why it works: what is taken ends before the process does in all but rare cases, and what is refused comes while the other VMs, which have known of the stop since the signal, still have all of the request's time.

--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -6,6 +6,7 @@
 #include "cardamomstream/process/deployment/node_settings.h"
 #include "cardamomstream/request/admission_retry_budget.h"
 #include "cardamomstream/request/gateway/gateway_metrics.h"
+#include "cardamomstream/request/gateway/serving_times.h"
 #include "cardamomstream/request/placing/placer.h"
 #include "cardamomstream/request/quota/fleet_quota.h"
 
@@ -36,7 +37,9 @@
     void count_request(const pool_name& service, time_point now);
 
     /// True once requests can be served: a plan is known and no stop has begun.
-    bool ready() const { return deployment && deployment->plan && !stopping; }
+    bool ready() const { return deployment && deployment->plan && !stopping(); }
+
+    bool stopping() const { return stop_end.load() != time_point::max(); }
 
     const node_settings& settings;
     http_client& client;
@@ -47,9 +50,10 @@
     fleet_load load;
     placer placing;
     fleet_quota quota;
+    serving_times times;
     std::mt19937_64 random;
     std::atomic<std::size_t> in_flight = 0; ///< requests being served; read when the process stops
-    std::atomic<bool> stopping = false;
+    std::atomic<time_point> stop_end = time_point::max(); ///< set once a stop begins: the process ends then
     std::function<void()> report_soon; ///< asks for a report to the other VMs before the next is due
 
 private:
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -71,6 +71,7 @@
 
     std::optional<error> admit_caller();
     std::optional<error> admit_hop(const hop_details& hop);
+    std::optional<error> check_stop() const;
     void prepare(const pool_name& service, int urgency);
     void serve();
     void attempts();
@@ -163,6 +164,9 @@
         left = std::min(left, m_route->timeout);
     }
     m_deadline = m_started + left;
+    if (auto stopping = check_stop()) {
+        return stopping;
+    }
     std::vector<double> weights;
     for (const auto& share : m_route->services) {
         weights.push_back(share.weight);
@@ -211,6 +215,9 @@
                      {}};
     }
     m_deadline = m_started + m_caller.time_left.value_or(default_time_left);
+    if (auto stopping = check_stop()) {
+        return stopping;
+    }
     prepare(hop.service, hop.urgency);
     m_placing.own_region_only = true;
     m_placing.waited = hop.waited;
@@ -218,6 +225,22 @@
     return std::nullopt;
 }
 
+/// Refuses what a process that stops could not answer to its end.
+template <gateway_wire Wire>
+std::optional<error> request_flow<Wire>::check_stop() const
+{
+    using namespace std::chrono_literals;
+    if (!m_state.stopping()) {
+        return std::nullopt;
+    }
+    const auto needed = std::min(m_state.times.upper_bound(m_route->name), time_left());
+    if (m_started + needed <= m_state.stop_end.load()) {
+        return std::nullopt;
+    }
+    return error{error_kind::stopping, "this VM stops before the request would be answered",
+                 "send it to another VM", run_outcome::not_run, 100ms};
+}
+
 template <gateway_wire Wire>
 void request_flow<Wire>::prepare(const pool_name& service, int urgency)
 {
@@ -485,6 +508,7 @@
     if (!m_writer.send(answer)) {
         return send_end::caller_gone;
     }
+    m_state.times.sample(m_route->name, took());
     log_end(status < 500 ? "answered" : "upstream_failed", std::to_string(status));
     return send_end::answered;
 }
@@ -525,6 +549,7 @@
              : !m_writer.send({{exchange.head().status, end_to_end_headers(exchange.head().headers)}, {}}))) {
         return send_end::caller_gone;
     }
+    m_state.times.sample(m_route->name, took());
     log_end("answered", "stream");
     return send_end::answered;
 }
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -176,11 +176,11 @@
     const auto began = boot_clock::now();
     log.write(log_weight::state, "stopping",
               {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())}});
-    state.stopping = true;
+    const auto end = began + settings.bounds.stop_grace - stop_margin;
+    state.stop_end = end;
     control.announce_leaving();
     entry.announce_close();
     inner.announce_close();
-    const auto end = began + settings.bounds.stop_grace - stop_margin;
     bool accepting = true;
     while (boot_clock::now() < end && (accepting || state.in_flight > 0)) {
         std::this_thread::sleep_for(stop_poll);
