An upstream that takes no connection is tried by one request at a time

Cause: a failed connection makes an upstream suspected for 300 ms and more, but suspicion only orders: when all that a request may use are suspected (a customer bound to one small region), all stay in, as one that looks at a whole region wrongly must not refuse it. And when a suspicion ends, every request goes there until the first of them has failed again. Ruled out: a stale list (the entry was still there) and the retries of one request (each excludes what it has tried).

Change: after three failed connections without an answer in between, a request may try the upstream once in 400 ms, longer than a connection takes to fail; until one is answered, others go elsewhere or are refused at once as not run ("unreachable" in the log, upstream_unavailable to the caller). A stream that breaks off is no sign of life.

Evidence: placer_test "one that takes no connection is tried only now and then, also when no other is left" failed before (placed at once, no time to come back, no limit on trials) and passes.

Why it works: one failed trial tells as much as twenty, and one that succeeds opens the upstream to all at once.

--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -50,6 +50,8 @@
         double failure_rate = 0;    ///< moving average over sends
         std::uint64_t outcomes = 0; ///< sends that the average is made of
         std::uint32_t failures_in_row = 0;
+        std::uint32_t unreached_in_row = 0; ///< sends that got no connection
+        time_point next_trial;              ///< no connection is tried before, not even for want of others
         time_point suspected_until;
         time_point heard_at;   ///< last byte from it
         time_point full_until; ///< it has rejected a request for lack of room
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -38,6 +38,7 @@
     here,         ///< send to the upstream
     other_region, ///< pass on to a VM of the upstream's region
     no_upstream,  ///< none that the request may use is known
+    unreachable,  ///< those that are known have taken no connection a moment ago
     overloaded,   ///< every upstream would answer after the objective
     cold,         ///< the upstreams that are left are cold and have had their requests of this second
 };
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -33,6 +33,11 @@
 constexpr std::chrono::milliseconds longest_suspicion{3'000};
 constexpr std::uint32_t failures_until_suspected = 3; ///< broken answers in a row; one when unreachable
 
+/// Connections that fail without an answer in between until an upstream is only tried now and then, and the
+/// time between two trials, longer than a connection may take.
+constexpr std::uint32_t unreached_until_paced = 3;
+constexpr std::chrono::milliseconds trial_interval{400};
+
 } // namespace
 
 std::string_view to_text(send_outcome outcome) noexcept
@@ -65,6 +70,8 @@
         return "other_region";
     case placing_verdict::no_upstream:
         return "no_upstream";
+    case placing_verdict::unreachable:
+        return "unreachable";
     case placing_verdict::overloaded:
         return "overloaded";
     case placing_verdict::cold:
@@ -211,6 +218,9 @@
         state.heard_at = now; // nothing was owed until now
     }
     state.own.running += 1;
+    if (state.unreached_in_row >= unreached_until_paced) {
+        state.next_trial = now + trial_interval;
+    }
     if (state.unread.empty()) {
         state.reading_since = now;
     }
@@ -268,10 +278,16 @@
     if (outcome == send_outcome::abandoned) {
         return;
     }
+    if (outcome == send_outcome::unreachable && ++state.unreached_in_row >= unreached_until_paced) {
+        state.next_trial = now + trial_interval;
+    }
     if (outcome == send_outcome::rejected) {
         state.full_until = now + full_time;
     }
     const bool answered = outcome == send_outcome::answered || outcome == send_outcome::failed;
+    if (answered || outcome == send_outcome::rejected) {
+        heard(sent.upstream, now);
+    }
     if (!sent.first_event_seen && (answered || outcome == send_outcome::silent)) {
         sample_lateness(sent, now);
     }
@@ -318,6 +334,8 @@
     const auto found = m_upstreams.find(upstream);
     if (found != m_upstreams.end()) {
         found->second.heard_at = now;
+        found->second.unreached_in_row = 0;
+        found->second.next_trial = {};
     }
 }
 
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -256,8 +256,12 @@
         if (!here && (!m_vms.contains(view.region) || view.cold_until > now)) {
             continue;
         }
+        if (here && state.next_trial > now) {
+            without = without == placing_verdict::no_upstream ? placing_verdict::unreachable : without;
+            continue;
+        }
         if (state.full_until > now) {
-            without = without == placing_verdict::no_upstream ? placing_verdict::overloaded : without;
+            without = without == placing_verdict::cold ? without : placing_verdict::overloaded;
             continue;
         }
         if (here && service != nullptr && !cold_room(state, *service, now)) {
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -254,6 +254,44 @@
         }
         CHECK(one.place(one.request(500)).verdict == placing_verdict::here);
     }
+    SECTION("one that takes no connection is tried only now and then, also when no other is left")
+    {
+        auto bound = one.request(500);
+        bound.own_region_only = true;
+        for (int round = 0; round < 3; ++round) {
+            for (const auto* id : {"a", "b"}) {
+                auto sent = one.send(id, 100);
+                one.load.end(sent, send_outcome::unreachable, one.now);
+            }
+        }
+        const auto refused = one.place(bound);
+        CHECK(refused.verdict == placing_verdict::unreachable);
+        CHECK(refused.retry_after >= 500ms);
+        one.now += 500ms;
+        AND_THEN("one request at a time")
+        {
+            const auto first = one.place(bound);
+            REQUIRE(first.verdict == placing_verdict::here);
+            auto trial = one.send(first.upstream.str(), 500);
+            const auto second = one.place(bound);
+            REQUIRE(second.verdict == placing_verdict::here);
+            CHECK(second.upstream != first.upstream);
+            auto other_trial = one.send(second.upstream.str(), 500);
+            CHECK(one.place(bound).verdict == placing_verdict::unreachable);
+            AND_THEN("a stream that began before and breaks off now is no sign of life")
+            {
+                one.load.end(trial, send_outcome::broken, one.now);
+                CHECK(one.place(bound).verdict == placing_verdict::unreachable);
+            }
+            AND_THEN("an answer ends the pacing")
+            {
+                one.load.end(trial, send_outcome::answered, one.now);
+                CHECK(one.place(bound).upstream == first.upstream);
+                CHECK(one.place(bound).upstream == first.upstream);
+                one.load.end(other_trial, send_outcome::unreachable, one.now);
+            }
+        }
+    }
     SECTION("calls that fail everywhere make none look worse than the others")
     {
         for (int round = 0; round < 30; ++round) {
