A refusal for an evacuated region says so; its callers come back later

The line `evacuation` was also written by a VM that had just started, and the refusal named neither the homes nor that they were closed, so the log alone could not tell whether anything could have served it.

Cause: the deployment that requests see held only the usable upstreams; a closed region looked like one without upstreams.

Change: the registry keeps since when a data centre is evacuated and the deployment view carries it. When all data centres in which a request may run are evacuated, it is refused as `region_evacuated`, not run, with a time to come back that grows with the evacuation, 1 to 10 s: nothing tells how long one lasts. Log lines of requests that are not served name `homes`; `evacuation_began` and `evacuation_ended` are written once for each change, with `first_listing` where a process learns it at its start.

Why it works: the reason follows from the same homes and evacuations that keep the request away, so it holds exactly while they do.

--- a/include/cardamomstream/core/error.h
+++ b/include/cardamomstream/core/error.h
@@ -29,6 +29,7 @@
     allowance_exhausted,
     overloaded,
     no_permitted_region,
+    region_evacuated,
     upstream_unavailable,
     upstream_timeout,
     upstream_failed,
--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -3,6 +3,7 @@
 
 #include "cardamomstream/core/boot_clock.h"
 #include "cardamomstream/core/core_types.h"
+#include "cardamomstream/process/deployment/evacuation.h"
 #include "cardamomstream/version/service_plan/service_plan.h"
 
 #include <chrono>
@@ -38,6 +39,7 @@
 struct deployment_view {
     std::shared_ptr<const service_plan> plan; ///< null until the first plan is known
     std::vector<upstream_view> upstreams;     ///< neither leaving nor in an evacuated data centre
+    evacuations evacuated;
 };
 
 /// Load that one VM has put on one upstream.
--- /dev/null
+++ b/include/cardamomstream/process/deployment/evacuation.h
@@ -0,0 +1,22 @@
+/// Data centres that the operators have closed to requests.
+#pragma once
+
+#include "cardamomstream/core/boot_clock.h"
+#include "cardamomstream/core/core_types.h"
+#include "cardamomstream/version/service_plan/service_plan.h"
+
+#include <map>
+#include <optional>
+
+namespace cardamomstream {
+
+/// Evacuated data centres, with the time at which this process learnt of it.
+using evacuations = std::map<data_centre_name, time_point>;
+
+/// Since when every data centre in which a request of the route and the customer may run is evacuated; none
+/// while one is open. `regions` holds the region of each data centre.
+std::optional<time_point> closed_since(const evacuations& evacuated,
+                                       const std::map<data_centre_name, region_name>& regions,
+                                       const plan_route& route, const plan_customer* customer);
+
+} // namespace cardamomstream
--- a/include/cardamomstream/process/deployment/upstream_registry.h
+++ b/include/cardamomstream/process/deployment/upstream_registry.h
@@ -26,9 +26,13 @@
     /// All entries that are in the list; what is missing is removed.
     void keep_only(const std::set<upstream_name>& listed, bool after_outage, time_point now);
 
-    void evacuate(const data_centre_name& data_centre);
-    void end_evacuation(const data_centre_name& data_centre, time_point now);
-    void keep_evacuations(const std::set<data_centre_name>& listed, time_point now);
+    /// False when the data centre was evacuated already.
+    bool evacuate(const data_centre_name& data_centre, time_point now);
+    /// False when it was open.
+    bool end_evacuation(const data_centre_name& data_centre, time_point now);
+    /// Ends every evacuation that is not listed and returns the data centres that it opened.
+    std::vector<data_centre_name> keep_evacuations(const std::set<data_centre_name>& listed, time_point now);
+    const evacuations& evacuated() const noexcept { return m_evacuated; }
 
     /// Removes entries whose grace is over; true when something changed.
     bool expire(time_point now);
@@ -50,7 +54,7 @@
 
     std::map<data_centre_name, region_name> m_regions;
     std::map<upstream_name, entry> m_entries;
-    std::set<data_centre_name> m_evacuated;
+    evacuations m_evacuated;
     std::map<data_centre_name, time_point> m_evacuation_ended;
 };
 
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -67,6 +68,10 @@
     static constexpr std::chrono::milliseconds plain_silence{400};    ///< to the answer of a repeatable call
     static constexpr std::chrono::milliseconds stream_silence{1'000}; ///< within a resumable stream
     static constexpr std::chrono::milliseconds give_up_margin{60};    ///< the answer is on its way by then
+    // Of a request whose regions are closed. Nothing tells how long an evacuation lasts; one that has lasted
+    // for long is expected to last as long again, within these bounds.
+    static constexpr std::chrono::milliseconds min_evacuation_wait{1'000};
+    static constexpr std::chrono::milliseconds max_evacuation_wait{10'000};
     static constexpr std::size_t max_whole_answer_bytes = 16 * 1024 * 1024;
 
     std::optional<error> admit_caller();
@@ -85,6 +90,7 @@
     void give_up(send_end end);
     void refuse(const error& reason);
     void refuse_placing(const placement& where);
+    std::string homes() const;
     void log_end(std::string_view end, std::string_view reason);
 
     call_limits limits_for(const placement& where, std::chrono::milliseconds connect) const;
@@ -602,12 +608,38 @@
 {
     m_last_reason = std::string(to_text(where.verdict));
     m_predicted = where.predicted;
+    if (const auto since =
+            closed_since(m_state.deployment->evacuated, m_state.settings.regions, *m_route, m_customer)) {
+        const auto age = std::chrono::floor<std::chrono::milliseconds>(boot_clock::now() - *since);
+        refuse({error_kind::region_evacuated, "all data centres in which the request may run are evacuated",
+                "come back after the time given", run_outcome::not_run,
+                std::clamp(age, min_evacuation_wait, max_evacuation_wait)});
+        return;
+    }
     const bool overloaded = where.verdict == placing_verdict::overloaded;
     refuse({overloaded ? error_kind::overloaded : error_kind::upstream_unavailable,
             overloaded ? "every upstream would answer too late" : "no upstream can take the request now",
             "come back after the time given", run_outcome::not_run, where.retry_after});
 }
 
+/// Regions in which the request may run, separated by spaces; empty where it may run in all.
+template <gateway_wire Wire>
+std::string request_flow<Wire>::homes() const
+{
+    std::string text;
+    if (m_route == nullptr ||
+        (m_route->home_regions.empty() && (m_customer == nullptr || m_customer->home_regions.empty()))) {
+        return text;
+    }
+    std::set<region_name> regions;
+    for (const auto& [data_centre, region] : m_state.settings.regions) {
+        if (may_run_in(region, *m_route, m_customer) && regions.insert(region).second) {
+            text += (text.empty() ? "" : " ") + region.str();
+        }
+    }
+    return text;
+}
+
 template <gateway_wire Wire>
 void request_flow<Wire>::refuse(const error& reason)
 {
@@ -630,6 +662,7 @@
          {"last", m_last_reason},
          {"route", m_route == nullptr ? std::string_view{} : std::string_view(m_route->name.str())},
          {"customer", m_customer == nullptr ? std::string_view{} : std::string_view(m_customer->name.str())},
+         {"homes", ordinary ? std::string{} : homes()},
          {"hop", std::int64_t{m_placing.own_region_only ? 1 : 0}},
          {"upstream", m_last_upstream},
          {"sends", std::int64_t{m_sends}},
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -199,7 +199,10 @@
         m_upstreams_listed = true;
     }
     else {
-        m_upstreams.keep_evacuations(evacuated, now);
+        for (const auto& opened : m_upstreams.keep_evacuations(evacuated, now)) {
+            log_evacuation(opened, false);
+        }
+        m_evacuations_listed = true;
     }
 }
 
@@ -209,18 +212,9 @@
     case platform::store_subject::plan:
         apply_plan(item);
         return;
-    case platform::store_subject::evacuation: {
-        const auto data_centre = platform::evacuated_data_centre(item.key);
-        m_log.write(log_weight::state, item.removed ? "evacuation_ended" : "evacuation",
-                    {{"data_centre", data_centre.str()}});
-        if (item.removed) {
-            m_upstreams.end_evacuation(data_centre, boot_clock::now());
-        }
-        else {
-            m_upstreams.evacuate(data_centre);
-        }
+    case platform::store_subject::evacuation:
+        apply_evacuation(item);
         return;
-    }
     case platform::store_subject::upstream:
         apply_upstream(item, first_listing);
         return;
@@ -229,6 +223,24 @@
     }
 }
 
+void node_control::apply_evacuation(const platform::store_item& item)
+{
+    const auto data_centre = platform::evacuated_data_centre(item.key);
+    const auto now = boot_clock::now();
+    const bool changed =
+        item.removed ? m_upstreams.end_evacuation(data_centre, now) : m_upstreams.evacuate(data_centre, now);
+    if (changed) {
+        log_evacuation(data_centre, !item.removed);
+    }
+}
+
+void node_control::log_evacuation(const data_centre_name& data_centre, bool began)
+{
+    m_log.write(
+        log_weight::state, began ? "evacuation_began" : "evacuation_ended",
+        {{"data_centre", data_centre.str()}, {"first_listing", std::int64_t{m_evacuations_listed ? 0 : 1}}});
+}
+
 void node_control::apply_plan(const platform::store_item& item)
 {
     if (item.removed) {
@@ -277,6 +289,7 @@
 {
     auto view = std::make_shared<deployment_view>();
     view->plan = m_plan.get();
+    view->evacuated = m_upstreams.evacuated();
     view->upstreams = m_upstreams.usable(view->plan.get(), boot_clock::now());
     boost::asio::post(m_traffic.io(),
                       [this, view = std::move(view)]() mutable { m_state.set_deployment(std::move(view)); });
--- a/src/connection/http/error_response.cpp
+++ b/src/connection/http/error_response.cpp
@@ -38,6 +38,7 @@
         return 502;
     case error_kind::overloaded:
     case error_kind::no_permitted_region:
+    case error_kind::region_evacuated:
     case error_kind::upstream_unavailable:
     case error_kind::peer_unavailable:
     case error_kind::platform_unavailable:
--- /dev/null
+++ b/src/process/deployment/tests/evacuation_test.cpp
@@ -0,0 +1,40 @@
+#include "cardamomstream/process/deployment/evacuation.h"
+
+#include <catch2/catch.hpp>
+
+using namespace cardamomstream;
+using namespace std::chrono_literals;
+
+TEST_CASE("a request is shut out when all data centres of its homes are evacuated")
+{
+    const region_name riga("riga");
+    const region_name kurzeme("kurzeme");
+    const data_centre_name riga_a("riga-a");
+    const data_centre_name riga_b("riga-b");
+    const data_centre_name kurzeme_a("kurzeme-a");
+    const std::map<data_centre_name, region_name> regions{
+        {riga_a, riga}, {riga_b, riga}, {kurzeme_a, kurzeme}};
+    const time_point start{100s};
+    plan_route route;
+    plan_customer customer;
+    customer.home_regions = {riga};
+
+    SECTION("not while one of them is open")
+    {
+        CHECK_FALSE(closed_since({{riga_a, start}}, regions, route, &customer));
+        CHECK_FALSE(closed_since({{riga_a, start}, {kurzeme_a, start}}, regions, route, &customer));
+    }
+    SECTION("from when the last of them was closed")
+    {
+        CHECK(closed_since({{riga_a, start}, {riga_b, start + 3s}}, regions, route, &customer) == start + 3s);
+    }
+    SECTION("other regions count where the request is not bound")
+    {
+        CHECK_FALSE(closed_since({{riga_a, start}, {riga_b, start}}, regions, route, nullptr));
+        AND_THEN("a route's homes bind as a customer's do")
+        {
+            route.home_regions = {riga};
+            CHECK(closed_since({{riga_a, start}, {riga_b, start}}, regions, route, nullptr) == start);
+        }
+    }
+}
--- a/src/process/deployment/tests/upstream_registry_test.cpp
+++ b/src/process/deployment/tests/upstream_registry_test.cpp
@@ -90,9 +90,16 @@
     }
     SECTION("its data centre is evacuated, and cold when that ends")
     {
-        registry.evacuate(data_centre_name("riga-a"));
+        const data_centre_name riga_a("riga-a");
+        CHECK(registry.evacuate(riga_a, start));
+        CHECK_FALSE(registry.evacuate(riga_a, start + 1s)); // listed once more
+        CHECK(registry.evacuated() == evacuations{{riga_a, start}});
         CHECK(usable(start) == 0);
-        registry.keep_evacuations({}, start + 5s);
+        CHECK(registry.keep_evacuations({riga_a}, start + 4s).empty());
+        CHECK(usable(start + 4s) == 0);
+        CHECK(registry.keep_evacuations({}, start + 5s) == std::vector{riga_a});
+        CHECK_FALSE(registry.end_evacuation(riga_a, start + 6s));
+        CHECK(registry.evacuated().empty());
         REQUIRE(usable(start + 5s) == 1);
         CHECK(registry.usable(&plan, start + 5s)[0].cold_until > start + 8s);
     }
--- a/src/process/deployment/upstream_registry.cpp
+++ b/src/process/deployment/upstream_registry.cpp
@@ -63,26 +63,33 @@
     }
 }
 
-void upstream_registry::evacuate(const data_centre_name& data_centre)
+bool upstream_registry::evacuate(const data_centre_name& data_centre, time_point now)
 {
-    m_evacuated.insert(data_centre);
+    return m_evacuated.emplace(data_centre, now).second;
 }
 
-void upstream_registry::end_evacuation(const data_centre_name& data_centre, time_point now)
+bool upstream_registry::end_evacuation(const data_centre_name& data_centre, time_point now)
 {
-    if (m_evacuated.erase(data_centre) > 0) {
-        m_evacuation_ended[data_centre] = now;
+    if (m_evacuated.erase(data_centre) == 0) {
+        return false;
     }
+    m_evacuation_ended[data_centre] = now;
+    return true;
 }
 
-void upstream_registry::keep_evacuations(const std::set<data_centre_name>& listed, time_point now)
+std::vector<data_centre_name> upstream_registry::keep_evacuations(const std::set<data_centre_name>& listed,
+                                                                  time_point now)
 {
-    const auto before = m_evacuated;
-    for (const auto& data_centre : before) {
+    std::vector<data_centre_name> opened;
+    for (const auto& [data_centre, since] : m_evacuated) {
         if (!listed.contains(data_centre)) {
-            end_evacuation(data_centre, now);
+            opened.push_back(data_centre);
         }
     }
+    for (const auto& data_centre : opened) {
+        end_evacuation(data_centre, now);
+    }
+    return opened;
 }
 
 bool upstream_registry::expire(time_point now)
