Read of the whole change: one place notes a sign of life; derived state and the wait of a closed region in their places

No change of behaviour; no assertion of a test was touched, one test is new. - fleet_load::end looked an upstream up a second time to note that it had answered, and reset half of the same fields at its end. note_sign_of_life does it once, for end and heard. - Reasons for which no upstream is left were ordered by three hand-written comparisons; the verdicts stand in that order, so the greatest one is kept. - node_control passed `first_listing` through two functions, which m_upstreams_listed already tells. - How long callers of a closed region wait was computed in the request path, with its bounds; it stands beside closed_since now, and is tested without a network.

--- a/include/cardamomstream/process/deployment/evacuation.h
+++ b/include/cardamomstream/process/deployment/evacuation.h
@@ -5,6 +5,7 @@
 #include "cardamomstream/core/core_types.h"
 #include "cardamomstream/version/service_plan/service_plan.h"
 
+#include <chrono>
 #include <map>
 #include <optional>
 
@@ -19,4 +20,8 @@
                                        const std::map<data_centre_name, region_name>& regions,
                                        const plan_route& route, const plan_customer* customer);
 
+/// When callers of a region that is closed should come back. Nothing tells how long an evacuation lasts; one
+/// that has lasted for long is expected to last as long again, within bounds.
+std::chrono::milliseconds time_to_reopening(time_point since, time_point now);
+
 } // namespace cardamomstream
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -68,10 +68,6 @@
     static constexpr std::chrono::milliseconds plain_silence{400};    ///< to the answer of a repeatable call
     static constexpr std::chrono::milliseconds stream_silence{1'000}; ///< within a resumable stream
     static constexpr std::chrono::milliseconds give_up_margin{60};    ///< the answer is on its way by then
-    // Of a request whose regions are closed. Nothing tells how long an evacuation lasts; one that has lasted
-    // for long is expected to last as long again, within these bounds.
-    static constexpr std::chrono::milliseconds min_evacuation_wait{1'000};
-    static constexpr std::chrono::milliseconds max_evacuation_wait{10'000};
     static constexpr std::size_t max_whole_answer_bytes = 16 * 1024 * 1024;
 
     std::optional<error> admit_caller();
@@ -251,10 +247,9 @@
     m_predicted = where.predicted;
     if (const auto since =
             closed_since(m_state.deployment->evacuated, m_state.settings.regions, *m_route, m_customer)) {
-        const auto age = std::chrono::floor<std::chrono::milliseconds>(boot_clock::now() - *since);
         refuse({error_kind::region_evacuated, "all data centres in which the request may run are evacuated",
                 "come back after the time given", run_outcome::not_run,
-                std::clamp(age, min_evacuation_wait, max_evacuation_wait)});
+                time_to_reopening(*since, boot_clock::now())});
         return;
     }
     const bool overloaded = where.verdict == placing_verdict::overloaded;
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -121,6 +121,7 @@
 
 private:
     void note_failure(upstream_state& state, time_point now, bool unreachable);
+    static void note_sign_of_life(upstream_state& state, time_point now);
     void forget_prompt(upstream_state& state, std::uint64_t number, time_point now);
     std::chrono::milliseconds own_reading_left(const upstream_state& state, time_point now) const;
 
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -34,6 +34,7 @@
     bool begun = false;                  ///< sent before, so that a late answer is better than none
 };
 
+/// Refusals stand in the order in which a later one is the better reason when several hold.
 enum class placing_verdict {
     here,         ///< send to the upstream
     other_region, ///< pass on to a VM of the upstream's region
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -145,7 +145,7 @@
     });
     follower.on_changes([this](const std::vector<platform::store_item>& items) {
         for (const auto& item : items) {
-            apply(item, false);
+            apply(item);
         }
         publish();
     });
@@ -184,7 +184,7 @@
     std::set<upstream_name> upstreams;
     std::set<data_centre_name> evacuated;
     for (const auto& item : batch.items) {
-        apply(item, lists_upstreams && !m_upstreams_listed);
+        apply(item);
         const auto subject = platform::subject_of(item.key);
         if (subject == platform::store_subject::upstream) {
             upstreams.insert(platform::upstream_of(item.key));
@@ -206,7 +206,7 @@
     }
 }
 
-void node_control::apply(const platform::store_item& item, bool first_listing)
+void node_control::apply(const platform::store_item& item)
 {
     switch (platform::subject_of(item.key)) {
     case platform::store_subject::plan:
@@ -216,7 +216,7 @@
         apply_evacuation(item);
         return;
     case platform::store_subject::upstream:
-        apply_upstream(item, first_listing);
+        apply_upstream(item);
         return;
     case platform::store_subject::other:
         return;
@@ -259,7 +259,7 @@
     }
 }
 
-void node_control::apply_upstream(const platform::store_item& item, bool first_listing)
+void node_control::apply_upstream(const platform::store_item& item)
 {
     const auto id = platform::upstream_of(item.key);
     const auto now = boot_clock::now();
@@ -276,7 +276,7 @@
         m_upstreams.remove(id, false, now);
         return;
     }
-    m_upstreams.apply(record.value(), first_listing, now);
+    m_upstreams.apply(record.value(), !m_upstreams_listed, now);
     m_log.write(log_weight::state, "upstream",
                 {{"upstream", id.str()},
                  {"service", record.value().service.str()},
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -43,11 +43,11 @@
     void set_watch_pace(time_point now);
 
     void apply_listing(const platform::store_batch& batch, bool lists_upstreams);
-    void apply(const platform::store_item& item, bool first_listing);
+    void apply(const platform::store_item& item);
     void apply_evacuation(const platform::store_item& item);
     void log_evacuation(const data_centre_name& data_centre, bool began);
     void apply_plan(const platform::store_item& item);
-    void apply_upstream(const platform::store_item& item, bool first_listing);
+    void apply_upstream(const platform::store_item& item);
     void publish();
 
     void receive_reports();
@@ -81,7 +81,7 @@
     time_point m_vms_published_at;
     std::size_t m_neighbours = 0; ///< VMs of the own region that were told at the last report
     bool m_leaving = false;
-    bool m_upstreams_listed = false;
+    bool m_upstreams_listed = false;   ///< until then, upstreams may have started long ago
     bool m_evacuations_listed = false; ///< until then, evacuations may have begun long ago
 };
 
--- a/src/process/deployment/evacuation.cpp
+++ b/src/process/deployment/evacuation.cpp
@@ -4,6 +4,13 @@
 
 namespace cardamomstream {
 
+namespace {
+
+constexpr std::chrono::milliseconds least_wait{1'000};
+constexpr std::chrono::milliseconds longest_wait{10'000};
+
+} // namespace
+
 std::optional<time_point> closed_since(const evacuations& evacuated,
                                        const std::map<data_centre_name, region_name>& regions,
                                        const plan_route& route, const plan_customer* customer)
@@ -22,4 +29,9 @@
     return since;
 }
 
+std::chrono::milliseconds time_to_reopening(time_point since, time_point now)
+{
+    return std::clamp(std::chrono::floor<std::chrono::milliseconds>(now - since), least_wait, longest_wait);
+}
+
 } // namespace cardamomstream
--- a/src/process/deployment/tests/evacuation_test.cpp
+++ b/src/process/deployment/tests/evacuation_test.cpp
@@ -38,3 +38,11 @@
         }
     }
 }
+
+TEST_CASE("callers of a closed region come back the later the longer it has been closed")
+{
+    const time_point since{100s};
+    CHECK(time_to_reopening(since, since) == 1s);
+    CHECK(time_to_reopening(since, since + 4s) == 4s);
+    CHECK(time_to_reopening(since, since + 1h) == 10s);
+}
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -285,9 +285,6 @@
         state.full_until = now + full_time;
     }
     const bool answered = outcome == send_outcome::answered || outcome == send_outcome::failed;
-    if (answered || outcome == send_outcome::rejected) {
-        heard(sent.upstream, now);
-    }
     if (!sent.first_event_seen && (answered || outcome == send_outcome::silent)) {
         sample_lateness(sent, now);
     }
@@ -299,7 +296,14 @@
         return;
     }
     state.failures_in_row = 0;
+    note_sign_of_life(state, now);
+}
+
+void fleet_load::note_sign_of_life(upstream_state& state, time_point now)
+{
     state.heard_at = now;
+    state.unreached_in_row = 0;
+    state.next_trial = {};
 }
 
 void fleet_load::note_failure(upstream_state& state, time_point now, bool unreachable)
@@ -333,9 +337,7 @@
 {
     const auto found = m_upstreams.find(upstream);
     if (found != m_upstreams.end()) {
-        found->second.heard_at = now;
-        found->second.unreached_in_row = 0;
-        found->second.next_trial = {};
+        note_sign_of_life(found->second, now);
     }
 }
 
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -257,15 +257,15 @@
             continue;
         }
         if (here && state.next_trial > now) {
-            without = without == placing_verdict::no_upstream ? placing_verdict::unreachable : without;
+            without = std::max(without, placing_verdict::unreachable);
             continue;
         }
         if (state.full_until > now) {
-            without = without == placing_verdict::cold ? without : placing_verdict::overloaded;
+            without = std::max(without, placing_verdict::overloaded);
             continue;
         }
         if (here && service != nullptr && !cold_room(state, *service, now)) {
-            without = placing_verdict::cold;
+            without = std::max(without, placing_verdict::cold);
             continue;
         }
         candidates.push_back(rate(request, load, state, now));
