A cold upstream's bound is divided by data centre, and by VM where each can't have a request a second

A VM that has just started took one seventh of the bound, but a region of 22 VMs and more starts at once after a loss of power. And a part below one was rounded down to none: cold engines got nothing in such regions for as long as they were cold. Ruled out: late reports; the VMs had not heard of each other at all.

A VM leaves cold upstreams alone for its first 1.2 s. Then each data centre of the region has an equal part, whether or not it hears of the others; where that gives less than a request to each VM, as many VMs as the part allows have one, by rendezvous.

--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -12,9 +12,10 @@
 /// there, and is refused at once when no upstream would answer within its objective. Not thread safe.
 class placer {
 public:
-    /// `started_at`: a process that has just started has not heard of every VM of its region yet.
+    /// `started_at`: a process that has just started has not heard of every VM of its region yet. `self`: by
+    /// which the other VMs of the region know this one.
     placer(region_name region, data_centre_name data_centre, placing_settings settings, std::uint64_t seed,
-           time_point started_at = {});
+           time_point started_at = {}, const endpoint& self = {});
 
     /// VMs of every region that take requests; the own region counts this VM beside them.
     void set_vms(const known_vms& vms);
@@ -34,6 +35,8 @@
 
     candidate rate(const placing_request& request, const fleet_load& load,
                    const fleet_load::upstream_state& state, time_point now) const;
+    /// Requests that this VM may send to a cold upstream in a second.
+    std::size_t cold_share(const upstream_name& upstream, double bound, time_point now) const;
     bool cold_room(const fleet_load::upstream_state& state, const plan_service& service,
                    time_point now) const;
     static void add_failure_costs(std::vector<candidate>& candidates);
@@ -57,7 +60,14 @@
     time_point m_started_at;
     double m_refused_part = 0; ///< of the last requests, as an average that fades
     std::unordered_map<region_name, std::vector<endpoint>> m_vms;
-    std::unordered_map<endpoint, time_point> m_neighbours; ///< VMs of the own region, when heard of last
+    struct neighbour {
+        std::uint64_t hash = 0;
+        bool near = false; ///< in the own data centre
+        time_point heard_at;
+    };
+
+    std::uint64_t m_self;                                 ///< hash of the own address
+    std::unordered_map<endpoint, neighbour> m_neighbours; ///< VMs of the own region
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -83,6 +83,7 @@
     double shed_wait = 0.25;  ///< or, for prompts too long for the objective, when the wait before them does
     double cold_factor = 1.5; ///< times the published rate that a cold upstream may get
     double cold_slack = 3;    ///< requests a second beside it
+    std::size_t data_centres_of_region = 1; ///< that share the bound of a cold upstream
 };
 
 } // namespace cardamomstream
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -26,6 +26,9 @@
     placing_settings placing;
     placing.cold_factor = settings.bounds.cold_factor;
     placing.cold_slack = settings.bounds.cold_slack;
+    const auto here = std::count_if(settings.regions.begin(), settings.regions.end(),
+                                    [&](const auto& place) { return place.second == settings.region; });
+    placing.data_centres_of_region = static_cast<std::size_t>(std::max<std::ptrdiff_t>(here, 1));
     return placing;
 }
 
@@ -38,7 +41,7 @@
     , log(decisions)
     , counters(metrics)
     , load(placing_of(node))
-    , placing(node.region, node.data_centre, placing_of(node), seed, boot_clock::now())
+    , placing(node.region, node.data_centre, placing_of(node), seed, boot_clock::now(), node.inner_listener)
     , random(seed)
 {
 }
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -48,15 +48,15 @@
 constexpr std::size_t compared_for_share = 3;
 constexpr std::size_t least_compared = 4;
 
-/// VMs of a region that share a cold upstream's bound at least: one that was killed may be back and not heard
-/// of.
+/// VMs of a data centre that share a cold upstream's bound at least: one that was killed may be back and not
+/// heard of.
 constexpr std::size_t min_vms_for_cold = 3;
 
-/// The same for a VM that has just started: a whole region may have come back at once, with VMs added to it.
-constexpr std::size_t min_vms_for_cold_at_start = 7;
-constexpr std::chrono::seconds start_time{3};
+/// A VM that has just started leaves cold upstreams alone until it has heard of its data centre's VMs: all of
+/// them may have started at once.
+constexpr std::chrono::milliseconds settling_time{1'200};
 
-/// A VM of the region that has reported within this time still has its part of a cold upstream's bound.
+/// A VM of the data centre that has reported within this time still has its part of a cold upstream's bound.
 constexpr std::chrono::seconds cold_sharer_memory{10};
 
 std::uint64_t shared_prompt_of(const std::vector<prompt_part>& parts)
@@ -64,6 +64,11 @@
     return parts.size() < 2 ? 0 : parts[parts.size() - 2].id;
 }
 
+std::uint64_t hash_of(const endpoint& address)
+{
+    return XXH3_64bits_withSeed(address.address.data(), address.address.size(), address.port);
+}
+
 std::uint64_t preference(std::uint64_t prompt, const upstream_name& upstream)
 {
     return XXH3_64bits_withSeed(upstream.str().data(), upstream.str().size(), prompt);
@@ -91,12 +96,13 @@
 };
 
 placer::placer(region_name region, data_centre_name data_centre, placing_settings settings,
-               std::uint64_t seed, time_point started_at)
+               std::uint64_t seed, time_point started_at, const endpoint& self)
     : m_region(std::move(region))
     , m_data_centre(std::move(data_centre))
     , m_settings(settings)
     , m_random(seed)
     , m_started_at(started_at)
+    , m_self(hash_of(self))
 {
 }
 
@@ -105,7 +111,10 @@
     m_vms.clear();
     visit_vms(vms, [&](const vm_report& report, const vm_member& vm, time_point heard_at) {
         if (report.region == m_region) {
-            m_neighbours[vm.inner] = heard_at;
+            auto& known = m_neighbours[vm.inner];
+            known.hash = known.hash == 0 ? hash_of(vm.inner) : known.hash;
+            known.heard_at = heard_at;
+            known.near = report.data_centre == m_data_centre;
         }
         else if (vm.ready) {
             m_vms[report.region].push_back(vm.inner);
@@ -167,17 +176,36 @@
     if (state.view.cold_until <= now || service.cold_requests_per_second <= 0) {
         return true;
     }
+    if (now - m_started_at < settling_time) {
+        return false;
+    }
     const double bound = service.cold_requests_per_second * m_settings.cold_factor + m_settings.cold_slack;
-    const auto neighbours = std::count_if(m_neighbours.begin(), m_neighbours.end(), [&](const auto& vm) {
-        return now - vm.second < cold_sharer_memory;
-    });
-    const auto least = now - m_started_at < start_time ? min_vms_for_cold_at_start : min_vms_for_cold;
-    const auto vms = std::max(static_cast<std::size_t>(neighbours) + 1, least);
-    const auto mine = static_cast<std::size_t>(std::floor(bound / static_cast<double>(vms)));
     const auto recent = std::count_if(state.cold_sends.begin(), state.cold_sends.end(), [&](time_point at) {
         return now - at < std::chrono::milliseconds{1'100};
     });
-    return static_cast<std::size_t>(recent) < mine;
+    return static_cast<std::size_t>(recent) < cold_share(state.view.record.id, bound, now);
+}
+
+std::size_t placer::cold_share(const upstream_name& upstream, double bound, time_point now) const
+{
+    // Each data centre of the region has its part, whether or not it hears of the others.
+    const double part = bound / static_cast<double>(m_settings.data_centres_of_region);
+    const auto weight = [&](std::uint64_t vm) { return preference(vm, upstream); };
+    const auto own = weight(m_self);
+    std::size_t sharers = 1;
+    std::size_t before = 0; // VMs that come before this one by rendezvous
+    for (const auto& [address, vm] : m_neighbours) {
+        if (vm.near && now - vm.heard_at < cold_sharer_memory) {
+            sharers += 1;
+            before += weight(vm.hash) > own ? 1 : 0;
+        }
+    }
+    const auto share = std::floor(part / static_cast<double>(std::max(sharers, min_vms_for_cold)));
+    if (share >= 1) {
+        return static_cast<std::size_t>(share);
+    }
+    // Too many VMs for a request each: as many as the part allows have one.
+    return static_cast<double>(before + 1) <= part ? 1 : 0;
 }
 
 endpoint placer::vm_of(const region_name& region)
