Bounds on what a server in trouble may send: heads, rejections, events and plain answers without end

Found by tests against a server that writes raw bytes; each failed first: - a 100 Continue head made the client read the same head again for ever, without a call to the socket: the traffic thread span at full load. Each informational head now has its own parser, and the ninth ends the call. - a rejected request waited for the end of the rejection's body, up to its deadline, though it had not run: now 16 KB or 100 ms, then the connection is closed and the next upstream tried. - a resumable stream that stalled but for a byte now and then went on to its deadline, and its engine counted as alive: what counts is a whole event.

--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -54,6 +54,9 @@
     /// (closed in the middle), cancelled; all with outcome unknown.
     virtual result<std::optional<std::string>> next() = 0;
 
+    /// The rest of the body must come within this time, whatever the call's own limits.
+    virtual void limit_rest(std::chrono::milliseconds rest) = 0;
+
 protected:
     http_exchange() = default;
 };
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -68,7 +68,10 @@
     static constexpr std::chrono::milliseconds plain_silence{400};    ///< to the answer of a repeatable call
     static constexpr std::chrono::milliseconds stream_silence{1'000}; ///< within a resumable stream
     static constexpr std::chrono::milliseconds give_up_margin{60};    ///< the answer is on its way by then
-    static constexpr std::size_t max_whole_answer_bytes = 16 * 1024 * 1024;
+
+    /// A rejection whose body is longer, or takes longer, costs its connection.
+    static constexpr std::size_t max_rejection_bytes = 16 * 1024;
+    static constexpr std::chrono::milliseconds rejection_limit{100};
 
     std::optional<error> admit_caller();
     std::optional<error> admit_hop(const hop_details& hop);
@@ -79,6 +82,7 @@
     send_end send_here(const placement& where);
     send_end send_away(const placement& where);
     send_end take_answer(http_exchange& exchange, sent_request* sent, const placement& where);
+    static void read_rejection(http_exchange& exchange);
     send_end relay_whole(http_exchange& exchange, bool repeatable_failure);
     send_end relay_stream(http_exchange& exchange, sent_request* sent, const placement& where);
     send_end write_events(std::string_view bytes, const http_response_head& head);
@@ -90,6 +94,7 @@
     void log_end(std::string_view end, std::string_view reason);
 
     call_limits limits_for(const placement& where, std::chrono::milliseconds connect) const;
+    std::chrono::milliseconds stall_limit(const placement& where) const;
     upstream_call call_details(const placement& where) const;
     std::chrono::milliseconds time_left() const
     {
@@ -119,6 +124,7 @@
     placing_request m_placing;
     cancellation m_cancel;
     event_splitter m_events;
+    time_point m_progressed_at;          ///< when the last whole event of the stream came
     std::optional<http_response> m_held; ///< an upstream's failure, delivered unless a repeat does better
     double m_charged = 0;
     bool m_begun = false; ///< the caller has the head of a stream
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -13,12 +13,8 @@
     const auto origin = Wire::origin_of(head);
     if (origin.not_run || (sent == nullptr && !origin.from_upstream && promises_not_run(head.status))) {
         m_last_reason = "rejected with " + std::to_string(head.status);
-        while (true) { // to the end, so that the connection can be used again
-            auto part = exchange.next();
-            if (!part || !part.value()) {
-                return send_end::not_run;
-            }
-        }
+        read_rejection(exchange);
+        return send_end::not_run;
     }
     if (!origin.from_upstream || (!origin.id.empty() && origin.id != m_caller.id)) {
         m_last_reason =
@@ -36,12 +32,28 @@
     return relay_whole(exchange, head.status >= 500 && m_route->repeatable());
 }
 
+/// Reads to the end where it is near, so that the connection can be used again.
+template <gateway_wire Wire>
+void request_flow<Wire>::read_rejection(http_exchange& exchange)
+{
+    exchange.limit_rest(rejection_limit);
+    std::size_t bytes = 0;
+    while (bytes <= max_rejection_bytes) {
+        const auto part = exchange.next();
+        if (!part || !part.value()) {
+            return;
+        }
+        bytes += part.value()->size();
+    }
+}
+
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_end request_flow<Wire>::relay_whole(http_exchange& exchange,
                                                                       bool repeatable_failure)
 {
     http_response answer;
     answer.head = {exchange.head().status, end_to_end_headers(exchange.head().headers)};
+    auto held = m_state.held_answers.hold();
     while (true) {
         auto part = exchange.next();
         if (!part) {
@@ -51,11 +63,11 @@
         if (!part.value()) {
             break;
         }
-        answer.body += *part.value();
-        if (answer.body.size() > max_whole_answer_bytes) {
-            m_last_reason = "the answer is too large";
+        if (!held.add(part.value()->size())) {
+            m_last_reason = "the answer is too large to be held";
             return send_end::may_have_run;
         }
+        answer.body += *part.value();
     }
     if (repeatable_failure) {
         m_last_reason = "the upstream failed with " + std::to_string(answer.head.status);
@@ -80,6 +92,7 @@
 {
     m_events.drop_rest();
     m_ran = true;
+    m_progressed_at = boot_clock::now();
     while (true) {
         auto part = exchange.next();
         const auto now = boot_clock::now();
@@ -94,12 +107,25 @@
         }
         if (sent != nullptr) {
             m_state.load.first_event(*sent, now);
-            m_state.load.heard(where.upstream, now);
         }
         if (!part.value()) {
             break;
         }
         const auto bytes = m_route->resumable ? m_events.take(*part.value()) : std::move(*part.value());
+        if (bytes.empty() && !m_events.may_go_on()) {
+            m_last_reason = "an event has no end";
+            return send_end::may_have_run;
+        }
+        if (bytes.empty() && now - m_progressed_at > stall_limit(where)) {
+            m_last_reason = "the stream brings bytes but no event";
+            return send_end::may_have_run;
+        }
+        if (!bytes.empty()) {
+            m_progressed_at = now;
+            if (sent != nullptr) {
+                m_state.load.heard(where.upstream, now);
+            }
+        }
         if (write_events(bytes, exchange.head()) == send_end::caller_gone) {
             return send_end::caller_gone;
         }
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -15,11 +15,25 @@
         const auto silence =
             is_stream() ? where.predicted * 2 + silence_extra : std::max(plain_silence, where.predicted * 4);
         limits.first_byte = std::min(left, silence);
-        limits.chunk_gap = std::min(left, is_stream() && m_begun ? stream_silence : silence);
+        limits.chunk_gap = stall_limit(where);
     }
     return limits;
 }
 
+/// Longest time without a byte of a plain answer, or without an event of a stream.
+template <gateway_wire Wire>
+std::chrono::milliseconds request_flow<Wire>::stall_limit(const placement& where) const
+{
+    const auto left = time_left();
+    if (!m_route->repeatable() || m_runs + 1 >= allowed_runs()) {
+        return left;
+    }
+    if (!is_stream()) {
+        return std::min(left, std::max(plain_silence, where.predicted * 4));
+    }
+    return std::min(left, m_begun ? stream_silence : where.predicted * 2 + silence_extra);
+}
+
 template <gateway_wire Wire>
 upstream_call request_flow<Wire>::call_details(const placement& where) const
 {
--- a/src/connection/client/pooled_exchange.cpp
+++ b/src/connection/client/pooled_exchange.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr std::uint32_t max_response_header_bytes = 32 * 1024;
+constexpr int max_informational_heads = 8; ///< before the head of the answer
+constexpr unsigned first_final_status = 200;
 
 http::request<http::string_body> make_request(const http_call& call)
 {
@@ -39,8 +41,6 @@
     , m_cancel(cancel)
     , m_give_back(std::move(give_back))
 {
-    m_parser.body_limit(boost::none);
-    m_parser.header_limit(max_response_header_bytes);
 }
 
 pooled_exchange::~pooled_exchange()
@@ -80,37 +80,49 @@
 result<void> pooled_exchange::read_head(std::chrono::milliseconds limit)
 {
     io_deadline deadline(m_connection->socket(), limit);
-    do {
+    // Informational heads may come before that of the answer.
+    for (int heads = 0; heads <= max_informational_heads; ++heads) {
+        m_parser.emplace();
+        m_parser->body_limit(boost::none);
+        m_parser->header_limit(max_response_header_bytes);
         auto [ec, n] =
-            http::async_read_header(m_connection->socket(), m_connection->buffer(), m_parser, use_fiber);
+            http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser, use_fiber);
         if (ec) {
             return failure(ec, deadline.expired());
         }
-    } while (m_parser.get().result() == http::status::continue_);
-    const auto& message = m_parser.get();
+        if (m_parser->get().result_int() >= first_final_status) {
+            take_head();
+            return boost::outcome_v2::success();
+        }
+    }
+    return failure(http::error::bad_status, false);
+}
+
+void pooled_exchange::take_head()
+{
+    const auto& message = m_parser->get();
     m_head.status = message.result_int();
     for (const auto& field : message) {
         m_head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    return boost::outcome_v2::success();
 }
 
 result<std::optional<std::string>> pooled_exchange::next()
 {
-    while (!m_parser.is_done()) {
+    while (!m_parser->is_done()) {
         const auto spent =
             std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - m_started);
         const auto left = std::min(m_limits.chunk_gap, m_limits.total - spent);
         if (left <= std::chrono::milliseconds::zero()) {
             return failure({}, true);
         }
-        auto& body = m_parser.get().body();
+        auto& body = m_parser->get().body();
         body.data = m_data.data();
         body.size = m_data.size();
         body.more = true;
         io_deadline deadline(m_connection->socket(), left);
         auto [ec, n] =
-            http::async_read_some(m_connection->socket(), m_connection->buffer(), m_parser, use_fiber);
+            http::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser, use_fiber);
         if (ec && ec != http::error::need_buffer) {
             return failure(ec, deadline.expired());
         }
@@ -123,6 +135,12 @@
     return std::optional<std::string>{};
 }
 
+void pooled_exchange::limit_rest(std::chrono::milliseconds rest)
+{
+    const auto spent = std::chrono::ceil<std::chrono::milliseconds>(boot_clock::now() - m_started);
+    m_limits.total = std::min(m_limits.total, spent + rest);
+}
+
 error pooled_exchange::failure(boost::beast::error_code ec, bool timed_out) const
 {
     if (m_cancel.cancelled()) {
@@ -149,7 +167,7 @@
         return;
     }
     auto connection = std::exchange(m_connection, nullptr);
-    if (m_parser.get().keep_alive()) {
+    if (m_parser->get().keep_alive()) {
         m_give_back(std::move(connection));
         return;
     }
--- a/src/connection/client/pooled_exchange.h
+++ b/src/connection/client/pooled_exchange.h
@@ -33,19 +33,21 @@
 
     const http_response_head& head() const override { return m_head; }
     result<std::optional<std::string>> next() override;
+    void limit_rest(std::chrono::milliseconds rest) override;
 
 private:
     using parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
     result<void> write(const http_call& call);
     result<void> read_head(std::chrono::milliseconds limit);
+    void take_head();
     error failure(boost::beast::error_code ec, bool timed_out) const;
     void finish();
 
     std::shared_ptr<client_connection> m_connection;
     cancellation& m_cancel;
     give_back_action m_give_back;
-    parser m_parser;
+    std::optional<parser> m_parser; ///< of one head and what follows it
     http_response_head m_head;
     call_limits m_limits;
     time_point m_started;
--- a/src/request/gateway/event_splitter.cpp
+++ b/src/request/gateway/event_splitter.cpp
@@ -1,5 +1,7 @@
 #include "cardamomstream/request/gateway/event_splitter.h"
 
+#include <algorithm>
+
 namespace cardamomstream {
 
 namespace {
@@ -11,11 +13,14 @@
 
 std::string event_splitter::take(std::string_view bytes)
 {
+    // What was searched before holds no boundary, but one may begin with its last byte.
+    const auto searched = m_rest.size() - std::min<std::size_t>(m_rest.size(), 1);
     m_rest.append(bytes);
-    const auto end = m_rest.rfind(boundary);
-    if (end == std::string::npos) {
+    const auto found = std::string_view(m_rest).substr(searched).rfind(boundary);
+    if (found == std::string_view::npos) {
         return {};
     }
+    const auto end = searched + found;
     auto whole = m_rest.substr(0, end + boundary.size());
     m_rest.erase(0, end + boundary.size());
     note_ids(whole);
--- a/src/request/gateway/tests/event_splitter_test.cpp
+++ b/src/request/gateway/tests/event_splitter_test.cpp
@@ -31,3 +31,24 @@
         CHECK(events.last_id() == "2");
     }
 }
+
+TEST_CASE("bytes without an event's end come on and on")
+{
+    event_splitter events;
+    CHECK(events.take("id: 1\ndata: a\n\n").size() > 0);
+    const std::string part(16 * 1024, 'x');
+    std::size_t taken = 0;
+    while (events.may_go_on() && taken < 10 * event_splitter::max_event_bytes) {
+        CHECK(events.take(part).empty());
+        taken += part.size();
+    }
+    CHECK(taken <= event_splitter::max_event_bytes + part.size());
+
+    SECTION("another run goes on after the last whole event")
+    {
+        events.drop_rest();
+        CHECK(events.may_go_on());
+        CHECK(events.last_id() == "1");
+        CHECK(events.take("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
+    }
+}
