--- a/include/cardamomstream/process/deployment/report_exchange.h
+++ b/include/cardamomstream/process/deployment/report_exchange.h
@@ -17,6 +17,12 @@
     std::vector<endpoint> receivers;
 };
 
+/// What follows from a report that came in.
+struct received_report {
+    bool is_new = false; ///< it says something new
+    std::vector<outgoing_report> outgoing;
+};
+
 /// Who this VM is to the others.
 struct vm_identity {
     vm_name vm;
@@ -41,8 +47,8 @@
     /// An address of a VM that may exist.
     void learn_address(const endpoint& inner);
 
-    /// A report that came in. `taken`: it says something new.
-    std::vector<outgoing_report> receive(const vm_report& report, time_point now, bool& taken);
+    /// A report that came in.
+    received_report receive(const vm_report& report, time_point now);
 
     /// The own report. `state` holds all that changes from report to report.
     std::vector<outgoing_report> report(vm_report state, time_point now);
--- a/include/cardamomstream/request/gateway/held_answers.h
+++ b/include/cardamomstream/request/gateway/answer_memory.h
@@ -7,7 +7,7 @@
 
 /// Answers for upstreams that send large answers, or bytes without end, to many requests at once: a VM has
 /// little memory. One traffic thread; holders must not outlive it.
-class held_answers {
+class answer_memory {
 public:
     static constexpr std::size_t max_bytes_of_one = std::size_t{8} * 1024 * 1024;
     static constexpr std::size_t max_bytes = std::size_t{48} * 1024 * 1024;
@@ -15,7 +15,7 @@
     /// What one answer holds, until it is destroyed.
     class holder {
     public:
-        explicit holder(held_answers& all)
+        explicit holder(answer_memory& all)
             : m_all(all)
         {
         }
@@ -37,7 +37,7 @@
         }
 
     private:
-        held_answers& m_all;
+        answer_memory& m_all;
         std::size_t m_bytes = 0;
     };
 
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -5,8 +5,8 @@
 #include "cardamomstream/process/decision_log.h"
 #include "cardamomstream/process/deployment/node_settings.h"
 #include "cardamomstream/request/admission_retry_budget.h"
+#include "cardamomstream/request/gateway/answer_memory.h"
 #include "cardamomstream/request/gateway/gateway_metrics.h"
-#include "cardamomstream/request/gateway/held_answers.h"
 #include "cardamomstream/request/gateway/serving_times.h"
 #include "cardamomstream/request/placing/placer.h"
 #include "cardamomstream/request/quota/fleet_quota.h"
@@ -52,7 +52,7 @@
     placer placing;
     fleet_quota quota;
     serving_times times;
-    class held_answers held_answers; // the member has its type's name
+    answer_memory held_answers;
     std::mt19937_64 random;
     std::atomic<std::size_t> in_flight = 0; ///< requests being served; read when the process stops
     std::atomic<time_point> stop_end = time_point::max(); ///< set once a stop begins: the process ends then
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -343,10 +343,10 @@
             follower.take(*report.value().changes);
         }
         hear_of_changes(report.value(), now);
-        bool taken = false;
-        send(m_exchange.receive(report.value(), now, taken));
+        const auto received = m_exchange.receive(report.value(), now);
+        send(received.outgoing);
         // Loads on the upstreams of this region are placed on at once.
-        if (taken && report.value().region == m_settings.region &&
+        if (received.is_new && report.value().region == m_settings.region &&
             now - m_vms_published_at >= least_publish_interval) {
             publish_vms(now);
         }
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -151,11 +151,11 @@
     }
 }
 
-std::vector<outgoing_report> report_exchange::receive(const vm_report& report, time_point now, bool& taken)
+received_report report_exchange::receive(const vm_report& report, time_point now)
 {
-    std::vector<outgoing_report> out;
     const auto before = m_vms.find(report.vm);
-    taken = m_vms.apply(report, now);
+    received_report received;
+    received.is_new = m_vms.apply(report, now);
     for (const auto& vm : report.known_vms) {
         if (vm != m_self.inner) {
             m_vms.learn_neighbour(vm);
@@ -166,16 +166,16 @@
             learn_address(vm);
         }
     }
-    if (taken && !report.summary) {
+    if (received.is_new && !report.summary) {
         m_totals.add(report, before ? &before->report : nullptr);
     }
-    if (taken && report.summary && !report.summary->relayed) {
-        out.push_back(relay(report, now));
+    if (received.is_new && report.summary && !report.summary->relayed) {
+        received.outgoing.push_back(relay(report, now));
     }
     if (report.asks_for_members && report.data_centre != m_self.data_centre) {
-        answer_question(report, now, out);
+        answer_question(report, now, received.outgoing);
     }
-    return out;
+    return received;
 }
 
 outgoing_report report_exchange::relay(const vm_report& summary, time_point now) const
--- a/src/process/deployment/tests/report_exchange_test.cpp
+++ b/src/process/deployment/tests/report_exchange_test.cpp
@@ -196,8 +196,7 @@
             if (!m_vms[one.to] || m_cut.contains(one.from) || m_cut.contains(one.to)) {
                 continue;
             }
-            bool taken = false;
-            send(one.to, m_vms[one.to]->exchange.receive(*one.report, m_now, taken));
+            send(one.to, m_vms[one.to]->exchange.receive(*one.report, m_now).outgoing);
         }
     }
 
--- a/src/request/gateway/tests/held_answers_test.cpp
+++ b/src/request/gateway/tests/answer_memory_test.cpp
@@ -1,4 +1,4 @@
-#include "cardamomstream/request/gateway/held_answers.h"
+#include "cardamomstream/request/gateway/answer_memory.h"
 
 #include <list>
 
@@ -9,7 +9,7 @@
 TEST_CASE("many answers are held until they are whole")
 {
     constexpr std::size_t part = 16 * 1024;
-    held_answers all;
+    answer_memory all;
 
     SECTION("one alone stays within its own bound")
     {
@@ -18,12 +18,12 @@
         while (one.add(part)) {
             held += part;
         }
-        CHECK(held == held_answers::max_bytes_of_one);
+        CHECK(held == answer_memory::max_bytes_of_one);
     }
     SECTION("fifty without end leave a VM of 160 MB two thirds of its memory")
     {
         constexpr std::size_t third_of_vm = 160'000'000 / 3;
-        std::list<held_answers::holder> answers;
+        std::list<answer_memory::holder> answers;
         std::size_t held = 0;
         for (int answer = 0; answer < 50; ++answer) {
             answers.emplace_back(all);
