--- a/include/cardamomstream/process/deployment/report_exchange.h
+++ b/include/cardamomstream/process/deployment/report_exchange.h
@@ -42,7 +42,7 @@
 /// I/O; not thread safe.
 class report_exchange {
 public:
-    report_exchange(vm_identity self, const std::map<data_centre_name, region_name>& data_centres);
+    report_exchange(vm_identity self, std::map<data_centre_name, region_name> data_centres);
 
     /// An address of a VM that may exist.
     void learn_address(const endpoint& inner);
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -96,10 +96,9 @@
 
 } // namespace
 
-report_exchange::report_exchange(vm_identity self,
-                                 const std::map<data_centre_name, region_name>& data_centres)
+report_exchange::report_exchange(vm_identity self, std::map<data_centre_name, region_name> data_centres)
     : m_self(std::move(self))
-    , m_others(data_centres)
+    , m_others(std::move(data_centres))
     , m_vms(m_self.vm, m_self.data_centre)
 {
     m_others.erase(m_self.data_centre);
--- a/src/process/deployment/tests/store_reader_choice_test.cpp
+++ b/src/process/deployment/tests/store_reader_choice_test.cpp
@@ -30,8 +30,7 @@
         for (const auto end = m_now + time; m_now < end; m_now += step) {
             const auto heard = reports();
             std::size_t asking = 0;
-            for (std::size_t at = 0; at < m_vms.size(); ++at) {
-                auto& one = m_vms[at];
+            for (auto& one : m_vms) {
                 if (one.down) {
                     continue;
                 }
--- a/src/request/gateway/tests/event_splitter_test.cpp
+++ b/src/request/gateway/tests/event_splitter_test.cpp
@@ -35,7 +35,7 @@
 TEST_CASE("bytes without an event's end come on and on")
 {
     event_splitter events;
-    CHECK(events.take("id: 1\ndata: a\n\n").size() > 0);
+    CHECK(events.take("id: 1\ndata: a\n\n") == "id: 1\ndata: a\n\n");
     const std::string part(16 * 1024, 'x');
     std::size_t taken = 0;
     while (events.may_go_on() && taken < 10 * event_splitter::max_event_bytes) {
