A question to an unknown VM names none of the asker's neighbours

Cause, found by reading the change: the question was a copy of the report with its known VMs, which a receiver takes for VMs of its own data centre; in another one they stood there as its neighbours until a summary placed them. Test first, failed; the module's 15 tests and the lint of both files pass.

--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -222,6 +222,7 @@
         m_asked_at = now;
         out.push_back({state, some_of(m_vms.unheard(), max_questions, m_sequence)});
         out.back().report.asks_for_members = true;
+        out.back().report.known_vms.clear(); // the receivers may be in another data centre
         const auto silent = m_vms.silent_neighbours(now);
         out.push_back({state, {silent.begin(), silent.end()}});
     }
--- a/src/process/deployment/tests/report_exchange_test.cpp
+++ b/src/process/deployment/tests/report_exchange_test.cpp
@@ -334,3 +334,34 @@
         CHECK(fleet.least_known() == 60);
     }
 }
+
+TEST_CASE("a VM asks an unknown one in another data centre which VMs there are")
+{
+    const data_centre_name near("dc-0");
+    const data_centre_name far("dc-1");
+    const std::map<data_centre_name, region_name> places{{near, region_name("r")}, {far, region_name("r")}};
+    const time_point start{1'000s};
+    const endpoint asker{"10.0.0.1", 7'000};
+    const endpoint mate{"10.0.0.2", 7'000};
+    const endpoint seed{"10.1.0.1", 7'000};
+    report_exchange asks({vm_name("a"), {1}, region_name("r"), near, {}, asker}, places);
+    report_exchange answers({vm_name("b"), {2}, region_name("r"), far, {}, seed}, places);
+    asks.learn_address(seed);
+    vm_report told;
+    told.vm = vm_name("c");
+    told.process = {3};
+    told.sequence = 1;
+    told.region = region_name("r");
+    told.data_centre = near;
+    told.inner = mate;
+    asks.receive(told, start);
+
+    for (const auto& [report, receivers] : asks.report({}, start)) {
+        if (std::find(receivers.begin(), receivers.end(), seed) != receivers.end()) {
+            answers.receive(report, start);
+        }
+    }
+    CHECK(answers.vms().known_in(near).contains(asker));
+    // The asker's neighbours are none of the other VM's.
+    CHECK(answers.vms().known_in(far).empty());
+}
