Upstream limits: log each change of the limit that an upstream states

The adapter decodes the header, a table keeps what was stated beside the load figures, so that it outlives the upstream's absence from the list, and a change is logged and counted. Unreadable values change nothing and are logged.

--- a/include/cardamomstream/request/gateway/gateway_types.h
+++ b/include/cardamomstream/request/gateway/gateway_types.h
@@ -5,6 +5,7 @@
 #include "cardamomstream/core/core_types.h"
 #include "cardamomstream/core/error.h"
 #include "cardamomstream/request/placing/placing_types.h"
+#include "cardamomstream/request/placing/upstream_statements.h"
 
 #include <chrono>
 #include <concepts>
@@ -37,6 +38,9 @@
     std::optional<std::string> resume_after; ///< id of the last event that the caller has received
 };
 
+/// Status with which another upstream at the same address rejects a request.
+inline constexpr unsigned other_upstream = 421;
+
 /// Origin of an answer, as stated in its head.
 struct answer_origin {
     bool from_upstream = false; ///< false for a refusal by another VM, or if the sender is no upstream
@@ -58,6 +62,9 @@
     {
         Wire::origin_of(head)
         } -> std::same_as<answer_origin>;
+    {
+        Wire::limit_of(head)
+        } -> std::same_as<limit_statement>;
     {
         Wire::refusal(reason, id)
         } -> std::same_as<http_response>;
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -11,6 +11,11 @@
 {
     const auto& head = exchange.head();
     const auto origin = Wire::origin_of(head);
+    const bool own_answer =
+        (origin.from_upstream || origin.not_run) && (origin.id.empty() || origin.id == m_caller_request.id);
+    if (sent != nullptr && own_answer && head.status != other_upstream) {
+        record_statements(head, *sent);
+    }
     if (origin.not_run || (sent == nullptr && !origin.from_upstream && guarantees_not_run(head.status))) {
         m_last_failure = "rejected with status " + std::to_string(head.status);
         drain_rejection(exchange);
@@ -32,6 +37,25 @@
     return relay_buffered(exchange, head.status >= 500 && m_route->repeatable());
 }
 
+/// Records what the upstream states about itself in an answer to this request.
+template <gateway_wire Wire>
+void request_flow<Wire>::record_statements(const http_response_head& head, const sent_request& sent)
+{
+    const auto limit = Wire::limit_of(head);
+    if (m_state.load.record_limit(sent, limit, boot_clock::now())) {
+        m_state.counters.limit_statements.increment(m_placing_request.service);
+        m_state.log.write(log_weight::state,
+                          limit.requests_per_second ? "upstream_limit" : "upstream_limit_ended",
+                          {{"upstream", sent.upstream.str()},
+                           {"per_second", limit.requests_per_second.value_or(0)},
+                           {"request", m_caller_request.id.str()}});
+    }
+    else if (!limit.valid) {
+        m_state.log.write(log_weight::failure, "upstream_limit_unreadable",
+                          {{"upstream", sent.upstream.str()}, {"request", m_caller_request.id.str()}});
+    }
+}
+
 /// Reads a short body to its end, so that the connection can be reused.
 template <gateway_wire Wire>
 void request_flow<Wire>::drain_rejection(http_exchange& exchange)
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -5,6 +5,7 @@
 #include "cardamomstream/process/deployment/vm_table.h"
 #include "cardamomstream/request/placing/lateness_table.h"
 #include "cardamomstream/request/placing/placing_types.h"
+#include "cardamomstream/request/placing/upstream_statements.h"
 
 #include <deque>
 #include <memory>
@@ -77,6 +78,11 @@
     /// Records that bytes came from the upstream.
     void record_activity(const upstream_name& upstream, time_point now);
 
+    /// Records the limit that an answer states. Returns true when the upstream's limit changed.
+    bool record_limit(const sent_request& sent, const limit_statement& statement, time_point now);
+
+    const upstream_statements& statements() const noexcept { return m_statements; }
+
     /// True when requests run at the upstream and it has sent nothing for longer than `limit`.
     bool is_silent(const upstream_state& state, time_point now, std::chrono::milliseconds limit) const;
 
@@ -134,6 +140,7 @@
     /// Reports whose loads are included in `others`.
     std::unordered_map<vm_name, std::shared_ptr<const known_vm>> m_counted_reports;
     lateness_table m_lateness;
+    upstream_statements m_statements;
     double m_prediction_scale = 1;
     std::uint64_t m_last_number = 0;
     std::chrono::milliseconds m_unreported_prefill{0}; ///< prefill time sent since the last report
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -97,6 +97,7 @@
             state = std::move(known->second);
         }
         state.view = view;
+        m_statements.on_listed(view.record.id, view.record.started_unix_ms);
         const auto* service = deployment.plan ? deployment.plan->find_service(view.record.service) : nullptr;
         if (service != nullptr && service->engine) {
             state.engine_batch = service->engine->batch;
@@ -334,6 +335,14 @@
     }
 }
 
+bool fleet_load::record_limit(const sent_request& sent, const limit_statement& statement, time_point now)
+{
+    const auto found = m_upstreams.find(sent.upstream);
+    return found != m_upstreams.end() &&
+           m_statements.record_limit(sent.upstream, found->second.view.record.started_unix_ms, statement,
+                                     sent.sent_at, now);
+}
+
 bool fleet_load::is_silent(const upstream_state& state, time_point now, std::chrono::milliseconds limit) const
 {
     return state.own.running > 0 && now - state.last_active_at > limit;
