Upstream limits: the VMs of a region share the limit that an upstream states

Cause: no code read the limit; what an upstream states about itself was relayed to the caller and had no effect on placing. Ruled out: each VM keeping the limit by itself (at most 12 in 4 s from three VMs), the planned stop at second 14 (the rate was as high before), retries and hops (sends 1, hop 0), a limit forgotten after a restart (no VM of the region had one).

Now the limit is divided like that of a cold upstream, by code that both share: each data centre of the region has a fixed share, whether or not it hears from the others, and within it the VMs that rank first for the upstream send at equal rates. So the sum holds without a coordinator and in any partition. With a low limit few VMs send, since each may send one request at once. A VM that has just started sends nothing to such an upstream until it has heard from its neighbours. VMs report the limits stated to themselves only, with the age of the answer; the newest answer counts, and an old limit can't go round for ever. Statements stay known while the upstream is away from the list. A limit of zero leaves one request in 5 s, since only an answer can end it. Requests beyond all limits are refused at once with the time until the next one is allowed. A hop to a region is paced by the upstream's limit too.

--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -53,6 +53,14 @@
     std::vector<std::uint64_t> new_parts; ///< shared prompt parts sent there since the last report
 };
 
+/// Request limit that an upstream stated to one VM.
+struct stated_limit {
+    upstream_name upstream;
+    std::int64_t started_unix_ms = 0;          ///< of the upstream's process
+    std::optional<double> requests_per_second; ///< from all VMs together; empty: no longer limited
+    std::chrono::milliseconds age{0};          ///< of the answer, when the report was made
+};
+
 /// How much later the first bytes of a service arrived than predicted from the loads, in the reporting VM's
 /// region.
 struct lateness_sample {
@@ -102,13 +110,14 @@
     std::vector<endpoint> known_vms;
     /// Inner addresses in the other data centres, some of each, for a receiver that knows no VM there.
     std::vector<endpoint> known_elsewhere;
-    /// Set when `loads`, `uses` and `lateness` are totals over all VMs of the data centre.
+    /// Set when `loads`, `uses`, `lateness` and `limits` cover all VMs of the data centre.
     std::optional<data_centre_summary_part> summary;
     bool asks_for_members = false; ///< asks the receiver which VMs of the sender's data centre it knows
     bool reads_store = false;      ///< the VM watches the store itself
     std::vector<upstream_load> loads;
     std::vector<customer_use> uses;
     std::vector<lateness_sample> lateness;
+    std::vector<stated_limit> limits;
     std::vector<std::uint64_t> known_changes; ///< newest revision known in each `store_part`
     bool store_failing = false;               ///< the store has recently failed to answer this VM
     std::vector<std::uint64_t> read_up_to;    ///< store revision up to which each `store_part` is known
--- a/include/cardamomstream/process/deployment/report_exchange.h
+++ b/include/cardamomstream/process/deployment/report_exchange.h
@@ -91,6 +91,7 @@
     vm_table m_vms;
     data_centre_totals m_totals;
     vm_report m_last_report; ///< this VM's, without the fields that are sent only once
+    time_point m_last_report_at;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_summary_rounds = 0; ///< calls of `summarise`
     std::size_t m_neighbour_count = 0;  ///< receivers of the last report
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -266,9 +266,12 @@
                 evacuation_retry_delay(*since, boot_clock::now())});
         return;
     }
-    const bool overloaded = where.verdict == placing_verdict::overloaded;
-    refuse({overloaded ? error_kind::overloaded : error_kind::upstream_unavailable,
-            overloaded ? "every upstream would answer too late" : "no upstream can take the request now",
+    const bool late = where.verdict == placing_verdict::overloaded;
+    const bool limited = where.verdict == placing_verdict::limited;
+    refuse({late || limited ? error_kind::overloaded : error_kind::upstream_unavailable,
+            late      ? "every upstream would answer too late"
+            : limited ? "every upstream has been sent as many requests as it accepts"
+                      : "no upstream can take the request now",
             "come back after the time given", run_outcome::not_run, where.retry_after});
 }
 
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -44,6 +44,9 @@
     const auto limit = Wire::limit_of(head);
     if (m_state.load.record_limit(sent, limit, boot_clock::now())) {
         m_state.counters.limit_statements.increment(m_placing_request.service);
+        if (m_state.request_early_report) {
+            m_state.request_early_report();
+        }
         m_state.log.write(log_weight::state,
                           limit.requests_per_second ? "upstream_limit" : "upstream_limit_ended",
                           {{"upstream", sent.upstream.str()},
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -81,6 +81,12 @@
     /// Records the limit that an answer states. Returns true when the upstream's limit changed.
     bool record_limit(const sent_request& sent, const limit_statement& statement, time_point now);
 
+    /// Applies the limits that upstreams stated to another VM. Call once for each report.
+    void apply_reported_limits(const known_vm& vm);
+
+    /// Limits that upstreams stated to this VM, for its report.
+    std::vector<stated_limit> own_limits(time_point now) { return m_statements.own_limits(now); }
+
     const upstream_statements& statements() const noexcept { return m_statements; }
 
     /// True when requests run at the upstream and it has sent nothing for longer than `limit`.
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -37,17 +37,32 @@
     /// Predicts the first byte at the upstream and the upstream's cost for the request.
     candidate score(const placing_request& request, const fleet_load& load,
                     const fleet_load::upstream_state& state, time_point now) const;
+    /// The VMs of this data centre that share what an upstream accepts, this VM included.
+    struct sharing {
+        std::size_t vms = 1;
+        std::size_t rank = 0; ///< of this VM in rendezvous hashing, 0 is first
+    };
+    sharing sharing_of(const upstream_name& upstream, time_point now) const;
     /// Requests that this VM may send to a cold upstream per second.
     std::size_t cold_request_limit(const upstream_name& upstream, double bound, time_point now) const;
+    /// Requests per second that this VM may send, or pass on, to an upstream with a limit; may be zero.
+    double share_of_limit(const upstream_view& upstream, double limit, time_point now) const;
+    /// Time until the upstream's stated limit allows a request of this VM; zero without a limit.
+    std::chrono::milliseconds limit_wait(const fleet_load& load, const fleet_load::upstream_state& state,
+                                         time_point now) const;
     /// False when the upstream is cold and has got its requests of this second.
     bool allows_cold_request(const fleet_load::upstream_state& state, const plan_service& service,
                              time_point now) const;
     /// Adds a cost to upstreams that fail more often than the best candidate.
     static void add_failure_costs(std::vector<candidate>& candidates);
-    /// Upstreams that the request may use; `empty_verdict` is the verdict if there are none.
+    /// Why no upstream may be used now.
+    struct exclusion {
+        placing_verdict verdict = placing_verdict::no_upstream;
+        std::chrono::milliseconds wait{0}; ///< until a limit allows a request again; 0: unknown
+    };
+    /// Upstreams that the request may use; sets `excluded` if there are none.
     std::vector<candidate> candidates_for(const placing_request& request, const service_plan& plan,
-                                          const fleet_load& load, time_point now,
-                                          placing_verdict& empty_verdict) const;
+                                          const fleet_load& load, time_point now, exclusion& excluded) const;
 
     /// Lowers the cost of the upstream that all VMs of a region prefer for the request's shared prompt, and
     /// returns that upstream; null without a shared prompt.
@@ -66,7 +81,10 @@
     placing_settings m_settings;
     std::mt19937_64 m_random;
     time_point m_started_at;
+    void count_refusal(bool refused);
+
     double m_refused_fraction = 0; ///< moving average over the last requests
+    std::size_t m_fleet_size = 1;  ///< VMs of all regions, including this one
     std::unordered_map<region_name, std::vector<endpoint>> m_remote_vms; ///< ready VMs of the other regions
     struct neighbour {
         std::uint64_t hash = 0;
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -43,6 +43,7 @@
     unreachable,  ///< the known upstreams have just failed to accept a connection
     overloaded,   ///< every upstream would answer too late for the objective
     cold,         ///< the remaining upstreams are cold and at their limit of requests per second
+    limited,      ///< the remaining upstreams have been sent all that their stated limits allow
 };
 
 /// Result of placing a request.
--- a/include/cardamomstream/request/placing/upstream_statements.h
+++ b/include/cardamomstream/request/placing/upstream_statements.h
@@ -3,10 +3,14 @@
 
 #include "cardamomstream/core/boot_clock.h"
 #include "cardamomstream/core/core_types.h"
+#include "cardamomstream/process/deployment/deployment_types.h"
 
+#include <chrono>
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <unordered_map>
+#include <vector>
 
 namespace cardamomstream {
 
@@ -26,19 +30,46 @@
     bool record_limit(const upstream_name& upstream, std::int64_t started_unix_ms,
                       const limit_statement& statement, time_point sent_at, time_point now);
 
+    /// Applies limits that were stated to another VM. The newest answer counts, whichever VM received it.
+    void apply_reported(const std::vector<stated_limit>& limits, time_point heard_at);
+
+    /// Limits that were stated to this VM itself, for its report. Those learnt from reports are left out, so
+    /// that an old limit is not passed on for ever.
+    std::vector<stated_limit> own_limits(time_point now);
+
     /// Requests per second that the upstream accepts from all VMs together; empty: no limit is known.
     std::optional<double> limit(const upstream_name& upstream) const;
 
+    /// Counts a request that is sent to an upstream with a limit.
+    void count_send(const upstream_name& upstream, time_point now);
+
+    /// Time until this VM may send to the upstream when its share of the limit is `requests_per_second`;
+    /// zero: it may send now. Over time exactly the share is sent, and at once no more than that of one
+    /// second.
+    std::chrono::milliseconds time_until_send(const upstream_name& upstream, double requests_per_second,
+                                              time_point now) const;
+
+    /// Call before `on_listed` for each upstream of a new list.
+    void begin_listing();
     /// Ends the statements of an earlier process of the upstream.
     void on_listed(const upstream_name& upstream, std::int64_t started_unix_ms);
 
 private:
+    struct observed_limit {
+        std::optional<double> requests_per_second;
+        time_point at; ///< epoch: never
+    };
+
     struct entry {
         std::int64_t started_unix_ms = 0;
-        std::optional<double> requests_per_second;
-        time_point limit_stated_at; ///< an answer to a request sent later may end the limit
+        bool listed = true;
+        observed_limit own;    ///< as stated to this VM
+        observed_limit newest; ///< as stated to any VM
+        std::deque<time_point> sends;
     };
 
+    void expire(time_point now);
+
     std::unordered_map<upstream_name, entry> m_entries;
 };
 
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -398,7 +398,7 @@
 {
     boost::asio::post(m_traffic.io(), [this] {
         traffic_figures traffic{m_state.load.take_loads(boot_clock::now()), m_state.quota.uses(),
-                                m_state.load.take_lateness()};
+                                m_state.load.take_lateness(), m_state.load.own_limits(boot_clock::now())};
         boost::asio::post(m_thread.io(),
                           [this, traffic = std::move(traffic)]() mutable { report(std::move(traffic)); });
     });
@@ -425,6 +425,7 @@
     told.loads = std::move(traffic.loads);
     told.uses = std::move(traffic.uses);
     told.lateness = std::move(traffic.lateness);
+    told.limits = std::move(traffic.limits);
     send(m_exchange.report(std::move(told), now));
 }
 
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -19,6 +19,7 @@
     std::vector<upstream_load> loads;
     std::vector<customer_use> uses;
     std::vector<lateness_sample> lateness;
+    std::vector<stated_limit> limits;
 };
 
 class node_control {
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -95,6 +95,31 @@
     }
 }
 
+void add_age(std::vector<stated_limit>& limits, boot_clock::duration age)
+{
+    for (auto& limit : limits) {
+        limit.age += std::chrono::floor<std::chrono::milliseconds>(age);
+    }
+}
+
+/// Adds the limits of a report that was made `age` ago; of several for one upstream the newest stays.
+void add_newest_limits(std::vector<stated_limit>& limits, std::vector<stated_limit> others,
+                       boot_clock::duration age)
+{
+    add_age(others, age);
+    for (auto& other : others) {
+        const auto same = std::find_if(limits.begin(), limits.end(), [&](const stated_limit& limit) {
+            return limit.upstream == other.upstream && limit.started_unix_ms == other.started_unix_ms;
+        });
+        if (same == limits.end()) {
+            limits.push_back(std::move(other));
+        }
+        else if (other.age < same->age) {
+            *same = std::move(other);
+        }
+    }
+}
+
 } // namespace
 
 report_exchange::report_exchange(vm_identity self, std::map<data_centre_name, region_name> data_centres)
@@ -209,6 +234,7 @@
     set_identity(state);
     m_totals.add(state, first_report ? nullptr : &m_last_report);
     m_last_report = state;
+    m_last_report_at = now;
     m_last_report.lateness.clear();
     for (auto& load : m_last_report.loads) {
         load.new_parts.clear();
@@ -239,7 +265,10 @@
     state.loads = m_last_report.loads;
     state.uses = m_last_report.uses;
     set_identity(state);
+    state.limits = m_last_report.limits;
+    add_age(state.limits, now - m_last_report_at);
     m_last_report = state;
+    m_last_report_at = now;
     m_last_report.changes.reset();
     return {std::move(state), inner_addresses(m_vms.neighbours(now))};
 }
@@ -283,6 +312,8 @@
 {
     auto summary = m_last_report;
     summary.read_up_to.clear();
+    summary.limits.clear();
+    add_newest_limits(summary.limits, m_last_report.limits, now - m_last_report_at);
     summary.summary.emplace();
     auto& part = *summary.summary;
     std::vector<const vm_report*> alive{&m_last_report};
@@ -290,6 +321,7 @@
     for (const auto& vm : neighbours) {
         alive.push_back(&vm->report);
         merge_newest(summary.known_changes, vm->report.known_changes);
+        add_newest_limits(summary.limits, vm->report.limits, now - vm->heard_at);
     }
     for (const auto* vm : alive) {
         part.members.push_back({vm->inner, vm->entry, vm->ready && !vm->leaving});
--- a/src/process/deployment/tests/report_exchange_test.cpp
+++ b/src/process/deployment/tests/report_exchange_test.cpp
@@ -50,7 +50,7 @@
         if (index >= m_vms.size()) {
             m_vms.resize(index + 1);
         }
-        m_vms[index].emplace(node{report_exchange(self, m_data_centres), m_now, m_now, 0, 0});
+        m_vms[index].emplace(node{report_exchange(self, m_data_centres), m_now, m_now, 0, 0, {}, {}});
         m_by_address[inner] = index;
         // The first three VMs are the seeds of every VM.
         for (std::size_t seed = 0; seed < 3; ++seed) {
@@ -88,6 +88,26 @@
     std::size_t size() const { return m_vms.size(); }
     time_point now() const { return m_now; }
     void set_running(std::size_t index, std::uint32_t running) { m_vms[index]->running = running; }
+    /// The engine states a limit, or that it has none, to one VM.
+    void state_limit(std::size_t index, std::optional<double> limit)
+    {
+        m_vms[index]->limit = stated_limit{engine, 1, limit, 0ms};
+        m_vms[index]->limit_stated_at = m_now;
+    }
+    /// The newest statement of the engine in the reports that reach one VM, and its age.
+    std::optional<stated_limit> limit_seen_by(std::size_t index) const
+    {
+        std::optional<stated_limit> newest;
+        for (const auto& known : m_vms[index]->exchange.vms().alive(m_now)) {
+            for (auto limit : known->report.limits) {
+                limit.age += std::chrono::floor<std::chrono::milliseconds>(m_now - known->heard_at);
+                if (!newest || limit.age < newest->age) {
+                    newest = limit;
+                }
+            }
+        }
+        return newest;
+    }
     void admit(std::size_t index, double amount) { m_vms[index]->admitted += amount; }
 
     void reset_counts()
@@ -142,6 +162,8 @@
         time_point next_summary;
         std::uint32_t running = 0;
         double admitted = 0;
+        std::optional<stated_limit> limit;
+        time_point limit_stated_at;
     };
 
     struct datagram {
@@ -166,6 +188,10 @@
             state.reads_store = true;
             state.loads = {{engine, one.running, 0ms, 0, {}}};
             state.uses = {{customer, one.admitted}};
+            if (one.limit) {
+                one.limit->age = std::chrono::floor<std::chrono::milliseconds>(m_now - one.limit_stated_at);
+                state.limits = {*one.limit};
+            }
             send(index, one.exchange.report(state, m_now));
         }
         if (m_now >= one.next_summary) {
@@ -277,6 +303,35 @@
     }
 }
 
+TEST_CASE("a limit that an upstream states to one VM reaches all VMs")
+{
+    virtual_fleet fleet(24, 4);
+    fleet.run(2s);
+    fleet.state_limit(5, 3.0);
+    fleet.run(1'500ms);
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        if (index != 5) {
+            const auto seen = fleet.limit_seen_by(index);
+            REQUIRE(seen);
+            CHECK(seen->requests_per_second == 3.0);
+            CHECK(std::chrono::abs(seen->age - 1'500ms) < 100ms);
+        }
+    }
+
+    SECTION("and so does its end, which another VM learns of")
+    {
+        fleet.state_limit(6, std::nullopt);
+        fleet.run(1'500ms);
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            if (index != 6) {
+                const auto seen = fleet.limit_seen_by(index);
+                REQUIRE(seen);
+                CHECK_FALSE(seen->requests_per_second);
+            }
+        }
+    }
+}
+
 TEST_CASE("any VM may stop at any moment")
 {
     virtual_fleet fleet(60, 6);
--- a/src/process/deployment/tests/vm_table_test.cpp
+++ b/src/process/deployment/tests/vm_table_test.cpp
@@ -159,6 +159,7 @@
 TEST_CASE("a report is encoded and decoded")
 {
     auto sent = report_of("a", 0xffffffffffffffffULL, 7);
+    sent.limits = {{upstream_name("u"), 17, 2.5, 400ms}, {upstream_name("v"), 18, std::nullopt, 0ms}};
     sent.loads.push_back({upstream_name("u"), 3, 250ms, 9'000, {0xffffffffffffffffULL, 4}});
     sent.lateness.push_back({pool_name("s"), 2, -30ms, 7});
     sent.uses.push_back({customer_name("c"), 12.5});
@@ -193,6 +194,12 @@
         CHECK_FALSE(read.value().leaving);
         CHECK(read.value().loads[0].upstream == sent.loads[0].upstream);
         CHECK(read.value().loads[0].running == 3);
+        REQUIRE(read.value().limits.size() == 2);
+        CHECK(read.value().limits[0].upstream == upstream_name("u"));
+        CHECK(read.value().limits[0].started_unix_ms == 17);
+        CHECK(read.value().limits[0].requests_per_second == 2.5);
+        CHECK(read.value().limits[0].age == 400ms);
+        CHECK_FALSE(read.value().limits[1].requests_per_second);
         CHECK(read.value().lateness[0].service == pool_name("s"));
         CHECK(read.value().lateness[0].urgency == 2);
         CHECK(read.value().lateness[0].mean == -30ms);
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 #include <arpa/inet.h>
 #include <vm_report.pb.h>
@@ -13,6 +14,8 @@
 /// Changed when the meaning of a field changes, so that VMs with the former meaning reject the reports.
 constexpr std::uint32_t report_format = 2;
 
+constexpr std::uint64_t max_limit_age_ms = 24ULL * 60 * 60 * 1'000; ///< an older limit is not applied
+
 std::uint32_t encode_ipv4(const std::string& text)
 {
     in_addr address{};
@@ -63,6 +66,32 @@
     return load;
 }
 
+void encode_limit(const stated_limit& limit, report_messages::StatedLimit& message)
+{
+    message.set_upstream(limit.upstream.str());
+    message.set_started_unix_ms(limit.started_unix_ms);
+    message.set_limited(limit.requests_per_second.has_value());
+    message.set_requests_per_second(limit.requests_per_second.value_or(0));
+    message.set_age_ms(static_cast<std::uint64_t>(std::max<std::int64_t>(0, limit.age.count())));
+}
+
+/// Empty when the rate is no number that a limit can have.
+std::optional<stated_limit> decode_limit(const report_messages::StatedLimit& message)
+{
+    const double rate = message.requests_per_second();
+    if (!std::isfinite(rate) || rate < 0 || message.age_ms() > max_limit_age_ms) {
+        return std::nullopt;
+    }
+    stated_limit limit;
+    limit.upstream = upstream_name(message.upstream());
+    limit.started_unix_ms = message.started_unix_ms();
+    if (message.limited()) {
+        limit.requests_per_second = rate;
+    }
+    limit.age = std::chrono::milliseconds(message.age_ms());
+    return limit;
+}
+
 void encode_summary(const data_centre_summary_part& summary, report_messages::Summary& message)
 {
     for (const auto& member : summary.members) {
@@ -166,6 +195,9 @@
         added.set_mean_ms(static_cast<std::int32_t>(late.mean.count()));
         added.set_samples(late.samples);
     }
+    for (const auto& limit : report.limits) {
+        encode_limit(limit, *message.add_limits());
+    }
     message.mutable_known_changes()->Add(report.known_changes.begin(), report.known_changes.end());
     message.set_store_failing(report.store_failing);
     message.mutable_read_up_to()->Add(report.read_up_to.begin(), report.read_up_to.end());
@@ -220,6 +252,11 @@
         report.lateness.push_back({pool_name(late.service()), static_cast<int>(late.urgency()),
                                    std::chrono::milliseconds(late.mean_ms()), late.samples()});
     }
+    for (const auto& message_limit : message.limits()) {
+        if (auto limit = decode_limit(message_limit)) {
+            report.limits.push_back(std::move(*limit));
+        }
+    }
     report.known_changes.assign(message.known_changes().begin(), message.known_changes().end());
     report.store_failing = message.store_failing();
     report.read_up_to.assign(message.read_up_to().begin(), message.read_up_to().end());
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -69,6 +69,7 @@
         if (applied != vm) {
             quota.apply_report(vm->report);
             load.add_reported_lateness(*vm);
+            load.apply_reported_limits(*vm);
             applied = vm;
         }
     }
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -77,6 +77,8 @@
         return "overloaded";
     case placing_verdict::cold:
         return "cold";
+    case placing_verdict::limited:
+        return "limited";
     }
     return "unknown";
 }
@@ -89,6 +91,7 @@
 void fleet_load::set_deployment(const deployment_view& deployment)
 {
     std::unordered_map<upstream_name, upstream_state> kept;
+    m_statements.begin_listing();
     for (const auto& view : deployment.upstreams) {
         auto& state = kept[view.record.id];
         const auto known = m_upstreams.find(view.record.id);
@@ -219,6 +222,7 @@
     state.pending_prefills.push_back({sent.number, sent.prefill});
     m_unreported_prefill += sent.prefill;
     state.own.memory_tokens += sent.memory;
+    m_statements.count_send(upstream, now);
     if (state.view.cold_until > now) {
         while (!state.cold_sends.empty() && now - state.cold_sends.front() > cold_send_window) {
             state.cold_sends.pop_front();
@@ -318,6 +322,7 @@
         return;
     }
     auto& state = found->second;
+    m_statements.count_send(upstream, now);
     state.hops.emplace_back(now, prefill_time(state, request, now));
     for (std::size_t at = 0; at + 1 < request.parts.size(); ++at) {
         state.cached_parts[request.parts[at].id] = now;
@@ -343,6 +348,11 @@
                                      sent.sent_at, now);
 }
 
+void fleet_load::apply_reported_limits(const known_vm& vm)
+{
+    m_statements.apply_reported(vm.report.limits, vm.heard_at);
+}
+
 bool fleet_load::is_silent(const upstream_state& state, time_point now, std::chrono::milliseconds limit) const
 {
     return state.own.running > 0 && now - state.last_active_at > limit;
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -58,8 +58,17 @@
 /// centre's VMs, since all of them may have started at once.
 constexpr std::chrono::milliseconds startup_delay{1'200};
 
-/// A VM of the data centre that has reported within this time keeps its share of a cold upstream's limit.
-constexpr std::chrono::seconds cold_sharer_ttl{10};
+/// A VM of the data centre that has reported within this time keeps its share of an upstream's limit.
+constexpr std::chrono::seconds sharer_ttl{10};
+
+/// Requests beyond its stated limit that an upstream bears at once.
+constexpr double limit_burst = 5;
+
+/// Requests per second to an upstream that states a lower limit, or zero: only an answer can end the limit.
+constexpr double min_accepted_rate = 0.2;
+
+/// Until another VM's share of a limit may have passed to this one.
+constexpr std::chrono::milliseconds no_share_wait{1'000};
 
 std::uint64_t shared_prompt_of(const std::vector<prompt_part>& parts)
 {
@@ -111,6 +120,7 @@
 void placer::set_vms(const known_vms& vms)
 {
     m_remote_vms.clear();
+    m_fleet_size = count_vms(vms) + 1;
     visit_vms(vms, [&](const vm_report& report, const vm_member& vm, time_point heard_at) {
         if (report.region == m_region) {
             auto& known = m_neighbours[vm.inner];
@@ -190,27 +200,62 @@
     return static_cast<std::size_t>(recent) < cold_request_limit(state.view.record.id, bound, now);
 }
 
-std::size_t placer::cold_request_limit(const upstream_name& upstream, double bound, time_point now) const
+placer::sharing placer::sharing_of(const upstream_name& upstream, time_point now) const
 {
-    // Each data centre of the region has a fixed share, whether or not it receives reports from the others.
-    const double data_centre_limit = bound / static_cast<double>(m_settings.data_centres_of_region);
     const auto weight = [&](std::uint64_t vm) { return rendezvous_weight(vm, upstream); };
     const auto own = weight(m_self_hash);
-    std::size_t sharers = 1;
-    std::size_t higher_ranked = 0; // VMs that rank before this one in rendezvous hashing
+    sharing known;
     for (const auto& [address, vm] : m_neighbours) {
-        if (vm.same_data_centre && now - vm.heard_at < cold_sharer_ttl) {
-            sharers += 1;
-            higher_ranked += weight(vm.hash) > own ? 1 : 0;
+        if (vm.same_data_centre && now - vm.heard_at < sharer_ttl) {
+            known.vms += 1;
+            known.rank += weight(vm.hash) > own ? 1 : 0;
         }
     }
+    return known;
+}
+
+std::size_t placer::cold_request_limit(const upstream_name& upstream, double bound, time_point now) const
+{
+    // Each data centre of the region has a fixed share, whether or not it receives reports from the others.
+    const double data_centre_limit = bound / static_cast<double>(m_settings.data_centres_of_region);
+    const auto sharers = sharing_of(upstream, now);
     const auto share =
-        std::floor(data_centre_limit / static_cast<double>(std::max(sharers, min_cold_sharers)));
+        std::floor(data_centre_limit / static_cast<double>(std::max(sharers.vms, min_cold_sharers)));
     if (share >= 1) {
         return static_cast<std::size_t>(share);
     }
     // More VMs than requests: the VMs that rank first get one request each.
-    return static_cast<double>(higher_ranked + 1) <= data_centre_limit ? 1 : 0;
+    return static_cast<double>(sharers.rank + 1) <= data_centre_limit ? 1 : 0;
+}
+
+double placer::share_of_limit(const upstream_view& upstream, double limit, time_point now) const
+{
+    const double accepted = std::max(limit, min_accepted_rate);
+    if (upstream.region != m_region) {
+        return accepted / static_cast<double>(m_fleet_size);
+    }
+    if (now - m_started_at < startup_delay) {
+        return 0;
+    }
+    // As with a cold upstream, each data centre has a fixed share. Each VM that sends may send one request
+    // at once, so few VMs send when the limit is low.
+    const auto data_centres = static_cast<double>(m_settings.data_centres_of_region);
+    const auto sharers = sharing_of(upstream.record.id, now);
+    const auto senders = std::clamp(std::floor((accepted + limit_burst) / data_centres), 1.0,
+                                    static_cast<double>(sharers.vms));
+    return static_cast<double>(sharers.rank) < senders ? accepted / data_centres / senders : 0;
+}
+
+std::chrono::milliseconds placer::limit_wait(const fleet_load& load, const fleet_load::upstream_state& state,
+                                             time_point now) const
+{
+    const auto& upstream = state.view.record.id;
+    const auto limit = load.statements().limit(upstream);
+    if (!limit) {
+        return {};
+    }
+    const auto share = share_of_limit(state.view, *limit, now);
+    return share > 0 ? load.statements().time_until_send(upstream, share, now) : no_share_wait;
 }
 
 endpoint placer::random_vm_in(const region_name& region)
@@ -230,9 +275,11 @@
     // since early retries are refused again and displace new requests. It is randomised so that callers do
     // not retry at the same time.
     auto wait = no_upstream_retry_after;
-    if (verdict == placing_verdict::overloaded) {
+    if (verdict == placing_verdict::overloaded || verdict == placing_verdict::limited) {
+        const bool limited = verdict == placing_verdict::limited;
+        const auto until_served = limited ? predicted : predicted - request.route->latency_objective / 2;
         wait =
-            std::max(predicted - request.route->latency_objective / 2, min_retry_after) +
+            std::max(until_served, min_retry_after) +
             std::chrono::duration_cast<std::chrono::milliseconds>(m_refused_fraction * overload_retry_after);
     }
     std::uniform_real_distribution<double> spread(0.75, 1.5);
@@ -240,6 +287,11 @@
     return refused;
 }
 
+void placer::count_refusal(bool refused)
+{
+    m_refused_fraction += refused_fraction_weight * ((refused ? 1.0 : 0.0) - m_refused_fraction);
+}
+
 void placer::add_failure_costs(std::vector<candidate>& candidates)
 {
     double lowest_failure_rate = 1;
@@ -272,11 +324,14 @@
 
 std::vector<placer::candidate> placer::candidates_for(const placing_request& request,
                                                       const service_plan& plan, const fleet_load& load,
-                                                      time_point now, placing_verdict& empty_verdict) const
+                                                      time_point now, exclusion& excluded) const
 {
     const auto* service = plan.find_service(request.service);
     std::vector<candidate> candidates;
-    empty_verdict = placing_verdict::no_upstream;
+    excluded = {};
+    const auto exclude = [&](placing_verdict verdict) {
+        excluded.verdict = std::max(excluded.verdict, verdict);
+    };
     for (const auto& [id, state] : load.all()) {
         const auto& view = state.view;
         const bool here = view.region == m_region;
@@ -291,15 +346,21 @@
             continue;
         }
         if (here && state.next_attempt_at > now) {
-            empty_verdict = std::max(empty_verdict, placing_verdict::unreachable);
+            exclude(placing_verdict::unreachable);
             continue;
         }
         if (state.full_until > now) {
-            empty_verdict = std::max(empty_verdict, placing_verdict::overloaded);
+            exclude(placing_verdict::overloaded);
             continue;
         }
         if (here && service != nullptr && !allows_cold_request(state, *service, now)) {
-            empty_verdict = std::max(empty_verdict, placing_verdict::cold);
+            exclude(placing_verdict::cold);
+            continue;
+        }
+        if (const auto wait = limit_wait(load, state, now); wait > std::chrono::milliseconds::zero()) {
+            exclude(placing_verdict::limited);
+            excluded.wait =
+                excluded.wait > std::chrono::milliseconds::zero() ? std::min(excluded.wait, wait) : wait;
             continue;
         }
         candidates.push_back(score(request, load, state, now));
@@ -327,10 +388,13 @@
 placement placer::place(const placing_request& request, const service_plan& plan, const fleet_load& load,
                         time_point now)
 {
-    auto empty_verdict = placing_verdict::no_upstream;
-    auto candidates = candidates_for(request, plan, load, now, empty_verdict);
+    exclusion excluded;
+    auto candidates = candidates_for(request, plan, load, now, excluded);
     if (candidates.empty()) {
-        return refuse(request, empty_verdict, {});
+        if (excluded.verdict == placing_verdict::limited) {
+            count_refusal(true);
+        }
+        return refuse(request, excluded.verdict, excluded.wait);
     }
     // If every upstream of a pool is suspected, this VM's view is more likely at fault: none is excluded.
     const bool all_suspected = std::all_of(candidates.begin(), candidates.end(),
@@ -352,7 +416,7 @@
                                                           objective * m_settings.max_wait_fraction +
                                                           m_settings.region_round_trip));
     const bool too_late = best->first_byte > limit && !request.sent_before;
-    m_refused_fraction += refused_fraction_weight * ((too_late ? 1.0 : 0.0) - m_refused_fraction);
+    count_refusal(too_late);
     if (too_late) {
         return refuse(request, placing_verdict::overloaded, predicted);
     }
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -556,3 +556,110 @@
     CHECK(static_cast<double>(max_in_window) <= bound);
     CHECK(total >= 4);
 }
+
+TEST_CASE("the VMs of a region of any size keep the limit that an upstream states, and use most of it")
+{
+    const auto vms = GENERATE(std::size_t{1}, std::size_t{2}, std::size_t{3}, std::size_t{8}, std::size_t{28},
+                              std::size_t{98}, std::size_t{330});
+    const auto limit = GENERATE(0.0, 0.4, 1.0, 2.5, 30.0, 400.0);
+    const bool partitioned =
+        GENERATE(false, true); // two data centres that receive no reports from each other
+    CAPTURE(vms, limit, partitioned);
+    placing_settings settings;
+    settings.data_centres_of_region = vms > 1 ? 2 : 1;
+    const auto data_centre_of = [](std::size_t vm) {
+        return data_centre_name(vm % 2 == 0 ? "riga-a" : "riga-b");
+    };
+    const auto plan = plan_with_one_route();
+    const time_point start{1'000s};
+    deployment_view view;
+    view.plan = plan;
+    view.upstreams = {engine("limited", here)};
+    placing_request wanted;
+    wanted.service = drafts;
+    wanted.route = &plan->document().routes.front();
+    wanted.prompt_tokens = 10;
+    wanted.time_left = 12s;
+    known_vm told; // the VM that received the answer
+    told.heard_at = start;
+    told.report.limits = {{upstream_name("limited"), 1, limit, 0ms}};
+
+    std::vector<fleet_load> loads(vms, fleet_load{placing_settings{}});
+    std::vector<placer> placers;
+    std::vector<endpoint> addresses;
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        addresses.push_back({"10.0." + std::to_string(vm / 200) + "." + std::to_string(vm % 200 + 1), 7'000});
+        placers.emplace_back(here, data_centre_of(vm), settings, vm, start - 10s, addresses.back());
+        loads[vm].set_deployment(view);
+        loads[vm].apply_reported_limits(told);
+    }
+    for (std::size_t vm = 0; vm < vms; ++vm) {
+        std::vector<known_vm> others;
+        for (std::size_t other = 0; other < vms; ++other) {
+            if (other != vm && !(partitioned && other % 2 != vm % 2)) {
+                known_vm known;
+                known.report.region = here;
+                known.report.inner = addresses[other];
+                known.report.data_centre = data_centre_of(other);
+                known.heard_at = start + 5s;
+                others.push_back(known);
+            }
+        }
+        placers[vm].set_vms(known_vms_of(others));
+    }
+    std::deque<time_point> sends;
+    std::size_t total = 0;
+    std::size_t max_in_window = 0;
+    constexpr auto length = 12s;
+    for (auto now = start; now < start + length; now += 20ms) {
+        for (std::size_t vm = 0; vm < vms; ++vm) {
+            // Each VM has enough requests for the whole limit.
+            for (int request = 0; request < 9; ++request) {
+                const auto placed = placers[vm].place(wanted, *plan, loads[vm], now);
+                if (placed.verdict != placing_verdict::here) {
+                    CHECK(placed.verdict == placing_verdict::limited);
+                    CHECK(placed.retry_after >= 100ms);
+                    break;
+                }
+                auto sent = loads[vm].begin_request(placed.upstream, wanted, placed.predicted, now);
+                loads[vm].end_request(sent, send_outcome::answered, now);
+                sends.push_back(now);
+                total += 1;
+            }
+        }
+        while (!sends.empty() && now - sends.front() >= 4s) {
+            sends.pop_front();
+        }
+        max_in_window = std::max(max_in_window, sends.size());
+    }
+    CHECK(static_cast<double>(max_in_window) <= 4 * limit * 1.5 + 5);
+    const auto used = static_cast<double>(total) / std::chrono::duration<double>(length).count();
+    CHECK(used >= limit * 0.8);
+    CHECK(total >= 1);
+}
+
+TEST_CASE("an upstream of another region states a request limit")
+{
+    placing_fixture fixture;
+    known_vm told;
+    told.heard_at = fixture.now;
+    told.report.limits = {{upstream_name("c"), 1, 1.0, 0ms}};
+    fixture.load.apply_reported_limits(told);
+    auto bound = fixture.request(500);
+    plan_customer customer;
+    customer.home_regions = {there};
+    bound.customer = &customer;
+
+    SECTION("requests are passed on at the share of this VM, whatever the size of the own region")
+    {
+        int passed_on = 0;
+        for (const auto end = fixture.now + 8s; fixture.now < end; fixture.now += 50ms) {
+            const auto placed = fixture.place(bound);
+            if (placed.verdict == placing_verdict::other_region) {
+                fixture.load.record_hop(placed.upstream, bound, fixture.now);
+                passed_on += 1;
+            }
+        }
+        CHECK(passed_on == 4); // two VMs in all
+    }
+}
--- a/src/request/placing/tests/upstream_statements_test.cpp
+++ b/src/request/placing/tests/upstream_statements_test.cpp
@@ -37,3 +37,75 @@
         CHECK_FALSE(statements.limit(engine));
     }
 }
+
+TEST_CASE("a limit is learnt from the reports of other VMs")
+{
+    const upstream_name engine("a");
+    const time_point start{1'000s};
+    upstream_statements statements;
+    statements.apply_reported({{engine, 1, 2.0, 100ms}}, start);
+    CHECK(statements.limit(engine) == 2.0);
+
+    SECTION("the newest answer counts, whoever received it")
+    {
+        statements.apply_reported({{engine, 1, std::nullopt, 300ms}}, start + 100ms);
+        CHECK(statements.limit(engine) == 2.0);
+        statements.apply_reported({{engine, 1, 5.0, 0ms}}, start + 1s);
+        CHECK(statements.limit(engine) == 5.0);
+        statements.apply_reported({{engine, 1, std::nullopt, 0ms}}, start + 2s);
+        CHECK_FALSE(statements.limit(engine));
+    }
+    SECTION("and is not reported again by a VM that received no such answer")
+    {
+        CHECK(statements.own_limits(start + 1s).empty());
+    }
+    SECTION("unless it is that of an earlier process of the upstream")
+    {
+        statements.on_listed(engine, 2);
+        CHECK_FALSE(statements.limit(engine));
+        statements.record_limit(engine, 2, {true, 7.0}, start, start + 1s);
+        statements.apply_reported({{engine, 1, 2.0, 0ms}}, start + 2s);
+        CHECK(statements.limit(engine) == 7.0);
+    }
+}
+
+TEST_CASE("a VM reports the limits that it was told, and their end")
+{
+    const upstream_name engine("a");
+    const time_point start{1'000s};
+    upstream_statements statements;
+    statements.record_limit(engine, 1, {true, 2.0}, start, start);
+    const auto limited = statements.own_limits(start + 3s);
+    REQUIRE(limited.size() == 1);
+    CHECK(limited[0].requests_per_second == 2.0);
+    CHECK(limited[0].age == 3s);
+
+    statements.record_limit(engine, 1, {}, start + 4s, start + 5s);
+    const auto ended = statements.own_limits(start + 6s);
+    REQUIRE(ended.size() == 1);
+    CHECK_FALSE(ended[0].requests_per_second);
+    CHECK(ended[0].age == 2s);
+    CHECK(statements.own_limits(start + 60s).empty());
+}
+
+TEST_CASE("a share of a limit is sent at its rate")
+{
+    const upstream_name engine("a");
+    time_point now{1'000s};
+    upstream_statements statements;
+    statements.record_limit(engine, 1, {true, 100.0}, now, now);
+    const auto rate = GENERATE(0.2, 0.7, 1.0, 1.9, 16.7);
+    CAPTURE(rate);
+    int sent = 0;
+    int at_once = 0;
+    for (const auto start = now; now < start + 60s; now += 10ms) {
+        while (statements.time_until_send(engine, rate, now) == 0ms) {
+            statements.count_send(engine, now);
+            sent += 1;
+            at_once += now == start ? 1 : 0;
+        }
+    }
+    CHECK(at_once <= rate + 1);
+    CHECK(sent <= rate * 60 + at_once);
+    CHECK(sent >= rate * 60 * 0.95);
+}
