--- a/include/cardamomstream/request/gateway/gateway_types.h
+++ b/include/cardamomstream/request/gateway/gateway_types.h
@@ -62,6 +62,9 @@
     {
         Wire::origin_of(head)
         } -> std::same_as<answer_origin>;
+    {
+        Wire::pause_of(head)
+        } -> std::same_as<std::optional<std::chrono::milliseconds>>;
     {
         Wire::limit_of(head)
         } -> std::same_as<limit_statement>;
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -140,6 +140,7 @@
     std::uint32_t m_runs = 0;      ///< sends that ran, or may have, without a usable answer
     std::string m_last_failure;    ///< why the last send failed; for the log
     std::string m_last_upstream;
+    std::optional<std::chrono::milliseconds> m_last_pause; ///< asked for by the last send's upstream
     std::chrono::milliseconds m_predicted{0};
     std::uint32_t m_running_at_upstream = 0;
     std::chrono::milliseconds m_first_byte{0}; ///< from the request's arrival to the first byte of the answer
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -41,6 +41,7 @@
 template <gateway_wire Wire>
 void request_flow<Wire>::record_statements(const http_response_head& head, const sent_request& sent)
 {
+    m_last_pause = Wire::pause_of(head);
     const auto limit = Wire::limit_of(head);
     if (m_state.load.record_limit(sent, limit, boot_clock::now())) {
         m_state.counters.limit_statements.increment(m_placing_request.service);
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -53,6 +53,7 @@
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result request_flow<Wire>::send_to_upstream(const placement& where)
 {
+    using namespace std::chrono_literals;
     http_call call;
     call.address = where.address;
     call.method = m_request.method;
@@ -67,6 +68,7 @@
     if (m_state.load.take_early_report_due() && m_state.request_early_report) {
         m_state.request_early_report();
     }
+    m_last_pause.reset();
     auto exchange = m_state.client.send(call, m_cancel);
     auto outcome = send_outcome::answered;
     auto result = send_result::answered;
@@ -97,6 +99,7 @@
                            {"upstream", where.upstream.str()},
                            {"outcome", to_text(outcome)},
                            {"reason", m_last_failure},
+                           {"pause_ms", std::int64_t{m_last_pause.value_or(0ms).count()}},
                            {"send", std::int64_t{m_sends}}});
     }
     return result;
