Upstream pauses: an upstream that asks for a pause gets no requests until it is over

Callers were refused (upstream_unavailable) although other upstreams ran, since the retry budget was spent on sends that were bound to be rejected; the upstream got 10 to 13 requests from each VM in a pause of 3 s. Cause: Retry-After of an upstream wasn't read. A rejection kept requests away for 150 ms only, and then the idle upstream looked the best again. Ruled out: retries of one request (26 of 35 logged rejections are first sends), hops (hop 0).

Now the pause is a statement of the upstream, kept beside its limit: longer ones win, a late answer to an earlier request doesn't end it, it outlives the upstream's absence from the list and ends with the upstream's process. Afterwards one request at a time is sent until an answer shows that the pause is over. A pause above 60 s is tested after 60 s, so that no value keeps an upstream out for ever. If all upstreams have asked for pauses or are at their limits, callers are refused at once with the time until the first is over, never a shorter one. The pause is this VM's alone, as the upstream says; other VMs are not told.

--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -268,7 +268,8 @@
         return;
     }
     const bool late = where.verdict == placing_verdict::overloaded;
-    const bool limited = where.verdict == placing_verdict::limited;
+    const bool limited =
+        where.verdict == placing_verdict::limited || where.verdict == placing_verdict::paused;
     refuse({late || limited ? error_kind::overloaded : error_kind::upstream_unavailable,
             late      ? "every upstream would answer too late"
             : limited ? "every upstream has been sent as many requests as it accepts"
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -42,6 +42,7 @@
 void request_flow<Wire>::record_statements(const http_response_head& head, const sent_request& sent)
 {
     m_last_pause = Wire::pause_of(head);
+    m_state.load.record_pause(sent, m_last_pause, boot_clock::now());
     const auto limit = Wire::limit_of(head);
     if (m_state.load.record_limit(sent, limit, boot_clock::now())) {
         m_state.counters.limit_statements.increment(m_placing_request.service);
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -81,6 +81,10 @@
     /// Records the limit that an answer states. Returns true when the upstream's limit changed.
     bool record_limit(const sent_request& sent, const limit_statement& statement, time_point now);
 
+    /// Records the pause that an answer asks for, or that it asks for none.
+    void record_pause(const sent_request& sent, std::optional<std::chrono::milliseconds> pause,
+                      time_point now);
+
     /// Applies the limits that upstreams stated to another VM. Call once for each report.
     void apply_reported_limits(const known_vm& vm);
 
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -58,7 +58,7 @@
     /// Why no upstream may be used now.
     struct exclusion {
         placing_verdict verdict = placing_verdict::no_upstream;
-        std::chrono::milliseconds wait{0}; ///< until a limit allows a request again; 0: unknown
+        std::chrono::milliseconds wait{0}; ///< until an upstream may be used again; 0: unknown
     };
     /// Upstreams that the request may use; sets `excluded` if there are none.
     std::vector<candidate> candidates_for(const placing_request& request, const service_plan& plan,
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -44,6 +44,7 @@
     overloaded,   ///< every upstream would answer too late for the objective
     cold,         ///< the remaining upstreams are cold and at their limit of requests per second
     limited,      ///< the remaining upstreams have been sent all that their stated limits allow
+    paused,       ///< the remaining upstreams have asked this VM for a pause
 };
 
 /// Result of placing a request.
--- a/include/cardamomstream/request/placing/upstream_statements.h
+++ b/include/cardamomstream/request/placing/upstream_statements.h
@@ -40,7 +40,7 @@
     /// Requests per second that the upstream accepts from all VMs together; empty: no limit is known.
     std::optional<double> limit(const upstream_name& upstream) const;
 
-    /// Counts a request that is sent to an upstream with a limit.
+    /// Counts a request that is sent to an upstream with a limit, or after a pause.
     void count_send(const upstream_name& upstream, time_point now);
 
     /// Time until this VM may send to the upstream when its share of the limit is `requests_per_second`;
@@ -49,6 +49,15 @@
     std::chrono::milliseconds time_until_send(const upstream_name& upstream, double requests_per_second,
                                               time_point now) const;
 
+    /// Records that an answer to a request sent at `sent_at` asks this VM for a pause, or for none. Pauses
+    /// don't shorten each other. After one, a single request at a time is allowed until an answer asks for
+    /// none.
+    void record_pause(const upstream_name& upstream, std::int64_t started_unix_ms,
+                      std::optional<std::chrono::milliseconds> pause, time_point sent_at, time_point now);
+
+    /// Time until the pause that the upstream has asked for allows a request of this VM; zero without one.
+    std::chrono::milliseconds pause_left(const upstream_name& upstream, time_point now) const;
+
     /// Call before `on_listed` for each upstream of a new list.
     void begin_listing();
     /// Ends the statements of an earlier process of the upstream.
@@ -66,6 +75,8 @@
         observed_limit own;    ///< as stated to this VM
         observed_limit newest; ///< as stated to any VM
         std::deque<time_point> sends;
+        time_point paused_until; ///< epoch: no pause, or an answer has confirmed its end
+        time_point pause_stated_at;
     };
 
     void expire(time_point now);
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -79,6 +79,8 @@
         return "cold";
     case placing_verdict::limited:
         return "limited";
+    case placing_verdict::paused:
+        return "paused";
     }
     return "unknown";
 }
@@ -348,6 +350,16 @@
                                      sent.sent_at, now);
 }
 
+void fleet_load::record_pause(const sent_request& sent, std::optional<std::chrono::milliseconds> pause,
+                              time_point now)
+{
+    const auto found = m_upstreams.find(sent.upstream);
+    if (found != m_upstreams.end()) {
+        m_statements.record_pause(sent.upstream, found->second.view.record.started_unix_ms, pause,
+                                  sent.sent_at, now);
+    }
+}
+
 void fleet_load::apply_reported_limits(const known_vm& vm)
 {
     m_statements.apply_reported(vm.report.limits, vm.heard_at);
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -275,14 +275,15 @@
     // since early retries are refused again and displace new requests. It is randomised so that callers do
     // not retry at the same time.
     auto wait = no_upstream_retry_after;
-    if (verdict == placing_verdict::overloaded || verdict == placing_verdict::limited) {
-        const bool limited = verdict == placing_verdict::limited;
-        const auto until_served = limited ? predicted : predicted - request.route->latency_objective / 2;
+    // Before the time that an upstream has stated, callers would be refused again.
+    const bool stated = verdict == placing_verdict::limited || verdict == placing_verdict::paused;
+    if (verdict == placing_verdict::overloaded || stated) {
+        const auto until_served = stated ? predicted : predicted - request.route->latency_objective / 2;
         wait =
             std::max(until_served, min_retry_after) +
             std::chrono::duration_cast<std::chrono::milliseconds>(m_refused_fraction * overload_retry_after);
     }
-    std::uniform_real_distribution<double> spread(0.75, 1.5);
+    std::uniform_real_distribution<double> spread(stated ? 1 : 0.75, 1.5);
     refused.retry_after = std::chrono::duration_cast<std::chrono::milliseconds>(wait * spread(m_random));
     return refused;
 }
@@ -329,8 +330,12 @@
     const auto* service = plan.find_service(request.service);
     std::vector<candidate> candidates;
     excluded = {};
-    const auto exclude = [&](placing_verdict verdict) {
+    const auto exclude = [&](placing_verdict verdict, std::chrono::milliseconds wait = {}) {
         excluded.verdict = std::max(excluded.verdict, verdict);
+        if (wait > std::chrono::milliseconds::zero()) {
+            excluded.wait =
+                excluded.wait > std::chrono::milliseconds::zero() ? std::min(excluded.wait, wait) : wait;
+        }
     };
     for (const auto& [id, state] : load.all()) {
         const auto& view = state.view;
@@ -345,24 +350,28 @@
         if (!here && (!m_remote_vms.contains(view.region) || view.cold_until > now)) {
             continue;
         }
+        if (const auto wait = limit_wait(load, state, now); wait > std::chrono::milliseconds::zero()) {
+            exclude(placing_verdict::limited, wait);
+            continue;
+        }
+        const auto pause = here ? load.statements().pause_left(id, now) : std::chrono::milliseconds::zero();
+        if (pause > std::chrono::milliseconds::zero()) {
+            exclude(placing_verdict::paused, pause);
+            continue;
+        }
         if (here && state.next_attempt_at > now) {
             exclude(placing_verdict::unreachable);
             continue;
         }
         if (state.full_until > now) {
-            exclude(placing_verdict::overloaded);
+            exclude(placing_verdict::overloaded,
+                    std::chrono::ceil<std::chrono::milliseconds>(state.full_until - now));
             continue;
         }
         if (here && service != nullptr && !allows_cold_request(state, *service, now)) {
             exclude(placing_verdict::cold);
             continue;
         }
-        if (const auto wait = limit_wait(load, state, now); wait > std::chrono::milliseconds::zero()) {
-            exclude(placing_verdict::limited);
-            excluded.wait =
-                excluded.wait > std::chrono::milliseconds::zero() ? std::min(excluded.wait, wait) : wait;
-            continue;
-        }
         candidates.push_back(score(request, load, state, now));
     }
     return candidates;
@@ -391,7 +400,7 @@
     exclusion excluded;
     auto candidates = candidates_for(request, plan, load, now, excluded);
     if (candidates.empty()) {
-        if (excluded.verdict == placing_verdict::limited) {
+        if (excluded.verdict >= placing_verdict::limited) {
             count_refusal(true);
         }
         return refuse(request, excluded.verdict, excluded.wait);
--- a/src/request/placing/tests/upstream_statements_test.cpp
+++ b/src/request/placing/tests/upstream_statements_test.cpp
@@ -109,3 +109,49 @@
     CHECK(sent <= rate * 60 + at_once);
     CHECK(sent >= rate * 60 * 0.95);
 }
+
+TEST_CASE("the pause that an upstream asks for is kept")
+{
+    const upstream_name engine("a");
+    const time_point start{1'000s};
+    upstream_statements statements;
+    statements.record_pause(engine, 1, 3s, start, start);
+    CHECK(statements.pause_left(engine, start + 1s) == 2s);
+    (void)statements.own_limits(start + 1s);
+    CHECK(statements.pause_left(engine, start + 1s) == 2s);
+
+    SECTION("whatever shorter one comes later")
+    {
+        statements.record_pause(engine, 1, 10ms, start + 1s, start + 1s);
+        CHECK(statements.pause_left(engine, start + 1s) == 2s);
+    }
+    SECTION("whatever answer to an earlier request comes later")
+    {
+        statements.record_pause(engine, 1, std::nullopt, start - 1s, start + 1s);
+        CHECK(statements.pause_left(engine, start + 1s) == 2s);
+    }
+    SECTION("then requests are sent one by one until an answer comes")
+    {
+        const auto end = start + 3s;
+        CHECK(statements.pause_left(engine, end) == 0s);
+        statements.count_send(engine, end);
+        CHECK(statements.pause_left(engine, end) > 0s);
+        statements.record_pause(engine, 1, std::nullopt, end, end + 100ms);
+        CHECK(statements.pause_left(engine, end + 100ms) == 0s);
+        statements.count_send(engine, end + 100ms);
+        CHECK(statements.pause_left(engine, end + 100ms) == 0s);
+    }
+    SECTION("until the upstream restarts")
+    {
+        statements.on_listed(engine, 2);
+        CHECK(statements.pause_left(engine, start + 1s) == 0s);
+    }
+    SECTION("an endless one is tested now and then")
+    {
+        statements.record_pause(engine, 1, 1'000'000h, start, start);
+        CHECK(statements.pause_left(engine, start + 30s) > 0s);
+        CHECK(statements.pause_left(engine, start + 60s) == 0s);
+        statements.count_send(engine, start + 60s);
+        CHECK(statements.pause_left(engine, start + 60s) > 0s);
+    }
+}
--- a/src/request/placing/upstream_statements.cpp
+++ b/src/request/placing/upstream_statements.cpp
@@ -17,6 +17,12 @@
 
 constexpr std::chrono::seconds send_history{2}; ///< longer than any window with a share above one per second
 
+/// A longer pause is tested for its end after this time, so that no statement keeps requests away for ever.
+constexpr std::chrono::seconds max_pause{60};
+
+/// After a pause, requests are sent no faster than this until an answer comes.
+constexpr std::chrono::milliseconds trial_interval{1'000};
+
 constexpr double max_limited_rate = 10'000; ///< a higher share is no limit for one VM
 
 /// Sends that a share allows at once, and the time in which it allows no more of them.
@@ -93,8 +99,9 @@
     std::erase_if(m_entries, [&](const auto& known) {
         const auto& stated = known.second;
         const auto age = now - stated.newest.at;
-        return (!stated.listed && age > unlisted_ttl) ||
-               (!stated.newest.requests_per_second && age > ended_limit_ttl);
+        const bool limit_ended = (!stated.listed && age > unlisted_ttl) ||
+                                 (!stated.newest.requests_per_second && age > ended_limit_ttl);
+        return limit_ended && now - stated.paused_until > unlisted_ttl;
     });
 }
 
@@ -107,7 +114,13 @@
 void upstream_statements::count_send(const upstream_name& upstream, time_point now)
 {
     const auto found = m_entries.find(upstream);
-    if (found == m_entries.end() || !found->second.newest.requests_per_second) {
+    if (found == m_entries.end()) {
+        return;
+    }
+    if (auto& paused_until = found->second.paused_until; paused_until != time_point{}) {
+        paused_until = std::max(paused_until, now + trial_interval);
+    }
+    if (!found->second.newest.requests_per_second) {
         return;
     }
     auto& sends = found->second.sends;
@@ -135,6 +148,34 @@
     return std::max(left, std::chrono::milliseconds{0});
 }
 
+void upstream_statements::record_pause(const upstream_name& upstream, std::int64_t started_unix_ms,
+                                       std::optional<std::chrono::milliseconds> pause, time_point sent_at,
+                                       time_point now)
+{
+    on_listed(upstream, started_unix_ms);
+    if (pause) {
+        auto& stated = m_entries[upstream];
+        stated.started_unix_ms = started_unix_ms;
+        stated.paused_until =
+            std::max(stated.paused_until, now + std::min<std::chrono::milliseconds>(*pause, max_pause));
+        stated.pause_stated_at = now;
+        return;
+    }
+    const auto found = m_entries.find(upstream);
+    if (found != m_entries.end() && sent_at >= found->second.pause_stated_at) {
+        found->second.paused_until = {};
+    }
+}
+
+std::chrono::milliseconds upstream_statements::pause_left(const upstream_name& upstream, time_point now) const
+{
+    const auto found = m_entries.find(upstream);
+    if (found == m_entries.end() || found->second.paused_until <= now) {
+        return {};
+    }
+    return std::chrono::ceil<std::chrono::milliseconds>(found->second.paused_until - now);
+}
+
 void upstream_statements::begin_listing()
 {
     for (auto& [upstream, stated] : m_entries) {
