Leaving upstreams: one that says so in an answer gets no new requests

An upstream that leaves without a word in the store, or while this VM is cut off from the store or reads an old list, went on getting requests. Now the statement keeps it out from the first answer on, until its process is another one, also when it is listed again after an absence. Requests that run go on.

--- a/include/cardamomstream/request/gateway/gateway_types.h
+++ b/include/cardamomstream/request/gateway/gateway_types.h
@@ -65,6 +65,9 @@
     {
         Wire::pause_of(head)
         } -> std::same_as<std::optional<std::chrono::milliseconds>>;
+    {
+        Wire::says_leaving(head)
+        } -> std::same_as<bool>;
     {
         Wire::limit_of(head)
         } -> std::same_as<limit_statement>;
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -43,6 +43,10 @@
 {
     m_last_pause = Wire::pause_of(head);
     m_state.load.record_pause(sent, m_last_pause, boot_clock::now());
+    if (Wire::says_leaving(head) && m_state.load.record_leaving(sent, boot_clock::now())) {
+        m_state.log.write(log_weight::state, "upstream_leaving",
+                          {{"upstream", sent.upstream.str()}, {"request", m_caller_request.id.str()}});
+    }
     const auto limit = Wire::limit_of(head);
     if (m_state.load.record_limit(sent, limit, boot_clock::now())) {
         m_state.counters.limit_statements.increment(m_placing_request.service);
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -81,6 +81,9 @@
     /// Records the limit that an answer states. Returns true when the upstream's limit changed.
     bool record_limit(const sent_request& sent, const limit_statement& statement, time_point now);
 
+    /// Records that an answer says that its upstream is leaving. Returns true when this is new.
+    bool record_leaving(const sent_request& sent, time_point now);
+
     /// Records the pause that an answer asks for, or that it asks for none.
     void record_pause(const sent_request& sent, std::optional<std::chrono::milliseconds> pause,
                       time_point now);
--- a/include/cardamomstream/request/placing/upstream_statements.h
+++ b/include/cardamomstream/request/placing/upstream_statements.h
@@ -58,6 +58,10 @@
     /// Time until the pause that the upstream has asked for allows a request of this VM; zero without one.
     std::chrono::milliseconds pause_left(const upstream_name& upstream, time_point now) const;
 
+    /// Records that the upstream is leaving, which holds until it restarts. Returns true when this is new.
+    bool record_leaving(const upstream_name& upstream, std::int64_t started_unix_ms, time_point now);
+    bool is_leaving(const upstream_name& upstream) const;
+
     /// Call before `on_listed` for each upstream of a new list.
     void begin_listing();
     /// Ends the statements of an earlier process of the upstream.
@@ -72,6 +76,8 @@
     struct entry {
         std::int64_t started_unix_ms = 0;
         bool listed = true;
+        bool leaving = false;
+        time_point leaving_stated_at;
         observed_limit own;    ///< as stated to this VM
         observed_limit newest; ///< as stated to any VM
         std::deque<time_point> sends;
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -350,6 +350,13 @@
                                      sent.sent_at, now);
 }
 
+bool fleet_load::record_leaving(const sent_request& sent, time_point now)
+{
+    const auto found = m_upstreams.find(sent.upstream);
+    return found != m_upstreams.end() &&
+           m_statements.record_leaving(sent.upstream, found->second.view.record.started_unix_ms, now);
+}
+
 void fleet_load::record_pause(const sent_request& sent, std::optional<std::chrono::milliseconds> pause,
                               time_point now)
 {
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -347,6 +347,9 @@
                 request.refused_by.end()) {
             continue;
         }
+        if (load.statements().is_leaving(id)) {
+            continue;
+        }
         if (!here && (!m_remote_vms.contains(view.region) || view.cold_until > now)) {
             continue;
         }
--- a/src/request/placing/tests/upstream_statements_test.cpp
+++ b/src/request/placing/tests/upstream_statements_test.cpp
@@ -155,3 +155,19 @@
         CHECK(statements.pause_left(engine, start + 60s) > 0s);
     }
 }
+
+TEST_CASE("an upstream that is leaving is known until it restarts")
+{
+    const upstream_name engine("a");
+    const time_point start{1'000s};
+    upstream_statements statements;
+    CHECK(statements.record_leaving(engine, 1, start));
+    CHECK_FALSE(statements.record_leaving(engine, 1, start));
+    (void)statements.own_limits(start + 2h);
+    CHECK(statements.is_leaving(engine));
+    statements.begin_listing(); // it is not in the list any more
+    (void)statements.own_limits(start + 10min);
+    CHECK(statements.is_leaving(engine));
+    statements.on_listed(engine, 2);
+    CHECK_FALSE(statements.is_leaving(engine));
+}
--- a/src/request/placing/upstream_statements.cpp
+++ b/src/request/placing/upstream_statements.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace cardamomstream {
 
@@ -12,6 +13,9 @@
 /// Statements of an upstream that is not listed are kept this long.
 constexpr std::chrono::seconds unlisted_ttl{120};
 
+/// An upstream that is leaving may be listed again late, by a store that was away.
+constexpr std::chrono::hours unlisted_leaving_ttl{1};
+
 /// The end of a limit is reported for this long, until every VM must have received it.
 constexpr std::chrono::seconds ended_limit_ttl{30};
 
@@ -101,7 +105,9 @@
         const auto age = now - stated.newest.at;
         const bool limit_ended = (!stated.listed && age > unlisted_ttl) ||
                                  (!stated.newest.requests_per_second && age > ended_limit_ttl);
-        return limit_ended && now - stated.paused_until > unlisted_ttl;
+        const bool leaving =
+            stated.leaving && (stated.listed || now - stated.leaving_stated_at < unlisted_leaving_ttl);
+        return limit_ended && !leaving && now - stated.paused_until > unlisted_ttl;
     });
 }
 
@@ -176,6 +182,22 @@
     return std::chrono::ceil<std::chrono::milliseconds>(found->second.paused_until - now);
 }
 
+bool upstream_statements::record_leaving(const upstream_name& upstream, std::int64_t started_unix_ms,
+                                         time_point now)
+{
+    on_listed(upstream, started_unix_ms);
+    auto& stated = m_entries[upstream];
+    stated.started_unix_ms = started_unix_ms;
+    stated.leaving_stated_at = now;
+    return !std::exchange(stated.leaving, true);
+}
+
+bool upstream_statements::is_leaving(const upstream_name& upstream) const
+{
+    const auto found = m_entries.find(upstream);
+    return found != m_entries.end() && found->second.leaving;
+}
+
 void upstream_statements::begin_listing()
 {
     for (auto& [upstream, stated] : m_entries) {
