--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include <boost/fiber/operations.hpp>
+#include <fmt/format.h>
 
 namespace cardamomstream {
 
@@ -97,6 +98,7 @@
     void refuse(const error& reason);
     void refuse_placing(const placement& where);
     std::string permitted_regions() const;
+    std::string shared_parts() const;
     void log_end(std::string_view end, std::string_view reason);
 
     call_limits limits_for(const placement& where, std::chrono::milliseconds connect) const;
@@ -141,6 +143,7 @@
     std::string m_last_failure;    ///< why the last send failed; for the log
     std::string m_last_upstream;
     std::optional<std::chrono::milliseconds> m_last_pause; ///< asked for by the last send's upstream
+    std::optional<time_point> m_answer_began_at;           ///< when the head of the last send's answer came
     std::chrono::milliseconds m_predicted{0};
     std::uint32_t m_running_at_upstream = 0;
     std::chrono::milliseconds m_first_byte{0}; ///< from the request's arrival to the first byte of the answer
@@ -295,6 +298,18 @@
     return text;
 }
 
+/// Ids of the prompt's parts without the last one, in hexadecimal, separated by spaces.
+template <gateway_wire Wire>
+std::string request_flow<Wire>::shared_parts() const
+{
+    std::string text;
+    const auto& parts = m_placing_request.parts;
+    for (std::size_t at = 0; at + 1 < parts.size(); ++at) {
+        text += fmt::format("{}{:x}", text.empty() ? "" : " ", parts[at].id);
+    }
+    return text;
+}
+
 template <gateway_wire Wire>
 void request_flow<Wire>::refuse(const error& reason)
 {
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -69,6 +69,7 @@
         m_state.request_early_report();
     }
     m_last_pause.reset();
+    m_answer_began_at.reset();
     auto exchange = m_state.client.send(call, m_cancel);
     auto outcome = send_outcome::answered;
     auto result = send_result::answered;
@@ -81,6 +82,7 @@
                                                                  : send_outcome::broken;
     }
     else {
+        m_answer_began_at = boot_clock::now();
         result = handle_answer(*exchange.value(), &sent, where);
         outcome = result == send_result::not_run ? send_outcome::rejected
                   : result == send_result::may_have_run
@@ -94,12 +96,18 @@
     m_state.load.end_request(sent, outcome, boot_clock::now());
     m_state.counters.sends.increment(m_placing_request.service, std::string(to_text(outcome)));
     if (outcome != send_outcome::answered && outcome != send_outcome::abandoned) {
+        const auto answer_age =
+            m_answer_began_at
+                ? std::chrono::floor<std::chrono::milliseconds>(boot_clock::now() - *m_answer_began_at)
+                : std::chrono::milliseconds{-1};
         m_state.log.write(log_weight::failure, "send_failed",
                           {{"request", m_caller_request.id.str()},
                            {"upstream", where.upstream.str()},
                            {"outcome", to_text(outcome)},
                            {"reason", m_last_failure},
                            {"pause_ms", std::int64_t{m_last_pause.value_or(0ms).count()}},
+                           {"answer_age_ms", std::int64_t{answer_age.count()}},
+                           {"parts", shared_parts()},
                            {"send", std::int64_t{m_sends}}});
     }
     return result;
