Answers with neither length nor chunks: one that ends inside an event was broken off

Callers of a stream got the rest of a cut event and then an orderly end. Such an answer ends with its connection, so its end says nothing; the gateway took every end for a complete one. Now a stream that ends inside an event counts as broken: it is resumed elsewhere where the route allows, else cut.

--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -54,6 +54,10 @@
     /// (closed in the middle), cancelled; all with outcome unknown.
     virtual result<std::optional<std::string>> next() = 0;
 
+    /// True when the body has neither a length nor chunks, so that it ends with the connection. Then a body
+    /// that was broken off may look like a complete one.
+    virtual bool ends_with_connection() const = 0;
+
     /// The rest of the body must come within this time, whatever the call's own limits.
     virtual void limit_rest(std::chrono::milliseconds rest) = 0;
 
--- a/include/cardamomstream/request/gateway/event_splitter.h
+++ b/include/cardamomstream/request/gateway/event_splitter.h
@@ -16,12 +16,18 @@
     /// Adds bytes and returns the events that are now complete, unchanged; empty when there are none.
     std::string feed(std::string_view bytes);
 
+    /// Returns the bytes as they are; only notes whether they end an event.
+    std::string pass_over(std::string bytes);
+
     /// False once the incomplete event exceeds `max_event_bytes`.
     bool within_size_limit() const noexcept { return m_partial_event.size() <= max_event_bytes; }
 
     /// Id of the last complete event; empty before the first one.
     const std::string& last_id() const noexcept { return m_last_id; }
 
+    /// True when the bytes that were added end at an event's end, or none were.
+    bool at_event_end() const noexcept { return m_partial_event.empty(); }
+
     /// Bytes of the incomplete event.
     const std::string& partial_event() const noexcept { return m_partial_event; }
 
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -94,6 +94,7 @@
     static void drain_rejection(http_exchange& exchange);
     send_result relay_buffered(http_exchange& exchange, bool repeatable_failure);
     send_result relay_stream(http_exchange& exchange, sent_request* sent, const placement& where);
+    send_result end_broken_stream();
     send_result write_events(std::string_view bytes, const http_response_head& head);
     bool may_retry(send_result result);
     void give_up(send_result result);
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -154,12 +154,7 @@
         const auto now = boot_clock::now();
         if (!part) {
             note_failure(part.error());
-            if (m_stream_started && !m_route->resumable) {
-                m_writer.abort_stream();
-                log_end("cut", m_last_failure);
-                return send_result::answered;
-            }
-            return send_result::may_have_run;
+            return end_broken_stream();
         }
         if (sent != nullptr) {
             m_state.load.on_first_event(*sent, now);
@@ -167,7 +162,8 @@
         if (!part.value()) {
             break;
         }
-        const auto bytes = m_route->resumable ? m_events.feed(*part.value()) : std::move(*part.value());
+        const auto bytes =
+            m_route->resumable ? m_events.feed(*part.value()) : m_events.pass_over(std::move(*part.value()));
         if (bytes.empty() && !m_events.within_size_limit()) {
             m_last_failure = "an event exceeds the size limit";
             return send_result::may_have_run;
@@ -189,7 +185,13 @@
             return send_result::caller_left;
         }
     }
-    if (write_events(m_events.partial_event(), exchange.head()) == send_result::caller_left ||
+    if (exchange.ends_with_connection() && !m_events.at_event_end()) {
+        m_last_failure = "the connection to the upstream broke: it ended inside an event";
+        m_connection_broke = true;
+        return end_broken_stream();
+    }
+    if (write_events(m_route->resumable ? m_events.partial_event() : "", exchange.head()) ==
+            send_result::caller_left ||
         (m_stream_started
              ? !m_writer.end_stream()
              : !m_writer.send({{exchange.head().status, end_to_end_headers(exchange.head().headers)}, {}}))) {
@@ -201,6 +203,18 @@
     return send_result::answered;
 }
 
+/// Cuts a stream that can't be resumed.
+template <gateway_wire Wire>
+typename request_flow<Wire>::send_result request_flow<Wire>::end_broken_stream()
+{
+    if (m_stream_started && !m_route->resumable) {
+        m_writer.abort_stream();
+        log_end("cut", m_last_failure);
+        return send_result::answered;
+    }
+    return send_result::may_have_run;
+}
+
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result request_flow<Wire>::write_events(std::string_view bytes,
                                                                           const http_response_head& head)
--- a/src/connection/client/pooled_exchange.h
+++ b/src/connection/client/pooled_exchange.h
@@ -33,6 +33,7 @@
 
     const http_response_head& head() const override { return m_head; }
     result<std::optional<std::string>> next() override;
+    bool ends_with_connection() const override { return m_parser->need_eof(); }
     void limit_rest(std::chrono::milliseconds rest) override;
 
 private:
--- a/src/request/gateway/event_splitter.cpp
+++ b/src/request/gateway/event_splitter.cpp
@@ -27,6 +27,16 @@
     return whole;
 }
 
+std::string event_splitter::pass_over(std::string bytes)
+{
+    m_partial_event.append(bytes, bytes.size() - std::min(bytes.size(), boundary.size()));
+    if (m_partial_event.ends_with(boundary)) {
+        m_partial_event.clear();
+    }
+    m_partial_event.erase(0, m_partial_event.size() - std::min(m_partial_event.size(), boundary.size()));
+    return bytes;
+}
+
 void event_splitter::update_last_id(std::string_view events)
 {
     while (!events.empty()) {
--- a/src/request/gateway/tests/event_splitter_test.cpp
+++ b/src/request/gateway/tests/event_splitter_test.cpp
@@ -4,6 +4,22 @@
 
 using namespace cardamomstream;
 
+TEST_CASE("bytes that are passed on unsplit end at an event's end, or inside one")
+{
+    event_splitter events;
+    CHECK(events.at_event_end());
+    CHECK(events.pass_over("id: 1\n") == "id: 1\n");
+    CHECK_FALSE(events.at_event_end());
+    events.pass_over("\n");
+    CHECK(events.at_event_end());
+    events.pass_over("id: 2\n\nid: 3");
+    CHECK_FALSE(events.at_event_end());
+    events.pass_over("\n");
+    events.pass_over("d");
+    events.pass_over("\n");
+    CHECK_FALSE(events.at_event_end());
+}
+
 TEST_CASE("a stream arrives in pieces of any size")
 {
     const std::string stream = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
