Answers with neither length nor chunks: one whose upstream ended was broken off

The end of such an answer is the end of its connection, also when the upstream's process ends between two events or in a plain answer. Before it counts as complete, the gateway now asks whether the process still takes connections; the connection made for that serves the next request, which would have needed a new one anyway. Upstreams that leave are not asked: they may end after their last answer.

--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -92,9 +92,12 @@
     send_result handle_answer(http_exchange& exchange, sent_request* sent, const placement& where);
     void record_statements(const http_response_head& head, const sent_request& sent);
     static void drain_rejection(http_exchange& exchange);
-    send_result relay_buffered(http_exchange& exchange, bool repeatable_failure);
+    send_result relay_buffered(http_exchange& exchange, sent_request* sent, const placement& where,
+                               bool repeatable_failure);
     send_result relay_stream(http_exchange& exchange, sent_request* sent, const placement& where);
     send_result end_broken_stream();
+    bool process_has_ended(const sent_request* sent, const placement& where);
+    void note_broken_end();
     send_result write_events(std::string_view bytes, const http_response_head& head);
     bool may_retry(send_result result);
     void give_up(send_result result);
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -37,7 +37,7 @@
         m_last_failure = "the stream was not resumed: status " + std::to_string(head.status);
         return send_result::may_have_run;
     }
-    return relay_buffered(exchange, head.status >= 500 && m_route->repeatable());
+    return relay_buffered(exchange, sent, where, head.status >= 500 && m_route->repeatable());
 }
 
 /// Records what the upstream states about itself in an answer to this request.
@@ -101,8 +101,9 @@
 }
 
 template <gateway_wire Wire>
-typename request_flow<Wire>::send_result request_flow<Wire>::relay_buffered(http_exchange& exchange,
-                                                                            bool repeatable_failure)
+typename request_flow<Wire>::send_result
+request_flow<Wire>::relay_buffered(http_exchange& exchange, sent_request* sent, const placement& where,
+                                   bool repeatable_failure)
 {
     http_response answer;
     answer.head = {exchange.head().status, end_to_end_headers(exchange.head().headers)};
@@ -122,6 +123,10 @@
         }
         answer.body += *part.value();
     }
+    if (exchange.ends_with_connection() && process_has_ended(sent, where)) {
+        note_broken_end();
+        return send_result::may_have_run;
+    }
     if (repeatable_failure) {
         m_last_failure = "the upstream failed with status " + std::to_string(answer.head.status);
         m_held_failure = std::move(answer);
@@ -185,9 +190,8 @@
             return send_result::caller_left;
         }
     }
-    if (exchange.ends_with_connection() && !m_events.at_event_end()) {
-        m_last_failure = "the connection to the upstream broke: it ended inside an event";
-        m_connection_broke = true;
+    if (exchange.ends_with_connection() && (!m_events.at_event_end() || process_has_ended(sent, where))) {
+        note_broken_end();
         return end_broken_stream();
     }
     if (write_events(m_route->resumable ? m_events.partial_event() : "", exchange.head()) ==
@@ -203,6 +207,22 @@
     return send_result::answered;
 }
 
+/// True when the answer may have ended because the upstream's process did. An upstream that leaves may end
+/// after its last answer.
+template <gateway_wire Wire>
+bool request_flow<Wire>::process_has_ended(const sent_request* sent, const placement& where)
+{
+    return sent != nullptr && m_state.load.find(where.upstream) != nullptr &&
+           m_state.probe.has_ended(where.address);
+}
+
+template <gateway_wire Wire>
+void request_flow<Wire>::note_broken_end()
+{
+    m_last_failure = "the connection to the upstream broke: an answer without length was broken off";
+    m_connection_broke = true;
+}
+
 /// Cuts a stream that can't be resumed.
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result request_flow<Wire>::end_broken_stream()
