Upstreams: read the version of their software; log it, and what a caller takes up

The lines upstream and request name the version; request also names resumes and last_event of a caller that takes up a stream.

--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace cardamomstream {
@@ -23,6 +24,7 @@
     endpoint address;
     data_centre_name data_centre;
     std::uint32_t slots = 1;
+    std::string version; ///< of its software; streams of two versions don't fit together
     bool leaving = false;
     std::chrono::milliseconds cold_left{0};             ///< remaining cold time when the record was written
     std::optional<std::chrono::milliseconds> leaves_in; ///< set when it shuts down at short notice
--- a/include/cardamomstream/request/gateway/gateway_types.h
+++ b/include/cardamomstream/request/gateway/gateway_types.h
@@ -27,6 +27,9 @@
     token_count max_answer_tokens = 0;
     token_count expected_answer_tokens = 0; ///< the caller's estimate, or the maximum without one
     std::vector<prompt_part> parts;
+    /// Attempt that brought the first event of the stream that this request takes up; empty for a new stream.
+    request_id resumes;
+    std::string last_event; ///< id of the last event that the caller has; empty for a new stream
 };
 
 /// Information that the gateway adds to a request for an upstream.
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -154,6 +154,7 @@
     std::uint32_t m_runs = 0;      ///< sends that ran, or may have, without a usable answer
     std::string m_last_failure;    ///< why the last send failed; for the log
     std::string m_last_upstream;
+    std::string m_last_version;                            ///< of the last upstream's software; for the log
     std::optional<std::chrono::milliseconds> m_last_pause; ///< asked for by the last send's upstream
     // Of the last send:
     std::optional<time_point> m_answer_began_at; ///< when the head of its answer came
@@ -211,6 +212,7 @@
         m_predicted = where.predicted;
         m_running_at_upstream = where.running;
         m_last_upstream = where.upstream.str();
+        m_last_version = where.version;
         m_answer_began_at.reset();
         m_answer_lasts = false;
         m_connection_broke = false;
@@ -399,6 +401,9 @@
          {"homes", ordinary ? std::string{} : permitted_regions()},
          {"hop", std::int64_t{m_placing_request.own_region_only ? 1 : 0}},
          {"upstream", m_last_upstream},
+         {"version", m_last_version},
+         {"resumes", m_caller_request.resumes.str()},
+         {"last_event", m_caller_request.last_event},
          {"sends", std::int64_t{m_sends}},
          {"predicted_ms", std::int64_t{m_predicted.count()}},
          {"running", std::int64_t{m_running_at_upstream}},
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -51,7 +52,8 @@
 struct placement {
     placing_verdict verdict = placing_verdict::no_upstream;
     upstream_name upstream;
-    endpoint address; ///< of the upstream, or of a VM of its region
+    endpoint address;    ///< of the upstream, or of a VM of its region
+    std::string version; ///< of the upstream's software
     region_name region;
     std::chrono::milliseconds predicted{0};   ///< time until the first byte of the answer
     std::chrono::milliseconds retry_after{0}; ///< set for refusals
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -309,6 +309,7 @@
                 {{"upstream", id.str()},
                  {"service", record.value().service.str()},
                  {"address", record.value().address.str()},
+                 {"version", record.value().version},
                  {"leaving", std::int64_t{record.value().leaving ? 1 : 0}},
                  {"cold_ms", std::int64_t{record.value().cold_left.count()}}});
 }
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -436,6 +436,7 @@
     chosen.verdict = best->here ? placing_verdict::here : placing_verdict::other_region;
     chosen.upstream = best->state->view.record.id;
     chosen.region = best->state->view.region;
+    chosen.version = best->state->view.record.version;
     chosen.address = best->here ? best->state->view.record.address : random_vm_in(chosen.region);
     chosen.predicted = predicted;
     chosen.running = load.running(*best->state, now);
