Streams go on at the software version that began them, or not at all

Cause: the gateway knew no versions; each continuation was placed like a new request. Class: a decision that a later request depends on was remembered nowhere.

Now the first event of a stream fixes its version. The gateway resumes it only there and cuts it at once where that version serves no longer; a hop passes the version on, and its answer tells it. Each VM remembers at which version the attempts of its callers began, and tells the others while more than one version is known (eight bytes a stream; those begun before a second version appears follow). An attempt of which nothing is known is taken up only if this VM has known, without a gap, that a single version served for as long as a caller may come back (the longest timeout of a resumable route and 5 s, 20 s at least); else the caller is told that it hasn't run. After a refused connection an upstream's version counts as uncertain for 3 s, as its process may have started again under its id.

Ruled out: choosing the version of new streams from the attempt's id, so that nothing need be remembered (would narrow the choice for new requests), and asking the other VMs at each resumption (nobody to ask when the one that knew was killed).

--- a/include/cardamomstream/core/error.h
+++ b/include/cardamomstream/core/error.h
@@ -31,6 +31,7 @@
     prompt_quarantined,
     no_permitted_region,
     region_evacuated,
+    stream_not_resumable,
     upstream_unavailable,
     upstream_timeout,
     upstream_failed,
--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -38,10 +39,14 @@
     time_point cold_until; ///< its request rate is limited until then
 };
 
+/// Software versions of the upstreams of each service.
+using service_versions = std::map<pool_name, std::set<std::string>>;
+
 /// Immutable snapshot that the control thread publishes to the traffic threads.
 struct deployment_view {
     std::shared_ptr<const service_plan> plan; ///< null until the first plan is known
     std::vector<upstream_view> upstreams;     ///< neither leaving nor in an evacuated data centre
+    service_versions versions;                ///< of all upstreams that are listed
     evacuations evacuated;
 };
 
@@ -87,6 +92,13 @@
     std::chrono::milliseconds age{0}; ///< since it was announced, when the report was made
 };
 
+/// Streams that began at upstreams of one software version.
+struct reported_origins {
+    pool_name service;
+    std::string version;
+    std::vector<std::uint64_t> attempts; ///< hashes of the ids of the callers' attempts
+};
+
 /// How much later the first bytes of a service arrived than predicted from the loads, in the reporting VM's
 /// region.
 struct lateness_sample {
@@ -148,10 +160,11 @@
     std::vector<part_crash> part_crashes;     ///< those that all VMs of the fleet should know
     std::vector<part_success> part_successes; ///< of parts that other VMs may suspect
     std::vector<part_trial> part_trials;
-    std::vector<std::uint64_t> known_changes; ///< newest revision known in each `store_part`
-    bool store_failing = false;               ///< the store has recently failed to answer this VM
-    std::vector<std::uint64_t> read_up_to;    ///< store revision up to which each `store_part` is known
-    std::optional<store_changes> changes;     ///< store changes that the VM has just read
+    std::vector<reported_origins> stream_origins; ///< begun lately; while several versions are known
+    std::vector<std::uint64_t> known_changes;     ///< newest revision known in each `store_part`
+    bool store_failing = false;                   ///< the store has recently failed to answer this VM
+    std::vector<std::uint64_t> read_up_to;        ///< store revision up to which each `store_part` is known
+    std::optional<store_changes> changes;         ///< store changes that the VM has just read
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/process/deployment/upstream_registry.h
+++ b/include/cardamomstream/process/deployment/upstream_registry.h
@@ -42,6 +42,9 @@
     /// after its start.
     std::vector<upstream_view> usable(const service_plan* plan, time_point now) const;
 
+    /// Software versions of all listed upstreams, those included that get no requests.
+    service_versions versions() const;
+
     std::size_t size() const noexcept { return m_entries.size(); }
 
 private:
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -12,6 +12,7 @@
 #include "cardamomstream/request/placing/placer.h"
 #include "cardamomstream/request/quarantine/prompt_quarantine.h"
 #include "cardamomstream/request/quota/fleet_quota.h"
+#include "cardamomstream/request/stream_origin/stream_origins.h"
 
 #include <atomic>
 #include <functional>
@@ -60,6 +61,7 @@
     fleet_quota quota;
     prompt_quarantine quarantine;
     upstream_probe probe;
+    stream_origins origins;
     serving_times times;
     answer_memory held_answers;
     std::mt19937_64 random;
--- a/include/cardamomstream/request/gateway/hop_headers.h
+++ b/include/cardamomstream/request/gateway/hop_headers.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace cardamomstream {
@@ -18,6 +19,7 @@
     customer_name customer; ///< empty on routes open to all
     int urgency = 0;
     std::chrono::milliseconds waited{0}; ///< since the caller's request arrived
+    std::optional<std::string> version;  ///< of the upstream's software; set for a stream that has begun
 };
 
 void write_hop_headers(std::vector<http_header>& headers, const hop_details& hop);
@@ -34,6 +36,10 @@
 /// Empty when the refusal isn't final.
 std::optional<std::chrono::milliseconds> final_refusal(const std::vector<http_header>& headers);
 
+/// Tells the VM that passed a stream on at which software version it began; empty if that isn't certain.
+void set_answer_version(std::vector<http_header>& headers, const std::optional<std::string>& version);
+std::optional<std::string> answer_version(const std::vector<http_header>& headers);
+
 /// True for statuses with which a VM guarantees that the request has not run and will not run.
 bool guarantees_not_run(unsigned status);
 
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -84,6 +84,10 @@
     std::optional<error> admit_caller();
     std::optional<error> admit_hop(const hop_details& hop);
     std::optional<error> check_stopping() const;
+    std::optional<error> require_origin();
+    static error not_resumable(std::string_view reason);
+    void begin_stream_at(const std::optional<std::string>& version);
+    http_response_head answer_head(const http_response_head& head) const;
     void init_placing_request(const pool_name& service, int urgency);
     void serve();
     void run_attempts();
@@ -154,7 +158,8 @@
     std::uint32_t m_runs = 0;      ///< sends that ran, or may have, without a usable answer
     std::string m_last_failure;    ///< why the last send failed; for the log
     std::string m_last_upstream;
-    std::string m_last_version;                            ///< of the last upstream's software; for the log
+    /// Software version of the last send's upstream; empty if it isn't certain.
+    std::optional<std::string> m_sent_version;
     std::optional<std::chrono::milliseconds> m_last_pause; ///< asked for by the last send's upstream
     // Of the last send:
     std::optional<time_point> m_answer_began_at; ///< when the head of its answer came
@@ -195,6 +200,11 @@
             refuse(*refused);
             return;
         }
+        if (m_stream_started && !m_placing_request.version) {
+            m_last_failure += "; the stream can't go on: its software version isn't certain";
+            give_up(send_result::may_have_run);
+            return;
+        }
         m_placing_request.waited = initial_wait + elapsed();
         m_placing_request.time_left = time_left();
         m_placing_request.sent_before = m_sends > 0;
@@ -212,7 +222,7 @@
         m_predicted = where.predicted;
         m_running_at_upstream = where.running;
         m_last_upstream = where.upstream.str();
-        m_last_version = where.version;
+        m_sent_version = where.version;
         m_answer_began_at.reset();
         m_answer_lasts = false;
         m_connection_broke = false;
@@ -305,6 +315,10 @@
                 evacuation_retry_delay(*since, boot_clock::now())});
         return;
     }
+    if (m_placing_request.version && where.verdict == placing_verdict::no_upstream) {
+        refuse(not_resumable("no upstream of the software version that began the stream serves any more"));
+        return;
+    }
     const bool late = where.verdict == placing_verdict::overloaded;
     const bool limited =
         where.verdict == placing_verdict::limited || where.verdict == placing_verdict::paused;
@@ -315,6 +329,16 @@
             "come back after the time given", run_outcome::not_run, where.retry_after});
 }
 
+template <gateway_wire Wire>
+error request_flow<Wire>::not_resumable(std::string_view reason)
+{
+    return {error_kind::stream_not_resumable,
+            std::string(reason),
+            "begin the stream anew",
+            run_outcome::not_run,
+            {}};
+}
+
 /// Regions in which the request may run, separated by spaces; empty when it may run in all of them.
 template <gateway_wire Wire>
 std::string request_flow<Wire>::permitted_regions() const
@@ -401,7 +425,7 @@
          {"homes", ordinary ? std::string{} : permitted_regions()},
          {"hop", std::int64_t{m_placing_request.own_region_only ? 1 : 0}},
          {"upstream", m_last_upstream},
-         {"version", m_last_version},
+         {"version", m_sent_version.value_or("")},
          {"resumes", m_caller_request.resumes.str()},
          {"last_event", m_caller_request.last_event},
          {"sends", std::int64_t{m_sends}},
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -50,6 +50,9 @@
     const auto urgency =
         m_customer != nullptr && m_customer->priority ? *m_customer->priority : m_route->priority;
     init_placing_request(m_route->services[pick(m_state.random)].service, urgency);
+    if (auto unknown = require_origin()) {
+        return unknown;
+    }
     if (m_customer != nullptr) {
         const auto& allowance = m_customer->allowance;
         const auto tokens = m_caller_request.has_token_counts
@@ -96,6 +99,7 @@
     }
     init_placing_request(hop.service, hop.urgency);
     m_placing_request.own_region_only = true;
+    m_placing_request.version = hop.version;
     m_placing_request.waited = hop.waited;
     m_state.count_request(m_placing_request.service, m_started);
     return std::nullopt;
@@ -117,6 +121,28 @@
                  "send it to another VM", run_outcome::not_run, 100ms};
 }
 
+/// A stream that a caller takes up goes on at the service and software version that began it.
+template <gateway_wire Wire>
+std::optional<error> request_flow<Wire>::require_origin()
+{
+    if (!m_route->resumable || (m_caller_request.resumes.empty() && m_caller_request.last_event.empty())) {
+        return std::nullopt;
+    }
+    const auto& service = m_placing_request.service;
+    auto origin = m_state.origins.find(m_caller_request.resumes, service, m_started);
+    if (!origin) {
+        return not_resumable("it isn't known at which software version the stream began");
+    }
+    const auto& services = m_route->services;
+    if (std::none_of(services.begin(), services.end(),
+                     [&](const auto& share) { return share.service == origin->service; })) {
+        return not_resumable("the service that began the stream no longer serves this route");
+    }
+    m_placing_request.service = origin->service;
+    m_placing_request.version = std::move(origin->version);
+    return std::nullopt;
+}
+
 template <gateway_wire Wire>
 void request_flow<Wire>::init_placing_request(const pool_name& service, int urgency)
 {
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -153,6 +153,9 @@
 {
     m_events.discard_partial();
     m_may_have_run = true;
+    if (sent == nullptr) {
+        m_sent_version = answer_version(exchange.head().headers);
+    }
     m_last_event_at = boot_clock::now();
     while (true) {
         auto part = exchange.next();
@@ -196,9 +199,7 @@
     }
     if (write_events(m_route->resumable ? m_events.partial_event() : "", exchange.head()) ==
             send_result::caller_left ||
-        (m_stream_started
-             ? !m_writer.end_stream()
-             : !m_writer.send({{exchange.head().status, end_to_end_headers(exchange.head().headers)}, {}}))) {
+        (m_stream_started ? !m_writer.end_stream() : !m_writer.send({answer_head(exchange.head()), {}}))) {
         return send_result::caller_left;
     }
     note_success(boot_clock::now());
@@ -235,6 +236,32 @@
     return send_result::may_have_run;
 }
 
+/// From its first event on, the stream goes on at this version only.
+template <gateway_wire Wire>
+void request_flow<Wire>::begin_stream_at(const std::optional<std::string>& version)
+{
+    if (!m_route->resumable) {
+        return;
+    }
+    if (!m_placing_request.version) {
+        m_placing_request.version = version;
+    }
+    const auto& begun_at = m_placing_request.version;
+    const auto origin =
+        begun_at ? std::optional(stream_origin{m_placing_request.service, *begun_at}) : std::nullopt;
+    m_state.origins.record(m_caller_request.id, origin, !m_placing_request.own_region_only,
+                           boot_clock::now());
+}
+
+/// Head of a stream for the caller, or for the VM that passed the request on.
+template <gateway_wire Wire>
+http_response_head request_flow<Wire>::answer_head(const http_response_head& head) const
+{
+    http_response_head relayed{head.status, end_to_end_headers(head.headers)};
+    set_answer_version(relayed.headers, m_placing_request.own_region_only ? m_sent_version : std::nullopt);
+    return relayed;
+}
+
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result request_flow<Wire>::write_events(std::string_view bytes,
                                                                           const http_response_head& head)
@@ -245,7 +272,8 @@
     if (!std::exchange(m_stream_started, true)) {
         m_first_byte = elapsed();
         m_state.counters.first_byte.observe(m_first_byte, m_placing_request.service);
-        if (!m_writer.begin_stream({head.status, end_to_end_headers(head.headers)})) {
+        begin_stream_at(m_sent_version);
+        if (!m_writer.begin_stream(answer_head(head))) {
             return send_result::caller_left;
         }
     }
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -123,6 +123,7 @@
     if (m_shared_parts.empty() || !m_state.probe.has_ended(where.address)) {
         return;
     }
+    m_state.load.record_process_end(where.upstream, broke_at);
     m_state.counters.upstream_ends.increment(m_placing_request.service);
     m_state.log.write(log_weight::failure, "upstream_ended",
                       {{"request", m_caller_request.id.str()},
@@ -146,7 +147,7 @@
     remove_hop_headers(call.headers);
     write_hop_headers(call.headers,
                       {m_route->name, m_placing_request.service, details.customer, m_placing_request.urgency,
-                       m_placing_request.waited + m_state.placing.region_delay()});
+                       m_placing_request.waited + m_state.placing.region_delay(), m_placing_request.version});
     call.body = m_request.body;
     call.limits = limits_for(where, hop_connect_timeout);
     m_state.load.record_hop(where.upstream, m_placing_request, boot_clock::now());
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -56,8 +56,9 @@
         std::uint32_t consecutive_connect_failures = 0; ///< sends in a row that got no connection
         time_point next_attempt_at; ///< no connection is tried before, even if no other upstream is left
         time_point suspected_until;
-        time_point last_active_at; ///< last byte from it, or when it began to owe an answer
-        time_point full_until;     ///< set when it rejects a request for lack of capacity
+        time_point last_active_at;        ///< last byte from it, or when it began to owe an answer
+        time_point refused_connection_at; ///< last; the process may have been starting again
+        time_point full_until;            ///< set when it rejects a request for lack of capacity
     };
 
     explicit fleet_load(placing_settings settings);
@@ -99,6 +100,13 @@
 
     const upstream_statements& statements() const noexcept { return m_statements; }
 
+    /// Records that the upstream takes no connections because its process has ended.
+    void record_process_end(const upstream_name& upstream, time_point now);
+
+    /// Version of the upstream's software. Empty while its process may have started again without its new
+    /// entry being known.
+    std::optional<std::string> version_of(const upstream_state& state, time_point now) const;
+
     /// True when requests run at the upstream and it has sent nothing for longer than `limit`.
     bool is_silent(const upstream_state& state, time_point now, std::chrono::milliseconds limit) const;
 
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -32,8 +33,10 @@
     std::chrono::milliseconds time_left{0};
     std::vector<upstream_name> tried;    ///< excluded because they were tried before
     std::vector<region_name> refused_by; ///< regions that have just refused the request
-    bool own_region_only = false;        ///< set for a request that another VM passed on
-    bool sent_before = false;            ///< it is placed even if the answer would be late
+    /// Of the upstream's software; set for a stream that has begun.
+    std::optional<std::string> version;
+    bool own_region_only = false; ///< set for a request that another VM passed on
+    bool sent_before = false;     ///< it is placed even if the answer would be late
 };
 
 /// The refusals are ordered: when several apply, the last one is given as the reason.
@@ -52,8 +55,8 @@
 struct placement {
     placing_verdict verdict = placing_verdict::no_upstream;
     upstream_name upstream;
-    endpoint address;    ///< of the upstream, or of a VM of its region
-    std::string version; ///< of the upstream's software
+    endpoint address;                   ///< of the upstream, or of a VM of its region
+    std::optional<std::string> version; ///< of the upstream's software; empty while it isn't certain
     region_name region;
     std::chrono::milliseconds predicted{0};   ///< time until the first byte of the answer
     std::chrono::milliseconds retry_after{0}; ///< set for refusals
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -37,6 +37,9 @@
 /// Between two publications of the received reports to the traffic thread.
 constexpr std::chrono::milliseconds least_publish_interval{50};
 
+/// The longest watch, and the time for its answer.
+constexpr std::chrono::milliseconds list_confirmation_ttl = longest_watch_wait + std::chrono::seconds{2};
+
 constexpr std::size_t max_report_bytes = 60'000; ///< below the largest datagram
 
 vm_identity identity_of(const node_settings& settings, incarnation process)
@@ -319,6 +322,7 @@
     auto view = std::make_shared<deployment_view>();
     view->plan = m_plan.get();
     view->evacuated = m_upstreams.evacuated();
+    view->versions = m_upstreams.versions();
     view->upstreams = m_upstreams.usable(view->plan.get(), boot_clock::now());
     boost::asio::post(m_traffic.io(),
                       [this, view = std::move(view)]() mutable { m_state.set_deployment(std::move(view)); });
@@ -391,17 +395,24 @@
 {
     m_vms_published_at = now;
     const auto& vms = m_exchange.vms();
-    boost::asio::post(m_traffic.io(), [this, alive = vms.alive(now), sharers = vms.sharers(now)]() mutable {
-        m_state.set_vms(std::move(alive), sharers);
-    });
+    const bool confirmed =
+        m_upstreams_listed && now - m_upstream_entries.confirmed_at() < list_confirmation_ttl;
+    boost::asio::post(m_traffic.io(),
+                      [this, alive = vms.alive(now), sharers = vms.sharers(now), confirmed, now]() mutable {
+                          m_state.set_vms(std::move(alive), sharers);
+                          m_state.origins.set_list_confirmed(confirmed, now);
+                      });
 }
 
 void node_control::report_from_traffic()
 {
     boost::asio::post(m_traffic.io(), [this] {
-        traffic_figures traffic{m_state.load.take_loads(boot_clock::now()), m_state.quota.uses(),
-                                m_state.load.take_lateness(), m_state.load.own_limits(boot_clock::now()),
-                                m_state.quarantine.take_report(boot_clock::now())};
+        traffic_figures traffic{m_state.load.take_loads(boot_clock::now()),
+                                m_state.quota.uses(),
+                                m_state.load.take_lateness(),
+                                m_state.load.own_limits(boot_clock::now()),
+                                m_state.quarantine.take_report(boot_clock::now()),
+                                m_state.origins.take_report(boot_clock::now())};
         boost::asio::post(m_thread.io(),
                           [this, traffic = std::move(traffic)]() mutable { report(std::move(traffic)); });
     });
@@ -432,6 +443,7 @@
     state.part_crashes = std::move(traffic.prompt_parts.crashes);
     state.part_successes = std::move(traffic.prompt_parts.successes);
     state.part_trials = std::move(traffic.prompt_parts.trials);
+    state.stream_origins = std::move(traffic.stream_origins);
     send(m_exchange.report(std::move(state), now));
 }
 
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -21,6 +21,7 @@
     std::vector<lateness_sample> lateness;
     std::vector<stated_limit> limits;
     quarantine_report prompt_parts;
+    std::vector<reported_origins> stream_origins;
 };
 
 class node_control {
--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -74,6 +74,7 @@
         return; // a listing brings it, or the store is asked when it stays missing
     }
     m_revision = std::max(m_revision, changes.revision);
+    m_confirmed_at = boot_clock::now();
     if (!changes.items.empty()) {
         m_on_changes(changes);
     }
@@ -137,6 +138,7 @@
 {
     if (m_listed && change == m_lag.known()) {
         m_revision = std::max(m_revision, revision); // no change lies between
+        m_confirmed_at = revision > 0 ? now : m_confirmed_at;
     }
     if (!m_listed || !m_lag.record_peer_revision(change, now)) {
         return;
@@ -172,6 +174,7 @@
 void store_follower::note_answer()
 {
     m_answered = true;
+    m_confirmed_at = boot_clock::now();
     if (std::exchange(m_contact.lost, false)) {
         m_log.write(log_weight::state, "store_regained", {{"prefix", m_prefix}});
     }
--- a/src/app/node/store_follower.h
+++ b/src/app/node/store_follower.h
@@ -69,6 +69,9 @@
 
     std::uint64_t newest_change() const noexcept { return m_lag.known(); }
 
+    /// When this part was last known to be up to date; epoch: never.
+    time_point confirmed_at() const noexcept { return m_confirmed_at; }
+
 private:
     bool list();
     bool watch();
@@ -89,6 +92,7 @@
     change_lag m_lag;
     cancellation* m_waiting = nullptr; ///< ends the watch under way
     std::uint64_t m_revision = 0;      ///< of the store; the next watch goes on from here
+    time_point m_confirmed_at;
     bool m_listed = false;
     bool m_reads = true;
     bool m_answered = false; ///< the last call
--- a/src/connection/http/error_response.cpp
+++ b/src/connection/http/error_response.cpp
@@ -40,6 +40,7 @@
     case error_kind::prompt_quarantined:
     case error_kind::no_permitted_region:
     case error_kind::region_evacuated:
+    case error_kind::stream_not_resumable:
     case error_kind::upstream_unavailable:
     case error_kind::peer_unavailable:
     case error_kind::platform_unavailable:
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -39,6 +39,8 @@
         return "no_permitted_region";
     case error_kind::prompt_quarantined:
         return "prompt_quarantined";
+    case error_kind::stream_not_resumable:
+        return "stream_not_resumable";
     case error_kind::region_evacuated:
         return "region_evacuated";
     case error_kind::upstream_unavailable:
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -95,6 +95,7 @@
     }
 }
 
+constexpr std::size_t max_summary_streams = 4'000;
 constexpr std::size_t max_summary_crashes = 192; ///< in the summary of a data centre
 
 void add_age(std::vector<stated_limit>& limits, boot_clock::duration age)
@@ -135,6 +136,31 @@
     }
 }
 
+/// Adds the streams of a report to those of a summary, as long as they fit into a datagram.
+void add_stream_origins(vm_report& summary, const vm_report& report)
+{
+    std::size_t attempts = 0;
+    for (const auto& added : summary.stream_origins) {
+        attempts += added.attempts.size();
+    }
+    for (const auto& origin : report.stream_origins) {
+        attempts += origin.attempts.size();
+        if (attempts > max_summary_streams) {
+            return; // the other data centres refuse to go on with these
+        }
+        const auto same = std::find_if(
+            summary.stream_origins.begin(), summary.stream_origins.end(), [&](const reported_origins& added) {
+                return added.service == origin.service && added.version == origin.version;
+            });
+        if (same == summary.stream_origins.end()) {
+            summary.stream_origins.push_back(origin);
+        }
+        else {
+            same->attempts.insert(same->attempts.end(), origin.attempts.begin(), origin.attempts.end());
+        }
+    }
+}
+
 /// Adds the limits of a report that was made `age` ago; of several for one upstream the newest stays.
 void add_newest_limits(std::vector<stated_limit>& limits, std::vector<stated_limit> others,
                        boot_clock::duration age)
@@ -301,6 +327,7 @@
     state.limits = m_last_report.limits;
     add_age(state.limits, now - m_last_report_at);
     add_part_findings(state, m_last_report, now - m_last_report_at);
+    state.stream_origins = m_last_report.stream_origins;
     m_last_report = state;
     m_last_report_at = now;
     m_last_report.changes.reset();
@@ -361,6 +388,7 @@
         merge_newest(summary.known_changes, vm->report.known_changes);
         add_newest_limits(summary.limits, vm->report.limits, now - vm->received_at);
         add_part_findings(summary, vm->report, now - vm->received_at);
+        add_stream_origins(summary, vm->report);
     }
     for (const auto* vm : alive) {
         part.members.push_back({vm->inner, vm->entry, vm->ready && !vm->leaving});
--- a/src/process/deployment/upstream_registry.cpp
+++ b/src/process/deployment/upstream_registry.cpp
@@ -132,4 +132,13 @@
     return views;
 }
 
+service_versions upstream_registry::versions() const
+{
+    service_versions versions;
+    for (const auto& [id, entry] : m_entries) {
+        versions[entry.record.service].insert(entry.record.version);
+    }
+    return versions;
+}
+
 } // namespace cardamomstream
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -241,6 +241,12 @@
         added.set_vm(trial.vm);
         added.set_age_ms(encode_age(trial.age));
     }
+    for (const auto& origin : report.stream_origins) {
+        auto& added = *message.add_stream_origins();
+        added.set_service(origin.service.str());
+        added.set_version(origin.version);
+        added.mutable_attempts()->Add(origin.attempts.begin(), origin.attempts.end());
+    }
     message.mutable_known_changes()->Add(report.known_changes.begin(), report.known_changes.end());
     message.set_store_failing(report.store_failing);
     message.mutable_read_up_to()->Add(report.read_up_to.begin(), report.read_up_to.end());
@@ -316,6 +322,11 @@
                 {trial.part(), trial.vm(), std::chrono::milliseconds(trial.age_ms())});
         }
     }
+    for (const auto& origin : message.stream_origins()) {
+        report.stream_origins.push_back({pool_name(origin.service()),
+                                         origin.version(),
+                                         {origin.attempts().begin(), origin.attempts().end()}});
+    }
     report.known_changes.assign(message.known_changes().begin(), message.known_changes().end());
     report.store_failing = message.store_failing();
     report.read_up_to.assign(message.read_up_to().begin(), message.read_up_to().end());
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -54,9 +54,15 @@
 void gateway_state::set_deployment(std::shared_ptr<const deployment_view> next)
 {
     load.set_deployment(*next);
+    origins.set_listed(next->versions, boot_clock::now());
     if (next->plan && (!deployment || deployment->plan != next->plan)) {
         quota.set_plan(*next->plan, boot_clock::now());
         counters.plan_version.set(static_cast<double>(next->plan->version()));
+        for (const auto& route : next->plan->document().routes) {
+            if (route.resumable) {
+                origins.set_stream_life(route.timeout);
+            }
+        }
     }
     counters.upstreams_usable.set(static_cast<double>(next->upstreams.size()));
     deployment = std::move(next);
@@ -75,6 +81,7 @@
             load.add_reported_lateness(*vm);
             load.apply_reported_limits(*vm);
             on_quarantine_changes(quarantine.apply_reported(vm->report, vm->received_at), vm->report.vm);
+            origins.apply_reported(vm->report.stream_origins, vm->received_at);
             applied = vm;
         }
     }
--- a/src/request/gateway/hop_headers.cpp
+++ b/src/request/gateway/hop_headers.cpp
@@ -3,9 +3,12 @@
 #include "cardamomstream/connection/header_number.h"
 #include "cardamomstream/request/gateway/gateway_types.h"
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 
+#include <boost/beast/core/string.hpp>
+
 namespace cardamomstream {
 
 namespace {
@@ -15,6 +18,7 @@
 constexpr std::string_view customer_header = "Cs-Hop-Customer";
 constexpr std::string_view urgency_header = "Cs-Hop-Urgency";
 constexpr std::string_view waited_header = "Cs-Hop-Waited-Ms";
+constexpr std::string_view version_header = "Cs-Hop-Version";
 constexpr std::string_view final_refusal_header = "Cs-Hop-Refused-Ms";
 
 } // namespace
@@ -26,6 +30,7 @@
     headers.push_back({std::string(customer_header), hop.customer.str()});
     headers.push_back({std::string(urgency_header), std::to_string(hop.urgency)});
     headers.push_back({std::string(waited_header), std::to_string(hop.waited.count())});
+    set_answer_version(headers, hop.version);
 }
 
 std::optional<hop_details> read_hop_headers(const std::vector<http_header>& headers)
@@ -39,6 +44,7 @@
     if (hop.service.empty() || !urgency || !waited) {
         return std::nullopt;
     }
+    hop.version = answer_version(headers);
     hop.urgency = *urgency;
     hop.waited = std::chrono::milliseconds(*waited);
     return hop;
@@ -46,7 +52,8 @@
 
 void remove_hop_headers(std::vector<http_header>& headers)
 {
-    for (const auto name : {route_header, service_header, customer_header, urgency_header, waited_header}) {
+    for (const auto name :
+         {route_header, service_header, customer_header, urgency_header, waited_header, version_header}) {
         remove_header(headers, name);
     }
 }
@@ -62,6 +69,22 @@
     return left ? std::optional(std::chrono::milliseconds(*left)) : std::nullopt;
 }
 
+void set_answer_version(std::vector<http_header>& headers, const std::optional<std::string>& version)
+{
+    remove_header(headers, version_header);
+    if (version) {
+        headers.push_back({std::string(version_header), *version});
+    }
+}
+
+std::optional<std::string> answer_version(const std::vector<http_header>& headers)
+{
+    const auto found = std::find_if(headers.begin(), headers.end(), [](const http_header& header) {
+        return boost::beast::iequals(header.name, version_header);
+    });
+    return found == headers.end() ? std::nullopt : std::optional(found->value);
+}
+
 bool guarantees_not_run(unsigned status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
--- a/src/request/gateway/tests/gateway_types_test.cpp
+++ b/src/request/gateway/tests/gateway_types_test.cpp
@@ -20,14 +20,15 @@
 {
     std::vector<http_header> headers{{"Host", "h"}};
     CHECK_FALSE(read_hop_headers(headers));
-    write_hop_headers(
-        headers, {route_name("r"), pool_name("s"), customer_name("c"), 2, std::chrono::milliseconds{120}});
+    write_hop_headers(headers, {route_name("r"), pool_name("s"), customer_name("c"), 2,
+                                std::chrono::milliseconds{120}, "v1"});
     SECTION("which reads the hop headers")
     {
         const auto hop = read_hop_headers(headers);
         REQUIRE(hop);
         CHECK(hop->route == route_name("r"));
         CHECK(hop->customer == customer_name("c"));
+        CHECK(hop->version == "v1");
         CHECK(hop->urgency == 2);
         CHECK(hop->waited == std::chrono::milliseconds{120});
     }
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -27,6 +27,9 @@
 /// its running requests end.
 constexpr std::chrono::milliseconds full_backoff{150};
 
+/// From the last refused connection until the entry of a process that has started again is known.
+constexpr std::chrono::milliseconds version_uncertainty{3'000};
+
 /// A report is sent early when the prefill time sent since the last report exceeds this.
 constexpr std::chrono::milliseconds early_report_threshold{60};
 
@@ -278,6 +281,9 @@
     if (outcome == send_outcome::abandoned) {
         return;
     }
+    if (outcome == send_outcome::unreachable) {
+        state.refused_connection_at = now;
+    }
     if (outcome == send_outcome::unreachable &&
         ++state.consecutive_connect_failures >= connect_failures_until_paced) {
         state.next_attempt_at = now + paced_attempt_interval;
@@ -300,6 +306,23 @@
     mark_active(state, now);
 }
 
+void fleet_load::record_process_end(const upstream_name& upstream, time_point now)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found != m_upstreams.end()) {
+        found->second.refused_connection_at = now;
+    }
+}
+
+std::optional<std::string> fleet_load::version_of(const upstream_state& state, time_point now) const
+{
+    if (state.refused_connection_at != time_point{} &&
+        now - state.refused_connection_at < version_uncertainty) {
+        return std::nullopt;
+    }
+    return state.view.record.version;
+}
+
 void fleet_load::mark_active(upstream_state& state, time_point now)
 {
     state.last_active_at = now;
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -347,6 +347,9 @@
                 request.refused_by.end()) {
             continue;
         }
+        if (request.version && load.version_of(state, now) != request.version) {
+            continue;
+        }
         if (load.statements().is_leaving(id)) {
             continue;
         }
@@ -436,7 +439,7 @@
     chosen.verdict = best->here ? placing_verdict::here : placing_verdict::other_region;
     chosen.upstream = best->state->view.record.id;
     chosen.region = best->state->view.region;
-    chosen.version = best->state->view.record.version;
+    chosen.version = load.version_of(*best->state, now);
     chosen.address = best->here ? best->state->view.record.address : random_vm_in(chosen.region);
     chosen.predicted = predicted;
     chosen.running = load.running(*best->state, now);
