Requests that are read after their caller has left are not served

Cause: the watch for the caller's end only reports after the next turn of the event loop, by when the request is on its way. Now the watch looks once when it begins. A request that isn't served for this is refunded.

--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -177,7 +177,12 @@
     m_writer.on_caller_gone([this] { m_cancel.cancel(); });
     m_state.in_flight += 1;
     m_state.counters.in_flight.increment();
-    run_attempts();
+    if (m_cancel.cancelled()) {
+        log_end("caller_gone", "before the request was read");
+    }
+    else {
+        run_attempts();
+    }
     m_state.counters.in_flight.decrement();
     m_state.in_flight -= 1;
     if (!m_may_have_run && m_customer != nullptr) {
--- a/src/connection/http/caller_watch.cpp
+++ b/src/connection/http/caller_watch.cpp
@@ -7,6 +7,10 @@
 
 void caller_watch::start(std::function<void()> notify)
 {
+    if (caller_has_left()) {
+        notify(); // a busy process may read a request long after it came
+        return;
+    }
     m_notify = std::move(notify);
     m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
                         [self = shared_from_this()](const boost::system::error_code& ec) {
--- a/src/connection/http/caller_watch.h
+++ b/src/connection/http/caller_watch.h
@@ -16,6 +16,7 @@
     {
     }
 
+    /// Calls `notify` at once if the caller has left already.
     void start(std::function<void()> notify);
 
     /// Nothing is called after this.
