Takeups of unknown streams: tell callers when the reports of other VMs must have come

A stream that began less than 0.6 s ago at a VM that was killed may be unknown here and be in a report on its way.

--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -74,6 +74,8 @@
     static constexpr std::chrono::milliseconds stream_event_timeout{1'000};
     /// An answer that goes on for this long shows that the prompt does no harm to the upstream.
     static constexpr std::chrono::milliseconds lasting_answer{1'000};
+    /// Until the reports of all VMs that know where a stream began have come.
+    static constexpr std::chrono::milliseconds origin_report_time{600};
     /// With less time left, a failure is reported as a timeout.
     static constexpr std::chrono::milliseconds timeout_margin{60};
 
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -131,7 +131,9 @@
     const auto& service = m_placing_request.service;
     auto origin = m_state.origins.find(m_caller_request.resumes, service, m_started);
     if (!origin) {
-        return not_resumable("it isn't known at which software version the stream began");
+        auto unknown = not_resumable("it isn't known at which software version the stream began");
+        unknown.retry_after = origin_report_time;
+        return unknown;
     }
     const auto& services = m_route->services;
     if (std::none_of(services.begin(), services.end(),
