--- a/include/cardamomstream/request/quarantine/prompt_quarantine.h
+++ b/include/cardamomstream/request/quarantine/prompt_quarantine.h
@@ -130,7 +130,7 @@
     /// Positions of the ends that count: each request was sent after the end before.
     static std::vector<std::size_t> independent_of(const std::vector<crash>& crashes);
     static void limit_crashes(std::vector<crash>& crashes);
-    bool add_crash(std::uint64_t part, crash added, time_point now, std::vector<quarantine_change>& changes);
+    void add_crash(std::uint64_t part, crash added, time_point now, std::vector<quarantine_change>& changes);
     void clear(suspects::iterator known, time_point now, std::vector<quarantine_change>& changes);
     void apply_trial(const part_trial& reported, time_point received_at);
     bool is_voided(std::uint64_t part, const crash& seen) const;
--- a/src/process/deployment/tests/vm_table_test.cpp
+++ b/src/process/deployment/tests/vm_table_test.cpp
@@ -160,6 +160,10 @@
 {
     auto sent = report_of("a", 0xffffffffffffffffULL, 7);
     sent.limits = {{upstream_name("u"), 17, 2.5, 400ms}, {upstream_name("v"), 18, std::nullopt, 0ms}};
+    sent.part_crashes = {{0xffffffffffffffffULL, 9, upstream_name("u"), 17, 900ms, 400ms}};
+    sent.part_successes = {{5, 300ms}};
+    sent.part_trials = {{6, 0xeeeeeeeeeeeeeeeeULL, 200ms}};
+    sent.stream_origins = {{pool_name("s"), "v1", {0xddddddddddddddddULL, 1}}, {pool_name("s"), "v2", {2}}};
     sent.loads.push_back({upstream_name("u"), 3, 250ms, 9'000, {0xffffffffffffffffULL, 4}});
     sent.lateness.push_back({pool_name("s"), 2, -30ms, 7});
     sent.uses.push_back({customer_name("c"), 12.5});
@@ -200,6 +204,23 @@
         CHECK(read.value().limits[0].requests_per_second == 2.5);
         CHECK(read.value().limits[0].age == 400ms);
         CHECK_FALSE(read.value().limits[1].requests_per_second);
+        REQUIRE(read.value().part_crashes.size() == 1);
+        CHECK(read.value().part_crashes[0].part == 0xffffffffffffffffULL);
+        CHECK(read.value().part_crashes[0].observer == 9);
+        CHECK(read.value().part_crashes[0].upstream == upstream_name("u"));
+        CHECK(read.value().part_crashes[0].started_unix_ms == 17);
+        CHECK(read.value().part_crashes[0].sent_age == 900ms);
+        CHECK(read.value().part_crashes[0].ended_age == 400ms);
+        CHECK(read.value().part_successes.at(0).part == 5);
+        CHECK(read.value().part_successes.at(0).age == 300ms);
+        CHECK(read.value().part_trials.at(0).part == 6);
+        CHECK(read.value().part_trials.at(0).vm == 0xeeeeeeeeeeeeeeeeULL);
+        CHECK(read.value().part_trials.at(0).age == 200ms);
+        REQUIRE(read.value().stream_origins.size() == 2);
+        CHECK(read.value().stream_origins[0].service == pool_name("s"));
+        CHECK(read.value().stream_origins[0].version == "v1");
+        CHECK(read.value().stream_origins[0].attempts == sent.stream_origins[0].attempts);
+        CHECK(read.value().stream_origins[1].attempts == sent.stream_origins[1].attempts);
         CHECK(read.value().lateness[0].service == pool_name("s"));
         CHECK(read.value().lateness[0].urgency == 2);
         CHECK(read.value().lateness[0].mean == -30ms);
@@ -238,6 +259,13 @@
         CHECK(summary.store_readers_failing == 1);
         CHECK(summary.relayed);
     }
+    SECTION("an end of an upstream before its request was sent makes no sense and is left out")
+    {
+        sent.part_crashes[0].ended_age = 901ms;
+        const auto read = decode_report(encode_report(sent));
+        REQUIRE(read);
+        CHECK(read.value().part_crashes.empty());
+    }
     SECTION("bytes that are not a report are rejected")
     {
         CHECK_FALSE(decode_report(""));
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -182,6 +182,63 @@
     return changes;
 }
 
+void encode_prompt_parts(const vm_report& report, report_messages::Report& message)
+{
+    for (const auto& crash : report.part_crashes) {
+        encode_crash(crash, *message.add_part_crashes());
+    }
+    for (const auto& success : report.part_successes) {
+        auto& added = *message.add_part_successes();
+        added.set_part(success.part);
+        added.set_age_ms(encode_age(success.age));
+    }
+    for (const auto& trial : report.part_trials) {
+        auto& added = *message.add_part_trials();
+        added.set_part(trial.part);
+        added.set_vm(trial.vm);
+        added.set_age_ms(encode_age(trial.age));
+    }
+}
+
+void decode_prompt_parts(const report_messages::Report& message, vm_report& report)
+{
+    for (const auto& message_crash : message.part_crashes()) {
+        if (auto crash = decode_crash(message_crash)) {
+            report.part_crashes.push_back(std::move(*crash));
+        }
+    }
+    for (const auto& success : message.part_successes()) {
+        if (success.age_ms() <= max_age_ms) {
+            report.part_successes.push_back({success.part(), std::chrono::milliseconds(success.age_ms())});
+        }
+    }
+    for (const auto& trial : message.part_trials()) {
+        if (trial.age_ms() <= max_age_ms) {
+            report.part_trials.push_back(
+                {trial.part(), trial.vm(), std::chrono::milliseconds(trial.age_ms())});
+        }
+    }
+}
+
+void encode_origins(const vm_report& report, report_messages::Report& message)
+{
+    for (const auto& origin : report.stream_origins) {
+        auto& added = *message.add_stream_origins();
+        added.set_service(origin.service.str());
+        added.set_version(origin.version);
+        added.mutable_attempts()->Add(origin.attempts.begin(), origin.attempts.end());
+    }
+}
+
+void decode_origins(const report_messages::Report& message, vm_report& report)
+{
+    for (const auto& origin : message.stream_origins()) {
+        report.stream_origins.push_back({pool_name(origin.service()),
+                                         origin.version(),
+                                         {origin.attempts().begin(), origin.attempts().end()}});
+    }
+}
+
 } // namespace
 
 std::string encode_report(const vm_report& report)
@@ -227,26 +284,8 @@
     for (const auto& limit : report.limits) {
         encode_limit(limit, *message.add_limits());
     }
-    for (const auto& crash : report.part_crashes) {
-        encode_crash(crash, *message.add_part_crashes());
-    }
-    for (const auto& success : report.part_successes) {
-        auto& added = *message.add_part_successes();
-        added.set_part(success.part);
-        added.set_age_ms(encode_age(success.age));
-    }
-    for (const auto& trial : report.part_trials) {
-        auto& added = *message.add_part_trials();
-        added.set_part(trial.part);
-        added.set_vm(trial.vm);
-        added.set_age_ms(encode_age(trial.age));
-    }
-    for (const auto& origin : report.stream_origins) {
-        auto& added = *message.add_stream_origins();
-        added.set_service(origin.service.str());
-        added.set_version(origin.version);
-        added.mutable_attempts()->Add(origin.attempts.begin(), origin.attempts.end());
-    }
+    encode_prompt_parts(report, message);
+    encode_origins(report, message);
     message.mutable_known_changes()->Add(report.known_changes.begin(), report.known_changes.end());
     message.set_store_failing(report.store_failing);
     message.mutable_read_up_to()->Add(report.read_up_to.begin(), report.read_up_to.end());
@@ -306,27 +345,8 @@
             report.limits.push_back(std::move(*limit));
         }
     }
-    for (const auto& message_crash : message.part_crashes()) {
-        if (auto crash = decode_crash(message_crash)) {
-            report.part_crashes.push_back(std::move(*crash));
-        }
-    }
-    for (const auto& success : message.part_successes()) {
-        if (success.age_ms() <= max_age_ms) {
-            report.part_successes.push_back({success.part(), std::chrono::milliseconds(success.age_ms())});
-        }
-    }
-    for (const auto& trial : message.part_trials()) {
-        if (trial.age_ms() <= max_age_ms) {
-            report.part_trials.push_back(
-                {trial.part(), trial.vm(), std::chrono::milliseconds(trial.age_ms())});
-        }
-    }
-    for (const auto& origin : message.stream_origins()) {
-        report.stream_origins.push_back({pool_name(origin.service()),
-                                         origin.version(),
-                                         {origin.attempts().begin(), origin.attempts().end()}});
-    }
+    decode_prompt_parts(message, report);
+    decode_origins(message, report);
     report.known_changes.assign(message.known_changes().begin(), message.known_changes().end());
     report.store_failing = message.store_failing();
     report.read_up_to.assign(message.read_up_to().begin(), message.read_up_to().end());
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -1,5 +1,7 @@
 #include "cardamomstream/request/placing/placer.h"
 
+#include "cardamomstream/core/endpoint_hash.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -75,11 +77,6 @@
     return parts.size() < 2 ? 0 : parts[parts.size() - 2].id;
 }
 
-std::uint64_t hash_of(const endpoint& address)
-{
-    return XXH3_64bits_withSeed(address.address.data(), address.address.size(), address.port);
-}
-
 std::uint64_t rendezvous_weight(std::uint64_t prompt, const upstream_name& upstream)
 {
     return XXH3_64bits_withSeed(upstream.str().data(), upstream.str().size(), prompt);
@@ -113,7 +110,7 @@
     , m_settings(settings)
     , m_random(seed)
     , m_started_at(started_at)
-    , m_self_hash(hash_of(self))
+    , m_self_hash(shared_hash(self))
 {
 }
 
@@ -124,7 +121,7 @@
     visit_vms(vms, [&](const vm_report& report, const vm_member& vm, time_point received_at) {
         if (report.region == m_region) {
             auto& known = m_neighbours[vm.inner];
-            known.hash = known.hash == 0 ? hash_of(vm.inner) : known.hash;
+            known.hash = known.hash == 0 ? shared_hash(vm.inner) : known.hash;
             known.received_at = received_at;
             known.same_data_centre = report.data_centre == m_data_centre;
         }
--- a/src/request/quarantine/prompt_quarantine.cpp
+++ b/src/request/quarantine/prompt_quarantine.cpp
@@ -1,5 +1,7 @@
 #include "cardamomstream/request/quarantine/prompt_quarantine.h"
 
+#include "cardamomstream/core/endpoint_hash.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -38,11 +40,6 @@
 constexpr std::chrono::seconds recent_change{5};
 constexpr std::uint64_t reports_per_full_report = 5;
 
-std::uint64_t hash_of(const endpoint& address)
-{
-    return XXH3_64bits_withSeed(address.address.data(), address.address.size(), address.port);
-}
-
 std::uint64_t weight(std::uint64_t part, std::uint64_t vm)
 {
     return XXH3_64bits_withSeed(&vm, sizeof vm, part);
@@ -65,7 +62,7 @@
 } // namespace
 
 prompt_quarantine::prompt_quarantine(const endpoint& self)
-    : m_self(hash_of(self))
+    : m_self(shared_hash(self))
 {
 }
 
@@ -191,7 +188,7 @@
     return answered != m_successes.end() && seen.sent_at < answered->second + success_validity;
 }
 
-bool prompt_quarantine::add_crash(std::uint64_t part, crash added, time_point now,
+void prompt_quarantine::add_crash(std::uint64_t part, crash added, time_point now,
                                   std::vector<quarantine_change>& changes)
 {
     auto& known = m_suspects[part];
@@ -201,7 +198,7 @@
     if (same != known.crashes.end()) {
         // A report's times are late, never early.
         if (added.ended_at >= same->ended_at) {
-            return false;
+            return;
         }
         known.crashes.erase(same);
     }
@@ -219,7 +216,6 @@
             changes.push_back({part, true, known.independent});
         }
     }
-    return true;
 }
 
 std::vector<quarantine_change> prompt_quarantine::record_crash(const shared_part_ids& parts,
@@ -352,6 +348,7 @@
 quarantine_report prompt_quarantine::take_report(time_point now)
 {
     quarantine_report report;
+    expire(now);
     const bool full = ++m_reports % reports_per_full_report == 0;
     std::vector<suspects::const_iterator> reported;
     for (auto known = m_suspects.cbegin(); known != m_suspects.cend(); ++known) {
--- a/src/request/stream_origin/stream_origins.cpp
+++ b/src/request/stream_origin/stream_origins.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <boost/range/adaptor/reversed.hpp>
 #include <xxhash.h>
 
 namespace cardamomstream {
@@ -156,16 +157,16 @@
     std::map<origin_index, std::vector<std::uint64_t>> attempts;
     std::size_t added = 0;
     // The newest first: of older ones, most have ended.
-    for (auto own = m_own.rbegin(); own != m_own.rend(); ++own) {
-        if (!own->reported_from) {
+    for (auto& own : boost::adaptors::reverse(m_own)) {
+        if (!own.reported_from) {
             if (added == max_new_per_report) {
                 continue;
             }
-            own->reported_from = now;
+            own.reported_from = now;
             ++added;
         }
-        if (now - *own->reported_from < report_time) {
-            attempts[own->origin].push_back(own->key);
+        if (now - *own.reported_from < report_time) {
+            attempts[own.origin].push_back(own.key);
         }
     }
     for (auto& [origin, keys] : attempts) {
