Ends of upstreams: a new connection counts only if it is still open after 30 ms

A process that ends may close its connections before its listener; the system still accepts the gateway's new one and resets it a moment later, so the end was taken for a reset and the prompt's parts were not suspected.

--- a/src/connection/client/http_client.cpp
+++ b/src/connection/client/http_client.cpp
@@ -7,8 +7,16 @@
 #include <unordered_map>
 #include <utility>
 
+#include <boost/fiber/operations.hpp>
+
 namespace cardamomstream {
 
+namespace {
+
+constexpr std::chrono::milliseconds spare_settle_time{30};
+
+} // namespace
+
 class http_client::pool : public std::enable_shared_from_this<http_client::pool> {
 public:
     pool(boost::asio::io_context& io, http_client_settings settings)
@@ -38,6 +46,15 @@
     {
         auto connection = std::make_shared<client_connection>(m_io);
         BOOST_OUTCOME_TRY(connection->connect(address, limit, m_settings.user_timeout));
+        // The system may still accept for a process that is ending, and reset the connection then.
+        boost::this_fiber::sleep_for(spare_settle_time);
+        if (!connection->usable()) {
+            return error{error_kind::upstream_unavailable,
+                         "a new connection to " + address.str() + " was closed at once",
+                         "try again; nothing was sent",
+                         run_outcome::not_run,
+                         {}};
+        }
         give_back(address, std::move(connection));
         return boost::outcome_v2::success();
     }
