Ends of upstreams: those under streams that can't be resumed count too

Found by reading the change again. The check asks whether the connection broke, which is what it is about, and no longer for how the request ended.

--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -93,7 +93,7 @@
         outcome = send_outcome::abandoned;
     }
     m_state.load.end_request(sent, outcome, boot_clock::now());
-    if (outcome == send_outcome::broken && m_connection_broke && !m_answer_lasts) {
+    if (m_connection_broke && !m_answer_lasts && !m_cancel.cancelled()) {
         check_upstream_end(where, sent);
     }
     m_state.counters.sends.increment(m_placing_request.service, std::string(to_text(outcome)));
