Tickets: only the text that was issued is taken

Two causes, both shown by the new test. The text was decoded leniently: the last character of a base64 part may have unused bits, which were not looked at, and JSON may be spelled in several ways. And a recorded ticket was compared by its id and MAC only, never by the other values that its text names, so a change of customer, route or run-by time went unnoticed. Nothing ran for another customer or route through this: the record decides these, not the text.

read_ticket now accepts only the text that write_ticket returns for its values, and the issuer computes the MAC of the values again. A VM that took a ticket over doesn't have the key: it compares MAC, customer and route with its record. A changed run-by time in the text still passes there, without effect.

Ruled out: a collision of MACs; the forged text of the test ran on the record of the issued one.

--- a/include/cardamomstream/request/ticket_book.h
+++ b/include/cardamomstream/request/ticket_book.h
@@ -95,6 +95,9 @@
 
     begin_decision begin_recorded(const ticket_id& id, entry& found, const customer_name& customer,
                                   const route_name& route, const request_digest& digest, time_point now);
+    /// Whether the ticket's values are those that were issued. Of a ticket that was taken over, the run-by
+    /// time in the text is not checked; the record's counts.
+    bool is_genuine(const ticket& value, const entry& found) const;
     begin_decision begin_unrecorded(const ticket& value) const;
     std::optional<error> check_use(const entry& found, const customer_name& customer, const route_name& route,
                                    const request_digest& digest, time_point now) const;
--- a/include/cardamomstream/request/ticket_codec.h
+++ b/include/cardamomstream/request/ticket_codec.h
@@ -15,7 +15,8 @@
 /// Computes the MAC, stores it in `value.mac` and returns the encoded ticket.
 std::string write_ticket(ticket& value, const ticket_key& key);
 
-/// Decodes a ticket without verifying its MAC. Error: `ticket_refused`, not run.
+/// Decodes a ticket without verifying its MAC. Only the text that `write_ticket` returns for its values is
+/// accepted. Error: `ticket_refused`, not run.
 result<ticket> read_ticket(std::string_view text);
 
 /// Whether the MAC matches the other fields; compares in constant time.
--- a/src/request/ticket/ticket_book.cpp
+++ b/src/request/ticket/ticket_book.cpp
@@ -121,7 +121,7 @@
     // Expired records are not dropped before the look-up: a process resumed after a suspension can then still
     // tell that a call has not run.
     if (entry* found = find(id)) {
-        if (!is_same_mac(value.value().mac, found->mac)) {
+        if (!is_genuine(value.value(), *found)) {
             return forged_ticket_error();
         }
         return begin_recorded(id, *found, customer, route, digest, now);
@@ -159,6 +159,16 @@
     return run_granted{id, found.run_by};
 }
 
+bool ticket_book::is_genuine(const ticket& value, const entry& found) const
+{
+    if (value.id.issuer == m_self) {
+        return has_valid_mac(value, m_key);
+    }
+    // The key of a ticket that was taken over is not known.
+    return is_same_mac(value.mac, found.mac) && value.customer == found.customer &&
+           value.route == found.route;
+}
+
 begin_decision ticket_book::begin_unrecorded(const ticket& value) const
 {
     if (value.id.issuer == m_self) {
--- a/src/request/ticket/ticket_codec.cpp
+++ b/src/request/ticket/ticket_codec.cpp
@@ -73,6 +73,12 @@
     return boost::json::serialize(fields);
 }
 
+std::string write_text(std::string_view payload, const ticket_mac& mac)
+{
+    return to_base64_url({reinterpret_cast<const unsigned char*>(payload.data()), payload.size()}) +
+           separator + to_base64_url(mac);
+}
+
 ticket_mac compute_mac(std::string_view payload, const ticket_key& key)
 {
     ticket_mac mac{};
@@ -107,8 +113,7 @@
 {
     const std::string payload = serialize_payload(value);
     value.mac = compute_mac(payload, key);
-    return to_base64_url({reinterpret_cast<const unsigned char*>(payload.data()), payload.size()}) +
-           separator + to_base64_url(value.mac);
+    return write_text(payload, value.mac);
 }
 
 result<ticket> read_ticket(std::string_view text)
@@ -141,6 +146,10 @@
     value.route = route_name{std::string{(*fields)[route_field].as_string()}};
     value.run_by = std::chrono::milliseconds{(*fields)[run_by_field].as_int64()};
     std::copy_n(mac->begin(), value.mac.size(), value.mac.begin());
+    // The MAC covers the values: any other text with the same ones was not issued.
+    if (write_text(serialize_payload(value), value.mac) != text) {
+        return malformed_ticket();
+    }
     return value;
 }
 
