Tickets: "not run" when the write was refused after the run-by time

When the run-by time has passed, authorise_write refuses with "not run" and ends the run. The call then reported that error through fail_not_run, which found no running call any more and answered "unknown". So a process that froze after it had begun a call, while it connected to the upstream, told the caller "unknown", against docs/design/tickets.md ("frozen between begin and the write"). SIGSTOP stops the threads of a process one after another, so on a loaded machine the request may still be read after the signal.

Ruled out: the timer that ends unused tickets, which the entry named. It drops them at run-by time + settle time, 10 s after the run-by time; the test freezes for 2.5 s. That this is how the one failure came about is by reading: its logs are gone.

fail_not_run now also takes a call whose run has ended before any byte left: the ticket is back in state "issued", and no byte may have left. No other copy can have begun, since the run-by time has passed.

Evidence: ticket."a ticket runs once and then replays its answer" failed before with outcome_unknown where ticket_refused, not run, is due; passes.

--- a/src/request/ticket/tests/ticket_book_test.cpp
+++ b/src/request/ticket/tests/ticket_book_test.cpp
@@ -102,6 +102,9 @@
         REQUIRE(!late);
         CHECK(late.error().kind == error_kind::ticket_refused);
         CHECK(late.error().outcome == run_outcome::not_run);
+        const auto answered = book.fail_not_run(id, late.error(), start + 30s);
+        CHECK(answered.kind == error_kind::ticket_refused);
+        CHECK(answered.outcome == run_outcome::not_run);
         CHECK(refusal(begin(start + 31s)).outcome == run_outcome::not_run);
         CHECK(book.running() == 0);
     }
--- a/src/request/ticket/ticket_book.cpp
+++ b/src/request/ticket/ticket_book.cpp
@@ -276,10 +276,15 @@
 error ticket_book::fail_not_run(const ticket_id& id, const error& cause, time_point now)
 {
     entry* found = find(id);
-    if (found == nullptr || found->state != ticket_state::running || found->byte_may_have_left) {
+    const bool may_have_run = found == nullptr || found->byte_may_have_left ||
+                              (found->state != ticket_state::running && found->state != ticket_state::issued);
+    if (may_have_run) {
         return fail_unknown(id, now);
     }
-    end_run(*found, ticket_state::issued);
+    // `authorise_write` has ended the run if it refused.
+    if (found->state == ticket_state::running) {
+        end_run(*found, ticket_state::issued);
+    }
     error answer = cause;
     answer.outcome = run_outcome::not_run;
     return answer;
