Logs: why a request was not sent once more

The line "request" held the last send's failure, but not which limit ended the tries: the route's attempts, the retry budget, the deadline, an uncertain software version, the quarantine or placing.

No change of logic.

--- a/include/cardamomstream/request/admission_retry_budget.h
+++ b/include/cardamomstream/request/admission_retry_budget.h
@@ -6,9 +6,13 @@
 
 #include <chrono>
 #include <random>
+#include <string_view>
 
 namespace cardamomstream {
 
+/// Name of a verdict for logs, such as "budget_exhausted".
+std::string_view to_text(retry_verdict verdict) noexcept;
+
 /// Token bucket filled by requests, not by time: retries stay below a fraction of the traffic, however many
 /// attempts fail. Not thread safe.
 class retry_budget {
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -159,6 +159,7 @@
     std::uint32_t m_sends = 0;     ///< to upstreams and other VMs
     std::uint32_t m_runs = 0;      ///< sends that ran, or may have, without a usable answer
     std::string m_last_failure;    ///< why the last send failed; for the log
+    std::string_view m_no_retry;   ///< why it wasn't sent again; for the log
     std::string m_last_upstream;
     /// Software version of the last send's upstream; empty if it isn't certain.
     std::optional<std::string> m_sent_version;
@@ -200,6 +201,7 @@
         std::optional<prompt_quarantine::trial> trial;
         if (const auto refused = check_quarantine(trial)) {
             m_last_failure = refused->message;
+            m_no_retry = "quarantined";
             if (m_may_have_run || m_stream_started || m_held_failure) {
                 give_up(send_result::may_have_run);
                 return;
@@ -209,6 +211,7 @@
         }
         if (m_stream_started && !m_placing_request.version) {
             m_last_failure += "; the stream can't go on: its software version isn't certain";
+            m_no_retry = "version_uncertain";
             give_up(send_result::may_have_run);
             return;
         }
@@ -218,6 +221,7 @@
         const auto where = m_state.placing.place(m_placing_request, *m_plan, m_state.load, boot_clock::now());
         const bool here = where.verdict == placing_verdict::here;
         if (!here && where.verdict != placing_verdict::other_region) {
+            m_no_retry = to_text(where.verdict);
             if (m_may_have_run || m_stream_started || m_held_failure) {
                 give_up(send_result::may_have_run);
                 return;
@@ -262,6 +266,7 @@
 bool request_flow<Wire>::may_retry(send_result result)
 {
     if (m_runs >= max_runs() || m_final_refusal) {
+        m_no_retry = m_final_refusal ? "final_refusal" : "runs_used";
         return false;
     }
     retry_query query;
@@ -273,6 +278,7 @@
     const auto decision =
         m_state.retry_budget_for(m_placing_request.service).next(query, now, m_state.random);
     if (decision.verdict != retry_verdict::allowed) {
+        m_no_retry = to_text(decision.verdict);
         return false;
     }
     m_state.counters.repeats.increment(m_placing_request.service);
@@ -427,6 +433,7 @@
          {"end", end},
          {"reason", reason},
          {"last", m_last_failure},
+         {"no_retry", m_no_retry},
          {"route", m_route == nullptr ? std::string_view{} : std::string_view(m_route->name.str())},
          {"customer", m_customer == nullptr ? std::string_view{} : std::string_view(m_customer->name.str())},
          {"homes", ordinary ? std::string{} : permitted_regions()},
@@ -436,6 +443,7 @@
          {"resumes", m_caller_request.resumes.str()},
          {"last_event", m_caller_request.last_event},
          {"sends", std::int64_t{m_sends}},
+         {"runs", std::int64_t{m_runs}},
          {"predicted_ms", std::int64_t{m_predicted.count()}},
          {"running", std::int64_t{m_running_at_upstream}},
          {"prompt", std::int64_t{m_caller_request.prompt_tokens}},
--- a/src/request/admission/retry_budget.cpp
+++ b/src/request/admission/retry_budget.cpp
@@ -10,6 +10,25 @@
 
 } // namespace
 
+std::string_view to_text(retry_verdict verdict) noexcept
+{
+    switch (verdict) {
+    case retry_verdict::allowed:
+        return "allowed";
+    case retry_verdict::may_have_run:
+        return "may_have_run";
+    case retry_verdict::answer_begun:
+        return "answer_begun";
+    case retry_verdict::attempts_used:
+        return "attempts_used";
+    case retry_verdict::deadline_too_near:
+        return "deadline_too_near";
+    case retry_verdict::budget_exhausted:
+        return "budget_exhausted";
+    }
+    return "unknown";
+}
+
 retry_budget::retry_budget(retry_settings settings)
     : m_settings(settings)
     , m_level(settings.burst)
