--- a/src/request/ticket/ticket_book.cpp
+++ b/src/request/ticket/ticket_book.cpp
@@ -121,7 +121,7 @@
     // Expired records are not dropped before the look-up: a process resumed after a suspension can then still
     // tell that a call has not run.
     if (entry* found = find(id)) {
-        if (!is_same_mac(value.value().mac, found->mac)) {
+        if (!is_genuine(value.value(), *found)) {
             return forged_ticket_error();
         }
         return begin_recorded(id, *found, customer, route, digest, now);
@@ -159,6 +159,16 @@
     return run_granted{id, found.run_by};
 }
 
+bool ticket_book::is_genuine(const ticket& value, const entry& found) const
+{
+    if (value.id.issuer == m_self) {
+        return has_valid_mac(value, m_key);
+    }
+    // The key of a ticket that was taken over is not known.
+    return is_same_mac(value.mac, found.mac) && value.customer == found.customer &&
+           value.route == found.route;
+}
+
 begin_decision ticket_book::begin_unrecorded(const ticket& value) const
 {
     if (value.id.issuer == m_self) {
@@ -266,10 +276,15 @@
 error ticket_book::fail_not_run(const ticket_id& id, const error& cause, time_point now)
 {
     entry* found = find(id);
-    if (found == nullptr || found->state != ticket_state::running || found->byte_may_have_left) {
+    const bool may_have_run = found == nullptr || found->byte_may_have_left ||
+                              (found->state != ticket_state::running && found->state != ticket_state::issued);
+    if (may_have_run) {
         return fail_unknown(id, now);
     }
-    end_run(*found, ticket_state::issued);
+    // `authorise_write` has ended the run if it refused.
+    if (found->state == ticket_state::running) {
+        end_run(*found, ticket_state::issued);
+    }
     error answer = cause;
     answer.outcome = run_outcome::not_run;
     return answer;
