--- a/include/cardamomstream/request/gateway/event_splitter.h
+++ b/include/cardamomstream/request/gateway/event_splitter.h
@@ -25,6 +25,9 @@
     /// Id of the last complete event; empty before the first one.
     const std::string& last_id() const noexcept { return m_last_id; }
 
+    /// Id of the first complete event since `discard_partial`; empty before it.
+    const std::string& first_id() const noexcept { return m_first_id; }
+
     /// True when the bytes that were added end at an event's end, or none were.
     bool at_event_end() const noexcept { return m_partial_event.empty(); }
 
@@ -32,13 +35,18 @@
     const std::string& partial_event() const noexcept { return m_partial_event; }
 
     /// Discards the incomplete event. Call before the stream is resumed elsewhere.
-    void discard_partial() { m_partial_event.clear(); }
+    void discard_partial()
+    {
+        m_partial_event.clear();
+        m_first_id.clear();
+    }
 
 private:
     void update_last_id(std::string_view events);
 
     std::string m_partial_event;
     std::string m_last_id;
+    std::string m_first_id;
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/gateway/gateway_metrics.h
+++ b/include/cardamomstream/request/gateway/gateway_metrics.h
@@ -27,9 +27,11 @@
     counter_family<pool_name, std::string> sends;    ///< to upstreams, by outcome
     counter_family<region_name> hops;                ///< requests passed on to a VM of the region
     counter_family<pool_name> repeats;               ///< sends of a request after the first
-    counter_family<pool_name> limit_statements;      ///< changes of a limit that an upstream states
-    counter_family<pool_name> upstream_ends;         ///< processes that ended while they answered
-    duration_family<pool_name> first_byte; ///< from a request's arrival to the first byte of its answer
+    /// Answers to the resumption of a begun stream, by what came of them.
+    counter_family<pool_name, std::string> resumptions;
+    counter_family<pool_name> limit_statements; ///< changes of a limit that an upstream states
+    counter_family<pool_name> upstream_ends;    ///< processes that ended while they answered
+    duration_family<pool_name> first_byte;      ///< from a request's arrival to the first byte of its answer
     duration_family<pool_name> predicted_first_byte; ///< as predicted when the request was placed
     gauge_family<> in_flight;
     gauge_family<> plan_version;
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -101,6 +101,9 @@
     send_result relay_buffered(http_exchange& exchange, sent_request* sent, const placement& where,
                                bool repeatable_failure);
     send_result relay_stream(http_exchange& exchange, sent_request* sent, const placement& where);
+    send_result resume_or_begin_stream(http_exchange& exchange, sent_request* sent, const placement& where);
+    void record_resumption(const http_response_head& head, const placement& where, std::string_view after,
+                           std::string_view outcome);
     send_result end_broken_stream();
     bool process_has_ended(const sent_request* sent, const placement& where);
     void note_broken_end();
@@ -233,6 +236,7 @@
         m_answer_began_at.reset();
         m_answer_lasts = false;
         m_connection_broke = false;
+        m_events.discard_partial();
         const auto result = here ? send_to_upstream(where) : send_to_region(where);
         if (result == send_result::answered || result == send_result::caller_left) {
             if (result == send_result::caller_left) {
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -31,10 +31,11 @@
     }
     const bool success = head.status < 300;
     if (is_stream() && success) {
-        return relay_stream(exchange, sent, where);
+        return resume_or_begin_stream(exchange, sent, where);
     }
     if (m_stream_started) {
         m_last_failure = "the stream was not resumed: status " + std::to_string(head.status);
+        record_resumption(head, where, m_events.last_id(), "not_accepted");
         return send_result::may_have_run;
     }
     return relay_buffered(exchange, sent, where, head.status >= 500 && m_route->repeatable());
@@ -147,11 +148,44 @@
     return send_result::answered;
 }
 
+template <gateway_wire Wire>
+typename request_flow<Wire>::send_result request_flow<Wire>::resume_or_begin_stream(http_exchange& exchange,
+                                                                                    sent_request* sent,
+                                                                                    const placement& where)
+{
+    if (!m_stream_started) {
+        return relay_stream(exchange, sent, where);
+    }
+    const auto after = m_events.last_id();
+    const auto result = relay_stream(exchange, sent, where);
+    record_resumption(exchange.head(), where, after,
+                      result == send_result::may_have_run ? "broken" : "ended");
+    return result;
+}
+
+/// `after`: id of the last event that the caller had.
+template <gateway_wire Wire>
+void request_flow<Wire>::record_resumption(const http_response_head& head, const placement& where,
+                                           std::string_view after, std::string_view outcome)
+{
+    m_state.counters.resumptions.increment(m_placing_request.service, std::string(outcome));
+    m_state.log.write(log_weight::failure, "stream_resumed",
+                      {{"request", m_caller_request.id.str()},
+                       {"upstream", where.upstream.str()},
+                       {"address", where.address.str()},
+                       {"status", std::int64_t{head.status}},
+                       {"type", header_value(head.headers, "Content-Type")},
+                       {"after", after},
+                       {"first", m_events.first_id()},
+                       {"outcome", outcome},
+                       {"reason", m_last_failure},
+                       {"send", std::int64_t{m_sends}}});
+}
+
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result
 request_flow<Wire>::relay_stream(http_exchange& exchange, sent_request* sent, const placement& where)
 {
-    m_events.discard_partial();
     m_may_have_run = true;
     if (sent == nullptr) {
         m_sent_version = answer_version(exchange.head().headers);
--- a/src/request/gateway/event_splitter.cpp
+++ b/src/request/gateway/event_splitter.cpp
@@ -46,6 +46,9 @@
             line.remove_prefix(id_field.size());
             line.remove_prefix(line.starts_with(' ') ? 1 : 0);
             m_last_id = std::string(line.substr(0, line.find('\r')));
+            if (m_first_id.empty()) {
+                m_first_id = m_last_id;
+            }
         }
         events.remove_prefix(end == std::string_view::npos ? events.size() : end + 1);
     }
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -24,6 +24,9 @@
     , sends(m_registry, {"cardamomstream_gateway_sends_total", "Sends by outcome.", {"service", "outcome"}})
     , hops(m_registry, {"cardamomstream_gateway_hops_total", "Requests passed on, by region.", {"region"}})
     , repeats(m_registry, {"cardamomstream_gateway_repeats_total", "Further sends.", {"service"}})
+    , resumptions(m_registry, {"cardamomstream_gateway_stream_resumptions_total",
+                               "Answers to the resumption of a begun stream, by outcome.",
+                               {"service", "outcome"}})
     , limit_statements(m_registry, {"cardamomstream_gateway_limit_statements_total",
                                     "Changes of a request limit that an upstream states.",
                                     {"service"}})
