Gateway: log and count answers that aren't shown to be to the request sent

No change of logic. The logs could not tell which answers came with another request's id, or with none on a connection that had carried another request, nor whether a VM or an upstream sent them: the hypotheses of docs/incidents/2026-12-05-refused-and-twice.md need that. http_exchange says whether an answer is the first on its connection.

--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -58,6 +58,9 @@
     /// that was broken off may look like a complete one.
     virtual bool ends_with_connection() const = 0;
 
+    /// True when no other request was sent on the connection, so that an answer can be to no other one.
+    virtual bool first_on_connection() const = 0;
+
     /// The rest of the body must come within this time, whatever the call's own limits.
     virtual void limit_rest(std::chrono::milliseconds rest) = 0;
 
--- a/include/cardamomstream/request/gateway/gateway_metrics.h
+++ b/include/cardamomstream/request/gateway/gateway_metrics.h
@@ -28,6 +28,7 @@
     counter_family<region_name> hops;                ///< requests passed on to a VM of the region
     counter_family<pool_name> repeats;               ///< sends of a request after the first
     counter_family<pool_name> limit_statements;      ///< changes of a limit that an upstream states
+    counter_family<pool_name> foreign_answers;       ///< that can't be shown to be to the request sent
     counter_family<pool_name> upstream_ends;         ///< processes that ended while they answered
     duration_family<pool_name> first_byte; ///< from a request's arrival to the first byte of its answer
     duration_family<pool_name> predicted_first_byte; ///< as predicted when the request was placed
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -96,6 +96,8 @@
     send_result send_to_upstream(const placement& where);
     send_result send_to_region(const placement& where);
     send_result handle_answer(http_exchange& exchange, sent_request* sent, const placement& where);
+    void note_foreign_answer(const http_response_head& head, const request_id& answered, bool hop,
+                             const placement& where);
     void record_statements(const http_response_head& head, const sent_request& sent);
     static void drain_rejection(http_exchange& exchange);
     send_result relay_buffered(http_exchange& exchange, sent_request* sent, const placement& where,
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -11,6 +11,9 @@
 {
     const auto& head = exchange.head();
     const auto origin = Wire::origin_of(head);
+    if (origin.id.empty() ? !exchange.first_on_connection() : origin.id != m_caller_request.id) {
+        note_foreign_answer(head, origin.id, sent == nullptr, where);
+    }
     const bool own_answer =
         (origin.from_upstream || origin.not_run) && (origin.id.empty() || origin.id == m_caller_request.id);
     if (sent != nullptr && own_answer && head.status != other_upstream) {
@@ -40,6 +43,19 @@
     return relay_buffered(exchange, sent, where, head.status >= 500 && m_route->repeatable());
 }
 
+template <gateway_wire Wire>
+void request_flow<Wire>::note_foreign_answer(const http_response_head& head, const request_id& answered,
+                                             bool hop, const placement& where)
+{
+    m_state.counters.foreign_answers.increment(m_placing_request.service);
+    m_state.log.write(log_weight::failure, "foreign_answer",
+                      {{"request", m_caller_request.id.str()},
+                       {"address", where.address.str()},
+                       {"answers", answered.str()},
+                       {"status", std::int64_t{head.status}},
+                       {"hop", std::int64_t{hop ? 1 : 0}}});
+}
+
 /// Records what the upstream states about itself in an answer to this request.
 template <gateway_wire Wire>
 void request_flow<Wire>::record_statements(const http_response_head& head, const sent_request& sent)
--- a/src/connection/client/client_connection.h
+++ b/src/connection/client/client_connection.h
@@ -32,6 +32,7 @@
     boost::beast::flat_buffer& buffer() noexcept { return m_buffer; }
 
     time_point idle_since;
+    bool has_carried_request = false;
 
 private:
     boost::asio::ip::tcp::socket m_socket;
--- a/src/connection/client/pooled_exchange.cpp
+++ b/src/connection/client/pooled_exchange.cpp
@@ -55,6 +55,7 @@
 {
     m_limits = call.limits;
     m_started = boot_clock::now();
+    m_first_on_connection = !std::exchange(m_connection->has_carried_request, true);
     m_cancel.set_action([connection = m_connection] { connection->close(); });
     BOOST_OUTCOME_TRY(write(call));
     return read_head(call.limits.first_byte);
--- a/src/connection/client/pooled_exchange.h
+++ b/src/connection/client/pooled_exchange.h
@@ -34,6 +34,7 @@
     const http_response_head& head() const override { return m_head; }
     result<std::optional<std::string>> next() override;
     bool ends_with_connection() const override { return m_parser->need_eof(); }
+    bool first_on_connection() const override { return m_first_on_connection; }
     void limit_rest(std::chrono::milliseconds rest) override;
 
 private:
@@ -52,6 +53,7 @@
     http_response_head m_head;
     call_limits m_limits;
     time_point m_started;
+    bool m_first_on_connection = false;
     std::array<char, 16 * 1024> m_data{};
 };
 
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -27,6 +27,9 @@
     , limit_statements(m_registry, {"cardamomstream_gateway_limit_statements_total",
                                     "Changes of a request limit that an upstream states.",
                                     {"service"}})
+    , foreign_answers(m_registry, {"cardamomstream_gateway_foreign_answers_total",
+                                   "Answers that can't be shown to be to the request that was sent.",
+                                   {"service"}})
     , upstream_ends(m_registry, {"cardamomstream_gateway_upstream_ends_total",
                                  "Sends under which the process of an upstream ended.",
                                  {"service"}})
