An answer proves something only about the request that it is to

Callers were told that a request hadn't run, or it ran at a second upstream too, when an upstream wrote an earlier refusal once more on a kept connection; the same between VMs. Besides, an upstream's own 408, 429 or 503 that doesn't state that the request hasn't run reached callers, who read it as a promise.

Cause: the gateway took "not run" from the head that came next on a connection. The branch for refusals stood before the check of the id, the one for refusals of other VMs had no such check, and an answer without an id counted as the request's own. The connection went back to the pool one answer behind. Ruled out by reading: a refusal after a send that may have run, and a second write after a connection broke.

assess_answer now decides, without a network, what an answer proves: it belongs to the request of which it has the id; one without an id only as the first of a connection that carried no other request, and requests without an id get such a connection. Answers to other requests are passed over, bounded in number, bytes and time, and the request's own answer is awaited behind them; the connection isn't reused. If none comes, the request may have run: 502 or 504, and no second upstream if it may run once. Statements, final refusals, versions and times are read from the own answer only. On a new connection that is closed, or on which bytes have come, before the request is written nothing is sent. On routes whose requests may run once, 408, 429 and 503 of upstreams without the statement become 502.

--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -58,9 +58,14 @@
     /// that was broken off may look like a complete one.
     virtual bool ends_with_connection() const = 0;
 
-    /// True when no other request was sent on the connection, so that an answer can be to no other one.
+    /// True when no other request was sent and no other answer came on the connection, so that this answer
+    /// can be to no other request.
     virtual bool first_on_connection() const = 0;
 
+    /// Passes over an answer to another request, of which at most `max_bytes` are read, and reads the head of
+    /// the next one. The connection isn't reused. Errors: those of next().
+    virtual result<void> skip_answer(std::size_t max_bytes) = 0;
+
     /// The rest of the body must come within this time, whatever the call's own limits.
     virtual void limit_rest(std::chrono::milliseconds rest) = 0;
 
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -3,6 +3,7 @@
 
 #include "cardamomstream/connection/cancellation.h"
 #include "cardamomstream/connection/response_writer.h"
+#include "cardamomstream/request/gateway/answer_proof.h"
 #include "cardamomstream/request/gateway/event_splitter.h"
 #include "cardamomstream/request/gateway/gateway_state.h"
 #include "cardamomstream/request/gateway/gateway_types.h"
@@ -79,6 +80,10 @@
     /// With less time left, a failure is reported as a timeout.
     static constexpr std::chrono::milliseconds timeout_margin{60};
 
+    /// Answers to other requests that are passed over before the request's own one, and the bytes of each.
+    static constexpr int max_foreign_answers = 8;
+    static constexpr std::size_t max_foreign_bytes = 256 * 1024;
+
     /// The connection is closed after a rejection whose body is longer or takes longer.
     static constexpr std::size_t max_rejection_bytes = 16 * 1024;
     static constexpr std::chrono::milliseconds rejection_timeout{100};
@@ -96,8 +101,8 @@
     send_result send_to_upstream(const placement& where);
     send_result send_to_region(const placement& where);
     send_result handle_answer(http_exchange& exchange, sent_request* sent, const placement& where);
-    void note_foreign_answer(const http_response_head& head, const request_id& answered, bool hop,
-                             const placement& where);
+    std::optional<answer_proof> await_own_answer(http_exchange& exchange, bool by_vm, const placement& where);
+    void note_foreign_answer(const http_response_head& head, bool by_vm, const placement& where);
     void record_statements(const http_response_head& head, const sent_request& sent);
     static void drain_rejection(http_exchange& exchange);
     send_result relay_buffered(http_exchange& exchange, sent_request* sent, const placement& where,
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -9,27 +9,26 @@
 typename request_flow<Wire>::send_result
 request_flow<Wire>::handle_answer(http_exchange& exchange, sent_request* sent, const placement& where)
 {
-    const auto& head = exchange.head();
-    const auto origin = Wire::origin_of(head);
-    if (origin.id.empty() ? !exchange.first_on_connection() : origin.id != m_caller_request.id) {
-        note_foreign_answer(head, origin.id, sent == nullptr, where);
+    const bool by_vm = sent == nullptr;
+    const auto proof = await_own_answer(exchange, by_vm, where);
+    if (!proof) {
+        return send_result::may_have_run;
     }
-    const bool own_answer =
-        (origin.from_upstream || origin.not_run) && (origin.id.empty() || origin.id == m_caller_request.id);
-    if (sent != nullptr && own_answer && head.status != other_upstream) {
+    m_answer_began_at = boot_clock::now();
+    const auto& head = exchange.head();
+    if (sent != nullptr && proof != answer_proof::not_from_upstream && head.status != other_upstream) {
         record_statements(head, *sent);
     }
-    if (sent == nullptr && !origin.from_upstream) {
-        m_final_refusal = final_refusal(head.headers);
-    }
-    if (origin.not_run || (sent == nullptr && !origin.from_upstream && guarantees_not_run(head.status))) {
+    if (proof == answer_proof::not_run) {
+        if (by_vm) {
+            m_final_refusal = final_refusal(head.headers);
+        }
         m_last_failure = "rejected with status " + std::to_string(head.status);
         drain_rejection(exchange);
         return send_result::not_run;
     }
-    if (!origin.from_upstream || (!origin.id.empty() && origin.id != m_caller_request.id)) {
-        m_last_failure = origin.from_upstream ? "the answer belongs to another request"
-                                              : "the answer does not come from an upstream";
+    if (proof != answer_proof::answered) {
+        m_last_failure = fmt::format("status {}: {}", head.status, to_text(*proof));
         return send_result::may_have_run;
     }
     const bool success = head.status < 300;
@@ -43,17 +42,39 @@
     return relay_buffered(exchange, sent, where, head.status >= 500 && m_route->repeatable());
 }
 
+/// Passes over answers to other requests. Empty when no answer to this one comes; it may have run.
+template <gateway_wire Wire>
+std::optional<answer_proof> request_flow<Wire>::await_own_answer(http_exchange& exchange, bool by_vm,
+                                                                 const placement& where)
+{
+    for (int foreign = 0; foreign <= max_foreign_answers; ++foreign) {
+        const auto proof =
+            assess_answer({exchange.head().status, Wire::origin_of(exchange.head()), m_caller_request.id,
+                           exchange.first_on_connection(), by_vm, m_route->repeatable()});
+        if (proof != answer_proof::foreign) {
+            return proof;
+        }
+        note_foreign_answer(exchange.head(), by_vm, where);
+        if (const auto next = exchange.skip_answer(max_foreign_bytes); !next) {
+            note_failure(next.error());
+            return std::nullopt;
+        }
+    }
+    m_last_failure = "too many answers to other requests";
+    return std::nullopt;
+}
+
 template <gateway_wire Wire>
-void request_flow<Wire>::note_foreign_answer(const http_response_head& head, const request_id& answered,
-                                             bool hop, const placement& where)
+void request_flow<Wire>::note_foreign_answer(const http_response_head& head, bool by_vm,
+                                             const placement& where)
 {
     m_state.counters.foreign_answers.increment(m_placing_request.service);
     m_state.log.write(log_weight::failure, "foreign_answer",
                       {{"request", m_caller_request.id.str()},
                        {"address", where.address.str()},
-                       {"answers", answered.str()},
+                       {"answers", Wire::origin_of(head).id.str()},
                        {"status", std::int64_t{head.status}},
-                       {"hop", std::int64_t{hop ? 1 : 0}}});
+                       {"hop", std::int64_t{by_vm ? 1 : 0}}});
 }
 
 /// Records what the upstream states about itself in an answer to this request.
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -61,6 +61,7 @@
     call.headers = Wire::upstream_headers(m_request, call_details(where));
     remove_hop_headers(call.headers);
     call.body = m_request.body;
+    call.fresh_connection = m_caller_request.id.empty(); // nothing else shows that an answer belongs to it
     call.limits = limits_for(where, connect_timeout);
     auto sent =
         m_state.load.begin_request(where.upstream, m_placing_request, where.predicted, boot_clock::now());
@@ -81,7 +82,6 @@
                                                                  : send_outcome::broken;
     }
     else {
-        m_answer_began_at = boot_clock::now();
         result = handle_answer(*exchange.value(), &sent, where);
         outcome = result == send_result::not_run ? send_outcome::rejected
                   : result == send_result::may_have_run
@@ -149,6 +149,7 @@
                       {m_route->name, m_placing_request.service, details.customer, m_placing_request.urgency,
                        m_placing_request.waited + m_state.placing.region_delay(), m_placing_request.version});
     call.body = m_request.body;
+    call.fresh_connection = m_caller_request.id.empty(); // nothing else shows that an answer belongs to it
     call.limits = limits_for(where, hop_connect_timeout);
     m_state.load.record_hop(where.upstream, m_placing_request, boot_clock::now());
     m_state.counters.hops.increment(where.region);
@@ -161,7 +162,6 @@
         return exchange.error().outcome == run_outcome::not_run ? send_result::not_run
                                                                 : send_result::may_have_run;
     }
-    m_answer_began_at = boot_clock::now();
     const auto result = handle_answer(*exchange.value(), nullptr, where);
     return m_cancel.cancelled() ? send_result::caller_left : result;
 }
--- a/src/connection/client/pooled_exchange.cpp
+++ b/src/connection/client/pooled_exchange.cpp
@@ -70,6 +70,14 @@
     if (call.before_write) {
         BOOST_OUTCOME_TRY(call.before_write());
     }
+    // Pooled connections were checked when they were taken.
+    if (m_first_on_connection && !m_connection->usable()) {
+        return error{error_kind::upstream_unavailable,
+                     "the server closed the connection, or sent bytes, before the request",
+                     "try again; the request has not run",
+                     run_outcome::not_run,
+                     {}};
+    }
     io_deadline deadline(m_connection->socket(), call.limits.first_byte);
     auto [ec, n] = http::async_write(m_connection->socket(), request, use_fiber);
     if (ec) {
@@ -102,18 +110,25 @@
 void pooled_exchange::take_head()
 {
     const auto& message = m_parser->get();
-    m_head.status = message.result_int();
+    m_head = {message.result_int(), {}};
     for (const auto& field : message) {
         m_head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
 }
 
 result<std::optional<std::string>> pooled_exchange::next()
+{
+    BOOST_OUTCOME_TRY(auto part, read_part());
+    if (!part) {
+        finish();
+    }
+    return part;
+}
+
+result<std::optional<std::string>> pooled_exchange::read_part()
 {
     while (!m_parser->is_done()) {
-        const auto spent =
-            std::chrono::duration_cast<std::chrono::milliseconds>(boot_clock::now() - m_started);
-        const auto left = std::min(m_limits.chunk_gap, m_limits.total - spent);
+        const auto left = std::min(m_limits.chunk_gap, m_limits.total - spent());
         if (left <= std::chrono::milliseconds::zero()) {
             return failure({}, true);
         }
@@ -132,14 +147,39 @@
             return std::optional<std::string>(std::string(m_data.data(), length));
         }
     }
-    finish();
     return std::optional<std::string>{};
 }
 
+result<void> pooled_exchange::skip_answer(std::size_t max_bytes)
+{
+    m_reusable = false;
+    m_first_on_connection = false;
+    std::size_t bytes = 0;
+    while (true) {
+        BOOST_OUTCOME_TRY(const auto part, read_part());
+        if (!part) {
+            break;
+        }
+        bytes += part->size();
+        if (bytes > max_bytes) {
+            return failure(http::error::body_limit, false);
+        }
+    }
+    const auto left = std::min(m_limits.first_byte, m_limits.total) - spent();
+    if (left <= std::chrono::milliseconds::zero()) {
+        return failure({}, true);
+    }
+    return read_head(left);
+}
+
 void pooled_exchange::limit_rest(std::chrono::milliseconds rest)
 {
-    const auto spent = std::chrono::ceil<std::chrono::milliseconds>(boot_clock::now() - m_started);
-    m_limits.total = std::min(m_limits.total, spent + rest);
+    m_limits.total = std::min(m_limits.total, spent() + rest);
+}
+
+std::chrono::milliseconds pooled_exchange::spent() const
+{
+    return std::chrono::ceil<std::chrono::milliseconds>(boot_clock::now() - m_started);
 }
 
 error pooled_exchange::failure(boost::beast::error_code ec, bool timed_out) const
@@ -168,7 +208,7 @@
         return;
     }
     auto connection = std::exchange(m_connection, nullptr);
-    if (m_parser->get().keep_alive()) {
+    if (m_reusable && m_parser->get().keep_alive() && connection->buffer().size() == 0) {
         m_give_back(std::move(connection));
         return;
     }
--- a/src/connection/client/pooled_exchange.h
+++ b/src/connection/client/pooled_exchange.h
@@ -35,6 +35,7 @@
     result<std::optional<std::string>> next() override;
     bool ends_with_connection() const override { return m_parser->need_eof(); }
     bool first_on_connection() const override { return m_first_on_connection; }
+    result<void> skip_answer(std::size_t max_bytes) override;
     void limit_rest(std::chrono::milliseconds rest) override;
 
 private:
@@ -42,6 +43,8 @@
 
     result<void> write(const http_call& call);
     result<void> read_head(std::chrono::milliseconds limit);
+    result<std::optional<std::string>> read_part();
+    std::chrono::milliseconds spent() const;
     void take_head();
     error failure(boost::beast::error_code ec, bool timed_out) const;
     void finish();
@@ -54,6 +57,7 @@
     call_limits m_limits;
     time_point m_started;
     bool m_first_on_connection = false;
+    bool m_reusable = true;
     std::array<char, 16 * 1024> m_data{};
 };
 
