--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -34,16 +34,19 @@
     std::string read_all()
     {
         std::string text;
-        boost::system::error_code ec;
-        boost::asio::read(m_socket, boost::asio::dynamic_buffer(text), ec);
+        boost::asio::read(m_socket, boost::asio::dynamic_buffer(text), m_end);
         return text;
     }
 
+    /// After `read_all`: the server closed the connection in order.
+    bool closed_in_order() const { return m_end == boost::asio::error::eof; }
+
     void close() { m_socket.close(); }
 
 private:
     boost::asio::io_context m_io;
     tcp::socket m_socket{m_io};
+    boost::system::error_code m_end;
 };
 
 struct running_server {
@@ -188,6 +191,39 @@
     }
 }
 
+TEST_CASE("a stream tells a caller of HTTP/1.0, which knows no chunks, whether it is whole")
+{
+    running_server running([](const http_request& request, std::size_t, response_writer& writer) {
+        (void)writer.begin_stream({200, {}});
+        (void)writer.write_chunk("first ");
+        (void)writer.write_chunk("second");
+        if (request.path() == "/whole") {
+            (void)writer.end_stream();
+        }
+        else {
+            boost::this_fiber::sleep_for(50ms); // until the caller has read it
+            writer.abort_stream();
+        }
+    });
+    raw_caller caller(running.address);
+
+    SECTION("a whole stream is closed in order, without chunks")
+    {
+        caller.send("GET /whole HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+        const auto answer = caller.read_all();
+        CHECK(answer.ends_with("\r\n\r\nfirst second"));
+        CHECK_FALSE(contains(answer, "chunked"));
+        CHECK_FALSE(contains(answer, "keep-alive"));
+        CHECK(caller.closed_in_order());
+    }
+    SECTION("an aborted stream is reset")
+    {
+        caller.send("GET /cut HTTP/1.0\r\n\r\n");
+        CHECK(contains(caller.read_all(), "first second"));
+        CHECK_FALSE(caller.closed_in_order());
+    }
+}
+
 TEST_CASE("the handler hears of a caller that leaves")
 {
     std::promise<void> gone;
--- a/tests/support/http_caller.h
+++ b/tests/support/http_caller.h
@@ -60,6 +60,8 @@
     result<std::optional<std::string>> next_event();
     /// All events up to the orderly end.
     result<std::vector<std::string>> all_events();
+    /// Bytes after the last event that `next_event` returned.
+    const std::string& incomplete_event() const { return m_events; }
 
     /// Sends bytes as they are.
     result<void> send_raw(std::string_view bytes);
