--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -54,6 +54,8 @@
             {}};
 }
 
+constexpr unsigned http_1_1 = 11;
+
 /// True when the headers leave no doubt where the request ends and which host it is for.
 bool is_unambiguous(const http::request<http::string_body>& message)
 {
@@ -62,7 +64,6 @@
         return false;
     }
     const auto hosts = message.count(http::field::host);
-    constexpr unsigned http_1_1 = 11;
     return hosts == 1 || (hosts == 0 && message.version() < http_1_1);
 }
 
@@ -193,7 +194,7 @@
     for (const auto& header : head.headers) {
         message.insert(header.name, header.value);
     }
-    message.keep_alive(!will_close());
+    message.keep_alive(m_keep_alive);
     return message;
 }
 
@@ -230,9 +231,13 @@
 
 result<void> http_session::begin_stream(const http_response_head& head)
 {
-    m_keep_alive = !will_close();
+    m_chunked = m_version >= http_1_1;
+    // Without chunks the end of the connection is the end of the stream.
+    m_keep_alive = m_chunked && !will_close();
     auto message = make_head(head);
-    message.chunked(true);
+    if (m_chunked) {
+        message.chunked(true);
+    }
     http::response_serializer<http::empty_body> serializer{message};
     m_started = true;
     m_stream.expires_after(m_context->limits.write_timeout);
@@ -246,13 +251,18 @@
         return boost::outcome_v2::success(); // an empty chunk would end the stream
     }
     m_stream.expires_after(m_context->limits.write_timeout);
-    auto [ec, n] = boost::asio::async_write(m_stream, http::make_chunk(boost::asio::buffer(data)), use_fiber);
+    const auto bytes = boost::asio::buffer(data);
+    auto [ec, n] = m_chunked ? boost::asio::async_write(m_stream, http::make_chunk(bytes), use_fiber)
+                             : boost::asio::async_write(m_stream, bytes, use_fiber);
     return finish_write(ec);
 }
 
 result<void> http_session::end_stream()
 {
     m_ended = true;
+    if (!m_chunked) {
+        return boost::outcome_v2::success();
+    }
     m_stream.expires_after(m_context->limits.write_timeout);
     auto [ec, n] = boost::asio::async_write(m_stream, http::make_chunk_last(), use_fiber);
     return finish_write(ec);
@@ -261,6 +271,10 @@
 void http_session::abort_stream()
 {
     m_ended = false;
+    if (!m_chunked) {
+        boost::beast::error_code ignored; // the caller may have closed the socket
+        m_stream.socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
     close();
 }
 
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -70,6 +70,7 @@
     std::shared_ptr<caller_watch> m_watch;
     unsigned m_version = 11;
     bool m_keep_alive = true;
+    bool m_chunked = true; ///< the stream that began last
     bool m_started = false;
     bool m_ended = false;
     bool m_idle = true;
