Event streams: lines may end with CR or CRLF

event_splitter knew an empty line as two LF only. Streams with CRLF or CR line ends completed no event: callers of resumable routes got nothing until the stream ended, a broken one began anew, and its ids were not read. The splitter now follows lines as server-sent events define them and passes on a line end's LF with its CR.

--- a/include/cardamomstream/request/gateway/event_splitter.h
+++ b/include/cardamomstream/request/gateway/event_splitter.h
@@ -7,8 +7,8 @@
 
 namespace cardamomstream {
 
-/// Takes the bytes of a stream and returns complete events only, so that a resumed stream can continue after
-/// the last complete event.
+/// Takes the bytes of a stream, whose lines end with LF, CR or CRLF, and returns complete events only, so
+/// that a resumed stream can continue after the last complete event.
 class event_splitter {
 public:
     static constexpr std::size_t max_event_bytes = 1024 * 1024;
@@ -29,7 +29,7 @@
     const std::string& first_id() const noexcept { return m_first_id; }
 
     /// True when the bytes that were added end at an event's end, or none were.
-    bool at_event_end() const noexcept { return m_partial_event.empty(); }
+    bool at_event_end() const noexcept;
 
     /// Bytes of the incomplete event.
     const std::string& partial_event() const noexcept { return m_partial_event; }
@@ -39,14 +39,18 @@
     {
         m_partial_event.clear();
         m_first_id.clear();
+        m_line_empty = true;
+        m_after_cr = false;
     }
 
 private:
-    void update_last_id(std::string_view events);
+    void update_last_id(std::string_view event);
 
     std::string m_partial_event;
     std::string m_last_id;
     std::string m_first_id;
+    bool m_line_empty = true;
+    bool m_after_cr = false;
 };
 
 } // namespace cardamomstream
--- a/src/request/gateway/tests/event_splitter_test.cpp
+++ b/src/request/gateway/tests/event_splitter_test.cpp
@@ -68,3 +68,25 @@
         CHECK(events.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
     }
 }
+
+TEST_CASE("lines end with LF, CR or CRLF, in pieces of any size")
+{
+    for (const std::string end : {"\n", "\r", "\r\n"}) {
+        const std::string stream = "id: 1" + end + "data: a" + end + end + "id: 2" + end + end;
+        for (std::size_t size = 1; size < stream.size(); ++size) {
+            event_splitter split;
+            event_splitter passed;
+            std::string out;
+            for (std::size_t at = 0; at < stream.size(); at += size) {
+                out += split.feed(stream.substr(at, size));
+                passed.pass_over(stream.substr(at, size));
+            }
+            CHECK(out == stream);
+            CHECK(split.last_id() == "2");
+            CHECK(split.at_event_end());
+            CHECK(passed.at_event_end());
+            passed.pass_over("id: 3" + end);
+            CHECK_FALSE(passed.at_event_end());
+        }
+    }
+}
