An encoded body is not the upstream's: no success is made of it

Callers ask for bodies without encoding, so that a success with Content-Encoding isn't what the upstream wrote. It was relayed like any other, on all kinds of routes. Failures are relayed as before, encoded or not.

--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -3,6 +3,7 @@
 
 #include "cardamomstream/connection/cancellation.h"
 #include "cardamomstream/connection/response_writer.h"
+#include "cardamomstream/request/gateway/answer_use.h"
 #include "cardamomstream/request/gateway/event_splitter.h"
 #include "cardamomstream/request/gateway/gateway_state.h"
 #include "cardamomstream/request/gateway/gateway_types.h"
@@ -101,7 +102,8 @@
     send_result relay_buffered(http_exchange& exchange, sent_request* sent, const placement& where,
                                bool repeatable_failure);
     send_result relay_stream(http_exchange& exchange, sent_request* sent, const placement& where);
-    send_result resume_or_begin_stream(http_exchange& exchange, sent_request* sent, const placement& where);
+    send_result relay_answer(http_exchange& exchange, sent_request* sent, const placement& where);
+    send_result use_answer(http_exchange& exchange, sent_request* sent, const placement& where);
     void record_resumption(const http_response_head& head, const placement& where, std::string_view after,
                            std::string_view outcome);
     send_result end_broken_stream();
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -29,16 +29,7 @@
                                               : "the answer does not come from an upstream";
         return send_result::may_have_run;
     }
-    const bool success = head.status < 300;
-    if (is_stream() && success) {
-        return resume_or_begin_stream(exchange, sent, where);
-    }
-    if (m_stream_started) {
-        m_last_failure = "the stream was not resumed: status " + std::to_string(head.status);
-        record_resumption(head, where, m_events.last_id(), "not_accepted");
-        return send_result::may_have_run;
-    }
-    return relay_buffered(exchange, sent, where, head.status >= 500 && m_route->repeatable());
+    return relay_answer(exchange, sent, where);
 }
 
 /// Records what the upstream states about itself in an answer to this request.
@@ -148,21 +139,38 @@
     return send_result::answered;
 }
 
+/// Relays what an upstream has answered to this request.
 template <gateway_wire Wire>
-typename request_flow<Wire>::send_result request_flow<Wire>::resume_or_begin_stream(http_exchange& exchange,
-                                                                                    sent_request* sent,
-                                                                                    const placement& where)
+typename request_flow<Wire>::send_result
+request_flow<Wire>::relay_answer(http_exchange& exchange, sent_request* sent, const placement& where)
 {
-    if (!m_stream_started) {
-        return relay_stream(exchange, sent, where);
-    }
+    const bool resumption = m_stream_started;
     const auto after = m_events.last_id();
-    const auto result = relay_stream(exchange, sent, where);
-    record_resumption(exchange.head(), where, after,
-                      result == send_result::may_have_run ? "broken" : "ended");
+    const auto result = use_answer(exchange, sent, where);
+    if (resumption) {
+        record_resumption(exchange.head(), where, after,
+                          result == send_result::may_have_run ? "broken" : "ended");
+    }
     return result;
 }
 
+template <gateway_wire Wire>
+typename request_flow<Wire>::send_result
+request_flow<Wire>::use_answer(http_exchange& exchange, sent_request* sent, const placement& where)
+{
+    const auto& head = exchange.head();
+    const auto decision = decide_answer_use(head, {is_stream(), m_stream_started});
+    if (decision.use == answer_use::stream) {
+        return relay_stream(exchange, sent, where);
+    }
+    if (decision.use == answer_use::plain) {
+        return relay_buffered(exchange, sent, where, head.status >= 500 && m_route->repeatable());
+    }
+    m_last_failure = "the answer has no usable body: " + std::string(decision.reason) + ", status " +
+                     std::to_string(head.status);
+    return send_result::may_have_run;
+}
+
 /// `after`: id of the last event that the caller had.
 template <gateway_wire Wire>
 void request_flow<Wire>::record_resumption(const http_response_head& head, const placement& where,
