A success that is no stream is relayed as a plain answer

On a streaming route every success began a stream. One with another content type that broke off left its text with the caller, and the events of the next upstream followed it; unresumable ones were cut after a part of their text. Such an answer is now relayed complete or not at all, like on other routes.

--- a/src/request/gateway/tests/answer_use_test.cpp
+++ b/src/request/gateway/tests/answer_use_test.cpp
@@ -29,6 +29,7 @@
 {
     CHECK(use_of(200, "text/event-stream", new_stream) == answer_use::stream);
     CHECK(use_of(200, "", new_stream) == answer_use::stream);
+    CHECK(use_of(200, "application/json", new_stream) == answer_use::plain);
     CHECK(use_of(500, "text/event-stream", new_stream) == answer_use::plain);
     CHECK(use_of(200, "text/event-stream", plain_route) == answer_use::plain);
     CHECK(use_of(500, "text/plain", begun_stream) == answer_use::none);
