Resumed streams: pass on only what is shown to continue them

Callers whose stream broke off found the text of another upstream's error in the middle of it, events from the beginning again, or an orderly end before the last event. A resumption was accepted by its status alone: any success was relayed, and so was any text with an empty line, and what was left at the end. The same went for a caller's own resumption, and for a VM that resumes for another one.

Anything else ends that run as a failed send, so that the stream goes on at another upstream within the route's attempts or is cut; the fault is logged. A stream whose last event has no number is cut, as no run could show that it comes after it. An empty continuation is taken for the end only if it is declared as an event stream and framed. The first run of a stream passes as before, except for ids that go back and text after its events.

Ruled out: a second head after a begun stream, on HTTP/1.1 and over hops.

The tests of event_splitter call begin_run where they called discard_partial, and at_event_end where they looked at the incomplete event.

--- a/include/cardamomstream/request/gateway/answer_use.h
+++ b/include/cardamomstream/request/gateway/answer_use.h
@@ -17,8 +17,8 @@
 /// The request whose answer it is.
 struct answer_query {
     bool stream_route = false;
-    bool begun =
-        false; ///< the caller has events of the stream in this answer, so that no other head can follow
+    bool continues = false; ///< the caller has events of the stream already
+    bool begun = false;     ///< they came in this answer, so that no other head can follow
 };
 
 struct answer_decision {
@@ -28,4 +28,7 @@
 
 answer_decision decide_answer_use(const http_response_head& head, const answer_query& query);
 
+/// True when the head names the content type of server-sent events.
+bool is_declared_event_stream(const http_response_head& head);
+
 } // namespace cardamomstream
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -104,8 +104,11 @@
     send_result relay_stream(http_exchange& exchange, sent_request* sent, const placement& where);
     send_result relay_answer(http_exchange& exchange, sent_request* sent, const placement& where);
     send_result use_answer(http_exchange& exchange, sent_request* sent, const placement& where);
+    send_result reject_events(std::string_view reason);
     void record_resumption(const http_response_head& head, const placement& where, std::string_view after,
-                           std::string_view outcome);
+                           send_result result);
+    std::string_view why_stream_ends() const;
+    bool shows_orderly_end(const http_exchange& exchange) const;
     send_result end_broken_stream();
     bool process_has_ended(const sent_request* sent, const placement& where);
     void note_broken_end();
@@ -184,6 +187,9 @@
     m_writer.on_caller_gone([this] { m_cancel.cancel(); });
     m_state.in_flight += 1;
     m_state.counters.in_flight.increment();
+    if (m_route->resumable) {
+        m_events.continue_after(m_caller_request.last_event);
+    }
     if (m_cancel.cancelled()) {
         log_end("caller_gone", "before the request was read");
     }
@@ -212,8 +218,9 @@
             refuse(*refused);
             return;
         }
-        if (m_stream_started && !m_placing_request.version) {
-            m_last_failure += "; the stream can't go on: its software version isn't certain";
+        if (const auto reason = why_stream_ends(); !reason.empty()) {
+            m_last_failure += "; the stream can't go on: ";
+            m_last_failure += reason;
             give_up(send_result::may_have_run);
             return;
         }
@@ -238,7 +245,7 @@
         m_answer_began_at.reset();
         m_answer_lasts = false;
         m_connection_broke = false;
-        m_events.discard_partial();
+        m_events.begin_run();
         const auto result = here ? send_to_upstream(where) : send_to_region(where);
         if (result == send_result::answered || result == send_result::caller_left) {
             if (result == send_result::caller_left) {
@@ -264,6 +271,22 @@
     }
 }
 
+/// Empty unless the stream has begun and no other upstream can go on with it.
+template <gateway_wire Wire>
+std::string_view request_flow<Wire>::why_stream_ends() const
+{
+    if (!m_stream_started) {
+        return {};
+    }
+    if (!m_placing_request.version) {
+        return "its software version isn't certain";
+    }
+    if (!m_events.continuable()) {
+        return "its last event has no number";
+    }
+    return {};
+}
+
 template <gateway_wire Wire>
 bool request_flow<Wire>::may_retry(send_result result)
 {
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -148,8 +148,7 @@
     const auto after = m_events.last_id();
     const auto result = use_answer(exchange, sent, where);
     if (resumption) {
-        record_resumption(exchange.head(), where, after,
-                          result == send_result::may_have_run ? "broken" : "ended");
+        record_resumption(exchange.head(), where, after, result);
     }
     return result;
 }
@@ -159,7 +158,8 @@
 request_flow<Wire>::use_answer(http_exchange& exchange, sent_request* sent, const placement& where)
 {
     const auto& head = exchange.head();
-    const auto decision = decide_answer_use(head, {is_stream(), m_stream_started});
+    const auto decision = decide_answer_use(
+        head, {is_stream(), m_stream_started || m_events.run_continues(), m_stream_started});
     if (decision.use == answer_use::stream) {
         return relay_stream(exchange, sent, where);
     }
@@ -171,11 +171,18 @@
     return send_result::may_have_run;
 }
 
-/// `after`: id of the last event that the caller had.
+/// Logs the answer to the resumption of a stream that has begun here; `after`: id of the event before it.
 template <gateway_wire Wire>
 void request_flow<Wire>::record_resumption(const http_response_head& head, const placement& where,
-                                           std::string_view after, std::string_view outcome)
+                                           std::string_view after, send_result result)
 {
+    const bool failed = result == send_result::may_have_run;
+    const auto fault = m_events.fault();
+    const std::string_view outcome = result == send_result::caller_left ? "caller_gone"
+                                     : !failed                          ? "continued"
+                                     : fault != event_fault::none       ? to_text(fault)
+                                     : m_events.first_id().empty()      ? "not_continued"
+                                                                        : "broken";
     m_state.counters.resumptions.increment(m_placing_request.service, std::string(outcome));
     m_state.log.write(log_weight::failure, "stream_resumed",
                       {{"request", m_caller_request.id.str()},
@@ -186,7 +193,7 @@
                        {"after", after},
                        {"first", m_events.first_id()},
                        {"outcome", outcome},
-                       {"reason", m_last_failure},
+                       {"reason", failed ? std::string_view(m_last_failure) : std::string_view{}},
                        {"send", std::int64_t{m_sends}}});
 }
 
@@ -214,6 +221,12 @@
         }
         const auto bytes =
             m_route->resumable ? m_events.feed(*part.value()) : m_events.pass_over(std::move(*part.value()));
+        if (write_events(bytes, exchange.head()) == send_result::caller_left) {
+            return send_result::caller_left;
+        }
+        if (m_events.fault() != event_fault::none) {
+            return reject_events(to_text(m_events.fault()));
+        }
         if (bytes.empty() && !m_events.within_size_limit()) {
             m_last_failure = "an event exceeds the size limit";
             return send_result::may_have_run;
@@ -231,16 +244,19 @@
                 m_state.load.record_activity(where.upstream, now);
             }
         }
-        if (write_events(bytes, exchange.head()) == send_result::caller_left) {
-            return send_result::caller_left;
-        }
     }
     if (exchange.ends_with_connection() && (!m_events.at_event_end() || process_has_ended(sent, where))) {
         note_broken_end();
         return end_broken_stream();
     }
-    if (write_events(m_route->resumable ? m_events.partial_event() : "", exchange.head()) ==
-            send_result::caller_left ||
+    const auto rest = m_route->resumable ? m_events.finish() : std::string{};
+    if (m_events.fault() != event_fault::none) {
+        return reject_events(to_text(m_events.fault()));
+    }
+    if (!shows_orderly_end(exchange)) {
+        return reject_events("no event, and an end that isn't shown");
+    }
+    if (write_events(rest, exchange.head()) == send_result::caller_left ||
         (m_stream_started ? !m_writer.end_stream() : !m_writer.send({answer_head(exchange.head()), {}}))) {
         return send_result::caller_left;
     }
@@ -250,6 +266,24 @@
     return send_result::answered;
 }
 
+/// Ends the run of an upstream whose bytes don't go on after the events that the caller has.
+template <gateway_wire Wire>
+typename request_flow<Wire>::send_result request_flow<Wire>::reject_events(std::string_view reason)
+{
+    m_last_failure = "the upstream doesn't go on with the stream: " + std::string(reason);
+    return send_result::may_have_run;
+}
+
+/// True unless a run must go on after the caller's events and brought nothing that shows the stream's end: a
+/// declared stream with an end of its own may be empty, since the last run may have broken after its last
+/// event.
+template <gateway_wire Wire>
+bool request_flow<Wire>::shows_orderly_end(const http_exchange& exchange) const
+{
+    return !m_events.run_continues() || !m_events.first_id().empty() ||
+           (is_declared_event_stream(exchange.head()) && !exchange.ends_with_connection());
+}
+
 /// True when the answer may have ended because the upstream's process did. An upstream that leaves may end
 /// after its last answer.
 template <gateway_wire Wire>
--- a/src/request/gateway/answer_use.cpp
+++ b/src/request/gateway/answer_use.cpp
@@ -6,6 +6,7 @@
 
 namespace {
 
+constexpr unsigned ok = 200;
 constexpr unsigned first_redirection = 300;
 
 std::string_view media_type(const http_response_head& head)
@@ -17,6 +18,11 @@
 
 } // namespace
 
+bool is_declared_event_stream(const http_response_head& head)
+{
+    return boost::beast::iequals(media_type(head), "text/event-stream");
+}
+
 answer_decision decide_answer_use(const http_response_head& head, const answer_query& query)
 {
     if (head.status >= first_redirection) {
@@ -29,10 +35,18 @@
     if (!query.stream_route) {
         return {answer_use::plain, {}};
     }
-    // Upstreams may leave the type out.
-    const auto type = media_type(head);
-    const bool events = type.empty() || boost::beast::iequals(type, "text/event-stream");
-    return {events || query.begun ? answer_use::stream : answer_use::plain, {}};
+    // Upstreams may leave the type out; then the body shows what it is.
+    const bool events = media_type(head).empty() || is_declared_event_stream(head);
+    if (!query.continues) {
+        return {events ? answer_use::stream : answer_use::plain, {}};
+    }
+    if (head.status != ok) {
+        return {answer_use::none, "a success without the rest of the stream"};
+    }
+    if (!events) {
+        return {answer_use::none, "no event stream"};
+    }
+    return {answer_use::stream, {}};
 }
 
 } // namespace cardamomstream
--- a/src/request/gateway/tests/event_splitter_test.cpp
+++ b/src/request/gateway/tests/event_splitter_test.cpp
@@ -31,7 +31,7 @@
         }
         CHECK(out == stream);
         CHECK(events.last_id() == "3");
-        CHECK(events.partial_event().empty());
+        CHECK(events.at_event_end());
     }
 }
 
@@ -42,7 +42,7 @@
     SECTION("the incomplete event is not returned, and the resumed stream continues after the complete one")
     {
         CHECK(events.last_id() == "1");
-        events.discard_partial();
+        events.begin_run();
         CHECK(events.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
         CHECK(events.last_id() == "2");
     }
@@ -62,13 +62,119 @@
 
     SECTION("a resumed stream continues after the last complete event")
     {
-        events.discard_partial();
+        events.begin_run();
         CHECK(events.within_size_limit());
         CHECK(events.last_id() == "1");
         CHECK(events.feed("id: 2\ndata: b\n\n") == "id: 2\ndata: b\n\n");
     }
 }
 
+namespace {
+
+/// A splitter whose caller has the events up to `id`.
+event_splitter resumed_after(const std::string& id)
+{
+    event_splitter events;
+    events.continue_after(id);
+    events.begin_run();
+    return events;
+}
+
+event_fault fault_after(const std::string& last, const std::string& bytes)
+{
+    auto events = resumed_after(last);
+    events.feed(bytes);
+    return events.fault();
+}
+
+} // namespace
+
+TEST_CASE("a run that continues a stream passes on only what comes after the last event")
+{
+    SECTION("ids are compared as numbers behind a fixed text")
+    {
+        CHECK(fault_after("9", "id: 10\n\n") == event_fault::none);
+        CHECK(fault_after("10", "id: 9\n\n") == event_fault::not_after_last);
+        CHECK(fault_after("2", "id:2\n\n") == event_fault::not_after_last);
+        CHECK(fault_after("007", "id: 8\n\n") == event_fault::none);
+        CHECK(fault_after("s-9", "id: s-10\n\n") == event_fault::none);
+        CHECK(fault_after("s-9", "id: t-10\n\n") == event_fault::not_after_last);
+        CHECK(fault_after("99999999999999999999998", "id: 99999999999999999999999\n\n") == event_fault::none);
+        CHECK(fault_after("1", "id: end\n\n") == event_fault::not_after_last);
+    }
+    SECTION("text and events without id are none of it")
+    {
+        CHECK(fault_after("2", "data: x\n\n") == event_fault::without_id);
+        CHECK(fault_after("2", "id\ndata: x\n\n") == event_fault::without_id);
+        CHECK(fault_after("2", "out of memory\n\n") == event_fault::foreign_text);
+        CHECK(fault_after("2", "Retry-After: 2\n\n") == event_fault::foreign_text);
+        CHECK(fault_after("2", "out of memory\nid: 3\n\n") == event_fault::foreign_text);
+        CHECK(fault_after("2", "X-Version: 4\nid: 3\n\n") == event_fault::none);
+    }
+    SECTION("nothing follows a fault until the next run")
+    {
+        auto events = resumed_after("2");
+        CHECK(events.feed("id: 3\n\nid: 1\n\nid: 4\n\n") == "id: 3\n\n");
+        CHECK(events.feed("id: 4\n\n").empty());
+        CHECK(events.fault() == event_fault::not_after_last);
+        events.begin_run();
+        CHECK(events.feed("id: 4\n\n") == "id: 4\n\n");
+    }
+    SECTION("comments wait for the first event")
+    {
+        auto events = resumed_after("2");
+        CHECK(events.feed(": wait\n\n").empty());
+        CHECK(events.feed("id: 3\n\n") == ": wait\n\nid: 3\n\n");
+        CHECK(events.feed(": wait\n\n") == ": wait\n\n");
+    }
+    SECTION("an incomplete event at its end isn't passed on")
+    {
+        auto events = resumed_after("2");
+        events.feed("id: 3\ndata: x\n");
+        CHECK(events.finish().empty());
+        CHECK(events.fault() == event_fault::incomplete_event);
+    }
+}
+
+TEST_CASE("a stream can be continued only after an event whose place is known")
+{
+    event_splitter events;
+    events.begin_run();
+    CHECK(events.continuable());
+    events.feed("data: begin\n\n");
+    CHECK_FALSE(events.continuable());
+    events.feed("id: 1\n\n");
+    CHECK(events.continuable());
+    events.feed(": comment\n\n");
+    CHECK(events.continuable());
+    events.feed("id: a\n\n");
+    CHECK(events.fault() == event_fault::none);
+    CHECK_FALSE(events.continuable());
+}
+
+TEST_CASE("the first run of a stream is passed on as it is, unless it goes back or ends in foreign text")
+{
+    event_splitter events;
+    events.begin_run();
+    CHECK(events.feed("data: a\n\nid: 1\n\ndata: b\n\n") == "data: a\n\nid: 1\n\ndata: b\n\n");
+    SECTION("an incomplete event at an orderly end belongs to it")
+    {
+        events.feed("id: 2\ndata: c");
+        CHECK(events.finish() == "id: 2\ndata: c");
+        CHECK(events.fault() == event_fault::none);
+    }
+    SECTION("it goes back")
+    {
+        CHECK(events.feed("id: 1\n\n").empty());
+        CHECK(events.fault() == event_fault::not_after_last);
+    }
+    SECTION("another head follows its events")
+    {
+        CHECK(events.feed("HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n").empty());
+        CHECK(events.fault() == event_fault::foreign_text);
+    }
+}
+
 TEST_CASE("lines end with LF, CR or CRLF, in pieces of any size")
 {
     for (const std::string end : {"\n", "\r", "\r\n"}) {
