--- a/src/connection/peer/tests/codec_test.cpp
+++ b/src/connection/peer/tests/codec_test.cpp
@@ -205,6 +205,18 @@
     CHECK(decode(encode(result<std::size_t>{std::size_t{7}})).value() == 7);
 }
 
+TEST_CASE("an error that names no known kind is never taken as a promise that the request has not run")
+{
+    wire::Error empty;
+    CHECK(decode(empty).outcome == run_outcome::unknown);
+    wire::Error later_release;
+    later_release.set_code("a_kind_of_a_later_release");
+    CHECK(decode(later_release).outcome == run_outcome::unknown);
+    wire::Error known;
+    known.set_code(std::string{code_of(error_kind::stopping)});
+    CHECK(decode(known).outcome == run_outcome::not_run);
+}
+
 TEST_CASE("a configuration update survives as deltas and as a whole text")
 {
     const version_id old{4, {1, 2}};
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -173,6 +173,11 @@
             co_return false;
         }
         const std::string event = "data: " + boost::json::serialize(chunk(order, index)) + "\n\n";
+        if (m_fault.kind() == fault_kind::close_inside_event && index > 0) {
+            co_await client.write_chunk(std::string_view(event).substr(0, event.size() / 2));
+            client.close();
+            co_return true;
+        }
         if (!co_await send_event(client, event)) {
             co_return false;
         }
--- a/standins/fault_control.cpp
+++ b/standins/fault_control.cpp
@@ -13,12 +13,14 @@
 constexpr std::chrono::nanoseconds longest_hang = std::chrono::hours(1);
 constexpr std::string_view delay_prefix = "delay_ms=";
 
-constexpr std::array<std::pair<std::string_view, fault_kind>, 10> fault_names{{
+constexpr std::array<std::pair<std::string_view, fault_kind>, 12> fault_names{{
     {"none", fault_kind::none},
     {"refuse", fault_kind::refuse},
     {"hang_before_head", fault_kind::hang_before_head},
     {"hang_after_head", fault_kind::hang_after_head},
     {"close_after_head", fault_kind::close_after_head},
+    {"hang_without_length", fault_kind::hang_without_length},
+    {"close_inside_event", fault_kind::close_inside_event},
     {"slow_chunks", fault_kind::slow_chunks},
     {"split_chunks", fault_kind::split_chunks},
     {"error500", fault_kind::error500},
@@ -70,6 +72,12 @@
 
 asio::awaitable<bool> fault_control::broken_answer(connection& client, const http_response& response) const
 {
+    if (m_kind == fault_kind::hang_without_length) {
+        co_await client.write_raw("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n");
+        co_await client.write_raw(std::string_view(response.body()).substr(0, response.body().size() / 2));
+        co_await hang(client);
+        co_return true;
+    }
     const bool hangs = m_kind == fault_kind::hang_after_head;
     if (!hangs && m_kind != fault_kind::close_after_head) {
         co_return false;
