Own interface: no "not run" once an attempt may have run

Callers got "not_run" for a request that an upstream had received: the first attempt's connection broke, the next one got no connection, and the last failure was passed on with its own outcome. The same held for errors in the middle of an answer, when the VM couldn't confirm its rules.

"Not run" is a statement about the request, but each attempt spoke for itself only. run_evidence keeps what the attempts of one request show: once one may have run, or an answer has begun, no later failure says otherwise.

Only requests that may be repeated were concerned; at-most-once calls make one attempt and ask the ticket's record. So nothing ran twice by it.

Evidence: integration."a call that has reached an upstream is never answered not run by a later attempt" failed before ("not_run"), passes. serving."a request that may have run is never reported as not run" is new with the type.

--- a/src/request/serving/attempt_runner.cpp
+++ b/src/request/serving/attempt_runner.cpp
@@ -1,6 +1,7 @@
 #include "attempt_runner.h"
 
 #include "answer_relay.h"
+#include "run_evidence.h"
 
 #include "cardamomstream/connection/use_fiber.h"
 
@@ -133,6 +134,7 @@
     const upstream_work& m_work;
     answer_meter& m_meter;
     pool_rule m_pool;
+    run_evidence m_evidence;
     std::set<upstream_name> m_tried;
     std::set<vm_name> m_tried_peers;
 };
@@ -178,15 +180,19 @@
     for (std::uint32_t attempts = 1;; ++attempts) {
         auto granted = m_context.parts.dispatch.acquire(query(), m_context.cancel);
         if (!granted) {
-            return granted.error();
+            return m_evidence.record_failure(granted.error());
         }
         auto& grant = granted.value();
         m_context.record(event_kind::request_routed, fields_of(grant.choice));
         auto end = attempt(grant);
         end_grant(grant, end);
-        if (end || !wait_for_retry(end.error(), attempts)) {
+        if (end) {
             return end;
         }
+        const auto failure = m_evidence.record_failure(end.error());
+        if (!wait_for_retry(failure, attempts)) {
+            return failure;
+        }
     }
 }
 
@@ -235,6 +241,7 @@
 result<attempt_result> attempt_runner::relay(dispatch_grant& grant, Source& source)
 {
     const auto& head = source.head();
+    m_evidence.record_answer();
     record_first_byte(grant);
     if (head.status == too_many_requests || head.status == service_unavailable) {
         return error{error_kind::overloaded, "the upstream is overloaded", "send the request again",
