Own interface: the error of a broken stream never stands inside an event

Callers of a stream whose upstream broke off inside an event found the text of the error in the middle of that event: the half event had been relayed, and the event "error" was written behind it.

The request now notes whether what was relayed ends with an event, by the splitter that the platform's path has.

Ruled out: holding back half events, which would keep streams whose events the splitter doesn't know from their callers.

Evidence: integration."the error of a stream that broke off never stands inside an event" failed before, passes.

--- a/src/request/serving/answer_relay.cpp
+++ b/src/request/serving/answer_relay.cpp
@@ -11,7 +11,10 @@
 
 void abort_stream(request_context& context, const error& reason)
 {
-    (void)context.writer.write_chunk("event: error\ndata: " + error_body(reason, context.id) + "\n\n");
+    // Behind a part of an event, the error would become the rest of it.
+    if (context.relayed.at_event_end()) {
+        (void)context.writer.write_chunk("event: error\ndata: " + error_body(reason, context.id) + "\n\n");
+    }
     context.writer.abort_stream();
 }
 
--- a/src/request/serving/answer_relay.h
+++ b/src/request/serving/answer_relay.h
@@ -10,6 +10,7 @@
 #include <concepts>
 #include <optional>
 #include <string>
+#include <utility>
 
 namespace cardamomstream {
 
@@ -31,8 +32,8 @@
 /// Whether the response is a stream of server-sent events.
 bool is_event_stream(const http_response_head& head);
 
-/// Aborts a stream that cannot be completed: the caller receives the error as an event, then the connection
-/// is closed without the final chunk.
+/// Aborts a stream that cannot be completed: the caller receives the error as an event, unless the stream
+/// broke off inside an event, then the connection is closed without the final chunk.
 void abort_stream(request_context& context, const error& reason);
 
 /// Reads the rest of the body. Errors: those of the source, upstream_failed if the body is too large.
@@ -89,7 +90,7 @@
         if (context.key_withdrawn) {
             return error{error_kind::cancelled, "the key was withdrawn", "", run_outcome::unknown, {}};
         }
-        BOOST_OUTCOME_TRY(context.writer.write_chunk(*part));
+        BOOST_OUTCOME_TRY(context.writer.write_chunk(context.relayed.pass_over(std::move(*part))));
     }
     return context.writer.end_stream();
 }
--- a/src/request/serving/request_context.h
+++ b/src/request/serving/request_context.h
@@ -4,6 +4,7 @@
 #include "cardamomstream/connection/cancellation.h"
 #include "cardamomstream/connection/peer_types.h"
 #include "cardamomstream/connection/response_writer.h"
+#include "cardamomstream/request/gateway/event_splitter.h"
 #include "cardamomstream/request/serving_parts.h"
 
 #include <chrono>
@@ -35,6 +36,7 @@
     time_point received;
     time_point deadline;
     cancellation cancel;
+    event_splitter relayed; ///< notes whether the part of a stream that was relayed ends with an event
     bool key_withdrawn = false;
     /// Set if this VM holds no part of the customer's allowance, so that the serving VM charges the request.
     bool charge_elsewhere = false;
