Own interface: an answer without length that broke off isn't whole

Callers got 200 with half a body when an upstream was killed while it sent an answer with neither length nor chunks; of an at-most-once call that half was kept for replay.

Such an answer ends with its connection, which also ends when the process does. As on the platform's path, it now counts as complete only if the upstream still takes connections (upstream_probe), and a stream only if it ends with an event. Else the request fails with "unknown".

What remains: an upstream that closes early but lives can't be told from one that has finished.

Evidence: integration."an answer without length whose upstream was killed never looks whole" failed before with 200, to a call that may be repeated and to one that runs at most once; passes.

--- a/src/request/serving/attempt_runner.cpp
+++ b/src/request/serving/attempt_runner.cpp
@@ -4,6 +4,7 @@
 #include "run_evidence.h"
 
 #include "cardamomstream/connection/use_fiber.h"
+#include "cardamomstream/request/gateway/upstream_probe.h"
 
 #include <random>
 
@@ -53,6 +54,44 @@
     return fields;
 }
 
+/// Response of an upstream. One without length counts as complete only if the upstream's process hasn't
+/// ended.
+class upstream_response {
+public:
+    upstream_response(std::unique_ptr<http_exchange> exchange, http_client& client, const endpoint& address)
+        : m_exchange(std::move(exchange))
+        , m_client(client)
+        , m_address(address)
+    {
+    }
+
+    const http_response_head& head() const { return m_exchange->head(); }
+
+    result<std::optional<std::string>> next()
+    {
+        BOOST_OUTCOME_TRY(auto part, m_exchange->next());
+        if (part) {
+            return std::optional<std::string>(m_events.pass_over(std::move(*part)));
+        }
+        const bool inside_event = is_event_stream(head()) && !m_events.at_event_end();
+        if (m_exchange->ends_with_connection() &&
+            (inside_event || upstream_probe(m_client).has_ended(m_address))) {
+            return error{error_kind::upstream_failed,
+                         "the connection to the upstream broke: an answer without length was broken off",
+                         "read the status before you submit again",
+                         run_outcome::unknown,
+                         {}};
+        }
+        return std::optional<std::string>{};
+    }
+
+private:
+    std::unique_ptr<http_exchange> m_exchange;
+    http_client& m_client;
+    endpoint m_address;
+    event_splitter m_events;
+};
+
 /// Response of another VM, read from its forward stream.
 class forwarded_response {
 public:
@@ -213,7 +252,8 @@
 {
     BOOST_OUTCOME_TRY(auto exchange,
                       m_context.client().send(call_to(grant.choice.address), m_context.cancel));
-    return relay(grant, *exchange);
+    upstream_response answer(std::move(exchange), m_context.client(), grant.choice.address);
+    return relay(grant, answer);
 }
 
 result<attempt_result> attempt_runner::forward(dispatch_grant& grant)
@@ -323,8 +363,9 @@
         call.before_write = options.before_write;
         BOOST_OUTCOME_TRY(auto exchange, m_context.client().send(call, m_context.cancel));
         record_first_byte(grant);
-        BOOST_OUTCOME_TRY(auto body, read_body(*exchange));
-        return attempt_result{exchange->head().status, std::move(body), exchange->head()};
+        upstream_response answer(std::move(exchange), m_context.client(), grant.choice.address);
+        BOOST_OUTCOME_TRY(auto body, read_body(answer));
+        return attempt_result{answer.head().status, std::move(body), answer.head()};
     };
     auto end = run();
     end_grant(grant, end);
