Calls between VMs: an error without a known kind proves nothing

"Not run" is the value of a missing field on the wire, so an error that names no kind, or one of another release, was read as a promise that the request hadn't run. No VM of this release sends such a message; a caller would have been told "not run" of it, and the retry policy would have believed it.

It now reads as "unknown" unless the kind is known and the message says otherwise. The wire format stays.

Evidence: peer."an error that names no known kind is never taken as a promise that the request has not run" failed before for both messages, passes; the round trip of all messages passes.

--- a/src/connection/peer/error_codec.cpp
+++ b/src/connection/peer/error_codec.cpp
@@ -2,21 +2,23 @@
 
 #include "field_codec.h"
 
+#include <optional>
 #include <string_view>
 
 namespace cardamomstream {
 
 namespace {
 
-error_kind kind_of(std::string_view code)
+/// Nothing for a kind of another release, and for a message without one.
+std::optional<error_kind> kind_of(std::string_view code)
 {
-    for (int number = 0; number < static_cast<int>(error_kind::internal); ++number) {
+    for (int number = 0; number <= static_cast<int>(error_kind::internal); ++number) {
         const auto kind = static_cast<error_kind>(number);
         if (code_of(kind) == code) {
             return kind;
         }
     }
-    return error_kind::internal;
+    return std::nullopt;
 }
 
 } // namespace
@@ -37,10 +39,12 @@
 error decode(const wire::Error& from)
 {
     error value;
-    value.kind = kind_of(from.code());
+    const auto kind = kind_of(from.code());
+    value.kind = kind.value_or(error_kind::internal);
     value.message = from.message();
     value.remedy = from.remedy();
-    value.outcome = from.unknown_outcome() ? run_outcome::unknown : run_outcome::not_run;
+    // "Not run" is the value of a missing field: it counts only if the message is understood.
+    value.outcome = kind && !from.unknown_outcome() ? run_outcome::not_run : run_outcome::unknown;
     if (from.has_retry_after_ms()) {
         value.retry_after = decode_duration(from.retry_after_ms());
     }
