--- /dev/null
+++ b/src/process/deployment/tests/vm_report_codec_test.cpp
@@ -0,0 +1,66 @@
+#include "cardamomstream/process/deployment/vm_report_codec.h"
+
+#include <limits>
+
+#include <catch2/catch.hpp>
+
+using namespace cardamomstream;
+using namespace std::chrono_literals;
+
+namespace {
+
+vm_report plain_report()
+{
+    vm_report report;
+    report.vm = vm_name("vm-1");
+    report.region = region_name("riga");
+    report.data_centre = data_centre_name("riga-a");
+    report.inner = {"127.0.0.1", 7020};
+    report.loads = {{upstream_name("i-1"), 3, 200ms, 4'000, {7}}};
+    report.uses = {{customer_name("c"), 12.5}};
+    report.lateness = {{pool_name("s"), 1, -20ms, 4}};
+    return report;
+}
+
+vm_report sent_and_received(const vm_report& report)
+{
+    const auto read = decode_report(encode_report(report));
+    REQUIRE(read);
+    return read.value();
+}
+
+} // namespace
+
+// A number out of range in another VM's report overflows the sums in which it is counted.
+TEST_CASE("a statement with a number out of range is left out of a report, the others are read")
+{
+    auto report = plain_report();
+    const auto plain = sent_and_received(report);
+    REQUIRE(plain.loads.size() == 1);
+    REQUIRE(plain.uses.size() == 1);
+    REQUIRE(plain.lateness.size() == 1);
+    CHECK(plain.lateness[0].mean == -20ms);
+
+    SECTION("loads")
+    {
+        report.loads.push_back({upstream_name("i-3"), 3, 200ms, std::numeric_limits<token_count>::max(), {}});
+        report.loads.push_back({upstream_name("i-4"), 4'000'000'000, 200ms, 4'000, {}});
+        const auto read = sent_and_received(report);
+        REQUIRE(read.loads.size() == 1);
+        CHECK(read.loads[0].upstream == upstream_name("i-1"));
+        report.loads = {{upstream_name("i-2"), 3, std::chrono::milliseconds::max(), 4'000, {}}};
+        CHECK(sent_and_received(report).loads.at(0).prefill_left == 24h);
+    }
+    SECTION("admissions")
+    {
+        report.uses.push_back({customer_name("d"), std::numeric_limits<double>::infinity()});
+        report.uses.push_back({customer_name("e"), std::numeric_limits<double>::quiet_NaN()});
+        report.uses.push_back({customer_name("f"), -1e308});
+        CHECK(sent_and_received(report).uses.size() == 1);
+    }
+    SECTION("lateness")
+    {
+        report.lateness.push_back({pool_name("t"), 1, 1h, 4'000'000'000});
+        CHECK(sent_and_received(report).lateness.size() == 1);
+    }
+}
