--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -1,8 +1,11 @@
 #include "cardamomstream/process/deployment/vm_report_codec.h"
 
+#include "cardamomstream/core/bounded_number.h"
+
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <utility>
 
 #include <arpa/inet.h>
 #include <vm_report.pb.h>
@@ -14,7 +17,15 @@
 /// Changed when the meaning of a field changes, so that VMs with the former meaning reject the reports.
 constexpr std::uint32_t report_format = 2;
 
-constexpr std::uint64_t max_age_ms = 24ULL * 60 * 60 * 1'000; ///< older limits and crashes are not applied
+constexpr std::uint64_t max_age_ms =
+    max_stated_duration.count(); ///< older limits and crashes are not applied
+
+// A statement beyond these bounds is left out: what is counted from all VMs must not overflow.
+constexpr std::uint32_t max_running = 10'000'000;
+constexpr token_count max_memory_tokens = 1'000'000'000'000'000;
+constexpr std::uint32_t max_samples = 10'000'000;
+constexpr std::uint32_t max_urgency = 1'000'000;
+constexpr double max_admitted = 1e15;
 
 std::uint32_t encode_ipv4(const std::string& text)
 {
@@ -50,13 +61,18 @@
     message.set_upstream(load.upstream.str());
     message.set_running(load.running);
     message.set_memory_tokens(static_cast<std::uint64_t>(std::max<token_count>(0, load.memory_tokens)));
-    message.set_reading_left_ms(
-        static_cast<std::uint64_t>(std::max<std::int64_t>(0, load.prefill_left.count())));
+    message.set_reading_left_ms(static_cast<std::uint64_t>(
+        std::clamp(load.prefill_left, std::chrono::milliseconds{0}, max_stated_duration).count()));
     message.mutable_new_parts()->Add(load.new_parts.begin(), load.new_parts.end());
 }
 
-upstream_load decode_load(const report_messages::Load& message)
+/// Empty when a number is out of range.
+std::optional<upstream_load> decode_load(const report_messages::Load& message)
 {
+    if (message.running() > max_running || std::cmp_greater(message.memory_tokens(), max_memory_tokens) ||
+        message.reading_left_ms() > max_age_ms) {
+        return std::nullopt;
+    }
     upstream_load load;
     load.upstream = upstream_name(message.upstream());
     load.running = message.running();
@@ -220,6 +236,26 @@
     }
 }
 
+void decode_traffic(const report_messages::Report& message, vm_report& report)
+{
+    for (const auto& message_load : message.loads()) {
+        if (auto load = decode_load(message_load)) {
+            report.loads.push_back(std::move(*load));
+        }
+    }
+    for (const auto& use : message.uses()) {
+        if (within(use.admitted(), -max_admitted, max_admitted)) {
+            report.uses.push_back({customer_name(use.customer()), use.admitted()});
+        }
+    }
+    for (const auto& late : message.lateness()) {
+        if (late.samples() <= max_samples && late.urgency() <= max_urgency) {
+            report.lateness.push_back({pool_name(late.service()), static_cast<int>(late.urgency()),
+                                       std::chrono::milliseconds(late.mean_ms()), late.samples()});
+        }
+    }
+}
+
 void encode_origins(const vm_report& report, report_messages::Report& message)
 {
     for (const auto& origin : report.stream_origins) {
@@ -330,16 +366,7 @@
     for (const auto& vm : message.known_elsewhere()) {
         report.known_elsewhere.push_back(decode_endpoint(vm));
     }
-    for (const auto& load : message.loads()) {
-        report.loads.push_back(decode_load(load));
-    }
-    for (const auto& use : message.uses()) {
-        report.uses.push_back({customer_name(use.customer()), use.admitted()});
-    }
-    for (const auto& late : message.lateness()) {
-        report.lateness.push_back({pool_name(late.service()), static_cast<int>(late.urgency()),
-                                   std::chrono::milliseconds(late.mean_ms()), late.samples()});
-    }
+    decode_traffic(message, report);
     for (const auto& message_limit : message.limits()) {
         if (auto limit = decode_limit(message_limit)) {
             report.limits.push_back(std::move(*limit));
--- a/src/request/gateway/hop_headers.cpp
+++ b/src/request/gateway/hop_headers.cpp
@@ -1,6 +1,7 @@
 #include "cardamomstream/request/gateway/hop_headers.h"
 
 #include "cardamomstream/connection/header_number.h"
+#include "cardamomstream/core/bounded_number.h"
 #include "cardamomstream/request/gateway/gateway_types.h"
 
 #include <algorithm>
@@ -21,6 +22,14 @@
 constexpr std::string_view version_header = "Cs-Hop-Version";
 constexpr std::string_view final_refusal_header = "Cs-Hop-Refused-Ms";
 
+std::optional<std::chrono::milliseconds> duration_of(const std::vector<http_header>& headers,
+                                                     std::string_view name)
+{
+    const auto milliseconds =
+        clamped_leading_number<std::int64_t>(header_value(headers, name), 0, max_stated_duration.count());
+    return milliseconds ? std::optional(std::chrono::milliseconds(*milliseconds)) : std::nullopt;
+}
+
 } // namespace
 
 void write_hop_headers(std::vector<http_header>& headers, const hop_details& hop)
@@ -40,13 +49,13 @@
     hop.service = pool_name(std::string(header_value(headers, service_header)));
     hop.customer = customer_name(std::string(header_value(headers, customer_header)));
     const auto urgency = leading_number<int>(header_value(headers, urgency_header));
-    const auto waited = leading_number<std::int64_t>(header_value(headers, waited_header));
+    const auto waited = duration_of(headers, waited_header);
     if (hop.service.empty() || !urgency || !waited) {
         return std::nullopt;
     }
     hop.version = answer_version(headers);
     hop.urgency = *urgency;
-    hop.waited = std::chrono::milliseconds(*waited);
+    hop.waited = *waited;
     return hop;
 }
 
@@ -65,8 +74,7 @@
 
 std::optional<std::chrono::milliseconds> final_refusal(const std::vector<http_header>& headers)
 {
-    const auto left = leading_number<std::int64_t>(header_value(headers, final_refusal_header));
-    return left ? std::optional(std::chrono::milliseconds(*left)) : std::nullopt;
+    return duration_of(headers, final_refusal_header);
 }
 
 void set_answer_version(std::vector<http_header>& headers, const std::optional<std::string>& version)
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -1,5 +1,7 @@
 #include "cardamomstream/request/placing/fleet_load.h"
 
+#include "cardamomstream/core/bounded_number.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -500,9 +502,9 @@
     const auto uncached = static_cast<double>(std::max<token_count>(0, request.prompt_tokens - cached));
     const double pairs = uncached * (static_cast<double>(cached) + uncached / 2);
     constexpr double million = 1e6;
-    return std::chrono::milliseconds(
-        static_cast<std::int64_t>(uncached / m_settings.prompt_tokens_per_ms +
-                                  pairs / million * m_settings.attention_ms_per_million_pairs));
+    const double predicted_ms = uncached / m_settings.prompt_tokens_per_ms +
+                                pairs / million * m_settings.attention_ms_per_million_pairs;
+    return milliseconds_within(predicted_ms).value_or(max_stated_duration);
 }
 
 } // namespace cardamomstream
