List of upstreams: an odd rewrite of an entry keeps what is known of it

An entry that couldn't be read removed its upstream. When the upstream wrote it again, it was taken for one that had just started and treated as cold for the service's cold time, with a few requests a second: one odd rewrite cost a fleet an upstream for seconds.

Now the upstream gets no requests while its entry can't be read, and what is known of it stays: a good entry of the same process makes it usable at once, one of a new process makes it cold, a removal removes it.

Each odd entry is logged once a minute, at most 1,000 of them: a writer that repeats itself could use up the bound of all lines on what the process believes.

Evidence: deployment.an entry that can't be read keeps its upstream from requests until it can be read again.

--- a/include/cardamomstream/process/deployment/upstream_registry.h
+++ b/include/cardamomstream/process/deployment/upstream_registry.h
@@ -19,6 +19,11 @@
     /// so the upstream is not assumed to have just started.
     void apply(const upstream_record& record, bool first_listing, time_point now);
 
+    /// The entry of an upstream can't be read. It gets no requests until its entry can be read again; what is
+    /// known of it stays, so that it isn't taken for one that has just started. Returns true when this is to
+    /// be logged: once in `refusal_log_interval` for each entry, however often it is written.
+    bool refuse(const upstream_name& id, time_point now);
+
     /// Removes an entry. `after_outage`: the list was unavailable shortly before, so the entry may merely
     /// have expired and is kept for `expiry_grace`.
     void remove(const upstream_name& id, bool after_outage, time_point now);
@@ -53,12 +58,14 @@
         time_point started_at;             ///< when this process saw it start; epoch: it was running before
         time_point reported_cold_until;    ///< as the upstream itself reports
         std::optional<time_point> gone_at; ///< set while it is missing from the list
+        bool readable = true;              ///< false: `record` is the last one that could be read
     };
 
     time_point cold_until(const upstream_entry& entry, const service_plan* plan) const;
 
     std::map<data_centre_name, region_name> m_regions;
     std::map<upstream_name, upstream_entry> m_entries;
+    std::map<upstream_name, time_point> m_refusals_logged;
     evacuations m_evacuated;
     std::map<data_centre_name, time_point> m_evacuation_ended;
 };
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -304,8 +304,9 @@
     }
     const auto record = platform::decode_upstream(id, item.value);
     if (!record) {
-        m_log.write(log_weight::state, "upstream_entry_refused", {{"reason", record.error().message}});
-        m_upstreams.remove(id, false, now);
+        if (m_upstreams.refuse(id, now)) {
+            m_log.write(log_weight::state, "upstream_entry_refused", {{"reason", record.error().message}});
+        }
         return;
     }
     m_upstreams.apply(record.value(), !m_upstreams_listed, now);
--- a/src/process/deployment/tests/upstream_registry_test.cpp
+++ b/src/process/deployment/tests/upstream_registry_test.cpp
@@ -109,3 +109,71 @@
         CHECK(usable(start) == 0);
     }
 }
+
+// An odd rewrite of one entry costs its upstream its place, or makes it start cold when it is written again.
+TEST_CASE("an entry that can't be read keeps its upstream from requests until it can be read again")
+{
+    const time_point start{1'000s};
+    upstream_registry registry({{data_centre_name("riga-a"), region_name("riga")}});
+    const auto plan = plan_with_cold_time();
+    const auto usable = [&](time_point now) { return registry.usable(&plan, now).size(); };
+    registry.apply(record_of("a"), true, start);
+    registry.apply(record_of("b"), true, start);
+    REQUIRE(usable(start) == 2);
+    const upstream_name odd("a");
+    CHECK(registry.refuse(odd, start));
+
+    SECTION("the others hold")
+    {
+        const auto views = registry.usable(&plan, start);
+        REQUIRE(views.size() == 1);
+        CHECK(views[0].record.id == upstream_name("b"));
+    }
+    SECTION("written again by the same process, it isn't taken for one that has just started")
+    {
+        registry.apply(record_of("a"), false, start + 1s);
+        REQUIRE(usable(start + 1s) == 2);
+        CHECK(registry.usable(&plan, start + 1s)[0].cold_until <= start);
+    }
+    SECTION("written again by a process that has started meanwhile, it is cold")
+    {
+        auto again = record_of("a");
+        again.started_unix_ms = 2;
+        registry.apply(again, false, start + 1s);
+        CHECK(registry.usable(&plan, start + 1s)[0].cold_until > start + 4s);
+    }
+    SECTION("a listing that still has it keeps what is known; one without it removes it")
+    {
+        registry.retain_listed({odd, upstream_name("b")}, false, start);
+        CHECK(registry.size() == 2);
+        CHECK(usable(start) == 1);
+        registry.retain_listed({upstream_name("b")}, false, start);
+        CHECK(registry.size() == 1);
+    }
+    SECTION("removed while the store was away, then odd: it isn't used when the grace time is over")
+    {
+        registry.remove(odd, true, start);
+        CHECK_FALSE(registry.refuse(odd, start + 1s));
+        CHECK_FALSE(registry.expire(start + 10s));
+        CHECK(usable(start + 10s) == 1);
+    }
+    SECTION("it is logged once a minute, however often it is written, and so is one that was never known")
+    {
+        for (int written = 0; written < 100; ++written) {
+            CHECK_FALSE(registry.refuse(odd, start + 1s));
+        }
+        CHECK(registry.refuse(odd, start + 60s));
+        CHECK(registry.refuse(upstream_name("never known"), start));
+        CHECK_FALSE(registry.refuse(upstream_name("never known"), start + 1s));
+        CHECK(registry.size() == 2);
+    }
+    SECTION("entries under ever new names don't grow the memory without bound, nor the log")
+    {
+        int logged = 0;
+        for (int number = 0; number < 5'000; ++number) {
+            logged += registry.refuse(upstream_name("odd-" + std::to_string(number)), start) ? 1 : 0;
+        }
+        CHECK(logged < 1'000);
+        CHECK(registry.size() == 2);
+    }
+}
--- a/src/process/deployment/upstream_registry.cpp
+++ b/src/process/deployment/upstream_registry.cpp
@@ -15,6 +15,10 @@
 /// store's delay.
 constexpr std::chrono::milliseconds cold_margin{500};
 
+constexpr std::chrono::seconds refusal_log_interval{60};
+
+constexpr std::size_t max_refusals_logged = 1'000; ///< within the interval
+
 } // namespace
 
 upstream_registry::upstream_registry(std::map<data_centre_name, region_name> regions)
@@ -34,9 +38,21 @@
         entry.reported_cold_until = now + record.cold_left + cold_margin;
     }
     entry.record = record;
+    entry.readable = true;
     entry.gone_at.reset();
 }
 
+bool upstream_registry::refuse(const upstream_name& id, time_point now)
+{
+    if (const auto found = m_entries.find(id); found != m_entries.end()) {
+        found->second.readable = false;
+        found->second.gone_at.reset();
+    }
+    std::erase_if(m_refusals_logged,
+                  [&](const auto& logged) { return now - logged.second >= refusal_log_interval; });
+    return m_refusals_logged.size() < max_refusals_logged && m_refusals_logged.emplace(id, now).second;
+}
+
 void upstream_registry::remove(const upstream_name& id, bool after_outage, time_point now)
 {
     const auto found = m_entries.find(id);
@@ -123,7 +139,7 @@
     std::vector<upstream_view> views;
     for (const auto& [id, entry] : m_entries) {
         const auto region = m_regions.find(entry.record.data_centre);
-        if (entry.record.leaving || m_evacuated.contains(entry.record.data_centre) ||
+        if (!entry.readable || entry.record.leaving || m_evacuated.contains(entry.record.data_centre) ||
             region == m_regions.end()) {
             continue;
         }
