Foreign answers: the first answer on a connection is no extra one

On a connection that has carried no other request an answer with another request's id isn't an extra answer, behind which the own one would come: waiting for that kept callers until their time was over.

--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -47,6 +47,11 @@
             return proof;
         }
         note_foreign_answer(exchange.head(), by_vm, where);
+        if (exchange.first_on_connection()) {
+            // It can't be an extra answer to an earlier request, behind which the own one comes.
+            m_last_failure = to_text(proof);
+            return std::nullopt;
+        }
         if (const auto next = exchange.skip_answer(max_foreign_bytes); !next) {
             note_failure(next.error());
             return std::nullopt;
