Test harness: programs inherit none of the test's sockets

node_fleet."VMs tell each other of a prompt part that ends upstreams" failed at its last check: callers of sound prompts weren't served in 2 s.

The upstreams of that test run inside it. child_process starts VMs by fork and exec and left all of the test's sockets open in them (6 of 20 sockets of one gateway, by inode). An upstream that "ended" after a VM had been started stayed open in that VM: new connections were accepted and never answered, and its streams neither went on nor broke. No end was recognised there, sound streams waited a second before they went on elsewhere, and the retry budget was used up. Upstreams started after the last VM behaved as they should, in the same run.

Programs now close all descriptors beyond the standard ones before exec. The check and its bound are as they were; the stand-in's end is now an end.

Evidence: standins."a socket that a test closes stays open in no program that the test has started" failed before, passes.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -29,6 +29,8 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
+    // A copy of the test's sockets would keep them open after the test has closed them.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::execv(arguments[0], arguments);
     ::_exit(exec_failed);
 }
