Placing: a probe that is refused counts as a refused connection

A VM that had seen an upstream's process end, by a broken stream and a refused probe, still sent its next request there: only refused connections of requests kept an upstream from placing.

record_process_end now suspects the upstream as a refused connection does, for the same time; if nothing else is left it is still tried.

--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -309,9 +309,11 @@
 void fleet_load::record_process_end(const upstream_name& upstream, time_point now)
 {
     const auto found = m_upstreams.find(upstream);
-    if (found != m_upstreams.end()) {
-        found->second.refused_connection_at = now;
+    if (found == m_upstreams.end()) {
+        return;
     }
+    found->second.refused_connection_at = now;
+    record_failure(found->second, now, true);
 }
 
 std::optional<std::string> fleet_load::version_of(const upstream_state& state, time_point now) const
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -310,6 +310,28 @@
     }
 }
 
+TEST_CASE("a process that is known to have ended gets no requests that would only be refused")
+{
+    placing_fixture fixture;
+    auto sent = fixture.send("a", 500);
+    fixture.load.end_request(sent, send_outcome::broken, fixture.now);
+    fixture.load.record_process_end(upstream_name("a"), fixture.now);
+    fixture.send("b", 40'000); // makes "a" the cheaper one
+    CHECK(fixture.place(fixture.request(500)).upstream != upstream_name("a"));
+
+    SECTION("unless nothing else is left")
+    {
+        auto only = fixture.request(500);
+        only.tried = {upstream_name("b"), upstream_name("c")};
+        CHECK(fixture.place(only).upstream == upstream_name("a"));
+    }
+    SECTION("until the time is over in which a refused connection keeps requests away")
+    {
+        fixture.now += 2s;
+        CHECK(fixture.place(fixture.request(500)).upstream == upstream_name("a"));
+    }
+}
+
 TEST_CASE("a cold upstream gets no more requests per second than its limit")
 {
     placing_fixture fixture;
