Planned stops: log their length, open connections, and each request that they cut

The log of a stopping VM could not tell whether a request was cut by the end of the grace, or by an end that came while nothing was counted as in flight, nor how long after the signal it had been read.

--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -16,6 +16,7 @@
 
 #include <atomic>
 #include <functional>
+#include <list>
 #include <memory>
 #include <random>
 #include <unordered_map>
@@ -23,6 +24,14 @@
 
 namespace cardamomstream {
 
+/// A request that is being served.
+struct served_request {
+    request_id id;
+    route_name route;
+    time_point read_at;
+    bool hop = false; ///< another VM has passed it on
+};
+
 /// Used on its traffic thread only, except for the atomics.
 class gateway_state {
 public:
@@ -65,6 +74,7 @@
     serving_times times;
     answer_memory held_answers;
     std::mt19937_64 random;
+    std::list<served_request> served;
     std::atomic<std::size_t> in_flight = 0; ///< requests being served; awaited when the process stops
     /// Set when a stop begins; the process ends by then.
     std::atomic<time_point> stop_deadline = time_point::max();
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -178,6 +178,9 @@
 {
     m_writer.on_caller_gone([this] { m_cancel.cancel(); });
     m_state.in_flight += 1;
+    const auto served =
+        m_state.served.insert(m_state.served.end(), {m_caller_request.id, m_route->name, m_started,
+                                                     m_placing_request.own_region_only});
     m_state.counters.in_flight.increment();
     if (m_cancel.cancelled()) {
         log_end("caller_gone", "before the request was read");
@@ -186,6 +189,7 @@
         run_attempts();
     }
     m_state.counters.in_flight.decrement();
+    m_state.served.erase(served);
     m_state.in_flight -= 1;
     if (!m_may_have_run && m_customer != nullptr) {
         m_state.quota.refund(m_customer->name, m_charged_amount);
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -8,9 +8,11 @@
 #include "cardamomstream/request/gateway/request_flow.h"
 
 #include <algorithm>
+#include <future>
 #include <thread>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <openssl/rand.h>
 
 namespace cardamomstream {
@@ -23,6 +25,7 @@
 /// The process ends so long before the kill.
 constexpr std::chrono::milliseconds stop_margin{600};
 constexpr std::chrono::milliseconds stop_poll{50};
+constexpr std::chrono::milliseconds cut_log_time{100}; ///< longest wait for the traffic thread
 
 constexpr std::uint32_t descriptors_for_files = 200;
 constexpr std::uint16_t metrics_port = 9'464; ///< the usual port of a Prometheus exporter
@@ -56,6 +59,11 @@
     return settings;
 }
 
+std::int64_t milliseconds_since(time_point from)
+{
+    return std::chrono::floor<std::chrono::milliseconds>(boot_clock::now() - from).count();
+}
+
 http_response not_found()
 {
     http_response response;
@@ -100,6 +108,11 @@
     std::vector<std::unique_ptr<http_server>> questions; ///< readiness, entry answers and metrics
 
 private:
+    std::int64_t caller_connections() const
+    {
+        return static_cast<std::int64_t>(entry.open_connections() + inner.open_connections());
+    }
+    void log_cut_requests(time_point stop_began);
     result<void> listen_for_questions(const endpoint& address);
     void serve_inner(const http_request& request, response_writer& writer);
     void serve_question(const http_request& request, response_writer& writer);
@@ -175,7 +188,8 @@
 {
     const auto began = boot_clock::now();
     log.write(log_weight::state, "stopping",
-              {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())}});
+              {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())},
+               {"connections", caller_connections()}});
     const auto end = began + settings.bounds.stop_grace - stop_margin;
     state.stop_deadline = end;
     control.announce_leaving();
@@ -190,8 +204,36 @@
             inner.stop_accepting();
         }
     }
+    if (state.in_flight > 0) {
+        log_cut_requests(began);
+    }
     log.write(log_weight::state, "stopped",
-              {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())}});
+              {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())},
+               {"connections", caller_connections()},
+               {"took_ms", milliseconds_since(began)}});
+}
+
+/// The end of the process cuts these requests.
+void node_process::impl::log_cut_requests(time_point stop_began)
+{
+    const auto logged = std::make_shared<std::promise<void>>();
+    auto done = logged->get_future();
+    boost::asio::post(traffic.front().io(), [this, stop_began, logged] {
+        for (const auto& request : state.served) {
+            const auto after_signal =
+                std::chrono::floor<std::chrono::milliseconds>(request.read_at - stop_began);
+            log.write(log_weight::state, "cut_at_stop",
+                      {{"request", request.id.str()},
+                       {"route", request.route.str()},
+                       {"hop", std::int64_t{request.hop ? 1 : 0}},
+                       {"after_signal_ms", std::int64_t{after_signal.count()}},
+                       {"took_ms", milliseconds_since(request.read_at)}});
+        }
+        logged->set_value();
+    });
+    if (done.wait_for(cut_log_time) != std::future_status::ready) {
+        log.write(log_weight::failure, "cut_at_stop_unlogged", {});
+    }
 }
 
 node_process::node_process(node_settings settings)
