Failing tests: a planned stop cuts requests that it has taken

Without processes: a busy server that stops resets connections that wait to be accepted and idle ones on which a request has arrived; an answer that is on its way is destroyed when its caller sends more.

--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -5,11 +5,14 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 #include <catch2/catch.hpp>
@@ -39,6 +42,28 @@
         return text;
     }
 
+    /// What has come up to the end of this text; less if the server closes.
+    std::string read_until(const std::string& end)
+    {
+        std::string text;
+        boost::system::error_code ec;
+        const auto length = boost::asio::read_until(m_socket, boost::asio::dynamic_buffer(text), end, ec);
+        return text.substr(0, length);
+    }
+
+    /// Everything until the server closes, in small reads with pauses. False if the connection is reset.
+    bool read_slowly(std::string& text)
+    {
+        std::vector<char> part(16 * 1024);
+        boost::system::error_code ec;
+        while (!ec) {
+            const auto length = m_socket.read_some(boost::asio::buffer(part), ec);
+            text.append(part.data(), length);
+            std::this_thread::sleep_for(1ms);
+        }
+        return ec == boost::asio::error::eof;
+    }
+
     void close() { m_socket.close(); }
 
 private:
@@ -63,6 +88,17 @@
         server.close_all();
     }
 
+    /// Keeps the server's thread from running anything else for this time, as on a loaded machine.
+    void occupy(std::chrono::milliseconds time)
+    {
+        std::promise<void> began;
+        threads.front().spawn([&] {
+            began.set_value();
+            std::this_thread::sleep_for(time);
+        });
+        began.get_future().wait();
+    }
+
     traffic_group threads{1};
     http_server server;
     endpoint address;
@@ -255,6 +291,57 @@
     }
 }
 
+TEST_CASE("a busy server stops: no request is cut that had come before")
+{
+    const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+    const std::string answer_end = "POST body";
+    running_server running(echo);
+
+    SECTION("a connection that waits to be accepted is served")
+    {
+        running.occupy(200ms);
+        raw_caller first(running.address);
+        raw_caller second(running.address);
+        first.send(request);
+        second.send(request);
+        running.server.stop_accepting();
+        for (auto* caller : {&first, &second}) {
+            const auto answer = caller->read_all();
+            CHECK(contains(answer, answer_end));
+            CHECK(contains(answer, "Connection: close"));
+        }
+    }
+    SECTION("so is a request that has arrived on a connection that was idle")
+    {
+        raw_caller kept(running.address);
+        kept.send(request);
+        REQUIRE(contains(kept.read_until(answer_end), "200 OK"));
+        running.occupy(200ms);
+        kept.send(request);
+        running.server.stop_accepting();
+        const auto answer = kept.read_all();
+        CHECK(contains(answer, answer_end));
+        CHECK(contains(answer, "Connection: close"));
+    }
+}
+
+TEST_CASE("the last answer of a connection arrives, whatever its caller still sends")
+{
+    constexpr std::size_t answer_bytes = 2 * 1024 * 1024;
+    running_server running(
+        [&](const http_request& /*request*/, std::size_t /*thread*/, response_writer& writer) {
+            (void)writer.send({{200, {}}, std::string(answer_bytes, 'a')});
+        });
+    running.server.announce_close();
+    raw_caller caller(running.address);
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(50ms);
+    caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::string answer;
+    CHECK(caller.read_slowly(answer));
+    CHECK(answer.size() > answer_bytes);
+}
+
 TEST_CASE("an address is held by one listener at a time")
 {
     running_server first(echo);
