Planned stops: late in a stop only requests are taken that surely end in time

A stopping VM admitted each request by the usual upper bound of its route, at any time of the stop. 1 in 20 requests takes longer than that.

While callers are leaving, the usual time still decides. From 2 s after the signal, when the listener closes too and whoever still sends does so on a connection that it should have left, a request is taken only if even its full time budget (the smaller one of the caller's and the route's) ends before the process does; hops alike. Others get 503 `stopping`, which is true, with Connection: close and a Retry-After of 0.1 s, so that the caller goes on at another VM at once.

--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -57,7 +57,15 @@
     /// True when requests can be served: a plan is known and the process is not stopping.
     bool ready() const { return deployment && deployment->plan && !stopping(); }
 
-    bool stopping() const { return stop_deadline.load() != time_point::max(); }
+    bool stopping() const { return m_stop_deadline.load() != time_point::max(); }
+
+    /// Begins a stop. From `strict_from` on, a request is taken only if even its full time budget ends before
+    /// the deadline. May be called on any thread.
+    void begin_stop(time_point strict_from, time_point deadline);
+
+    /// True unless the process stops and a request that is read now might be cut by its end.
+    bool answers_before_end(const route_name& route, std::chrono::milliseconds time_left,
+                            time_point now) const;
 
     const node_settings& settings;
     http_client& client;
@@ -75,9 +83,7 @@
     answer_memory held_answers;
     std::mt19937_64 random;
     std::list<served_request> served;
-    std::atomic<std::size_t> in_flight = 0; ///< requests being served; awaited when the process stops
-    /// Set when a stop begins; the process ends by then.
-    std::atomic<time_point> stop_deadline = time_point::max();
+    std::atomic<std::size_t> in_flight = 0;     ///< requests being served; awaited when the process stops
     std::function<void()> request_early_report; ///< sends a report to the other VMs before the next is due
 
 private:
@@ -90,6 +96,8 @@
     service_retries& find_or_add_retries(const pool_name& service);
     double retry_burst(double recent_requests) const;
 
+    std::atomic<time_point> m_stop_strict_from = time_point::max();
+    std::atomic<time_point> m_stop_deadline = time_point::max();
     std::size_t m_sharers = 0;
     std::unordered_map<pool_name, service_retries> m_retries;
     /// Last report applied of each VM.
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -110,11 +110,7 @@
 std::optional<error> request_flow<Wire>::check_stopping() const
 {
     using namespace std::chrono_literals;
-    if (!m_state.stopping()) {
-        return std::nullopt;
-    }
-    const auto needed = std::min(m_state.times.upper_bound(m_route->name), time_left());
-    if (m_started + needed <= m_state.stop_deadline.load()) {
+    if (m_state.answers_before_end(m_route->name, time_left(), boot_clock::now())) {
         return std::nullopt;
     }
     return error{error_kind::stopping, "this VM stops before the request would be answered",
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -19,7 +19,8 @@
 
 namespace {
 
-/// Callers keep an entry answer for a while after this VM has left it.
+/// Callers keep an entry answer for a while after this VM has left it. Whoever sends later does so on a
+/// connection that it should have left.
 constexpr std::chrono::milliseconds stop_accept_time{2'000};
 
 /// The process ends so long before the kill.
@@ -191,7 +192,7 @@
               {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())},
                {"connections", caller_connections()}});
     const auto end = began + settings.bounds.stop_grace - stop_margin;
-    state.stop_deadline = end;
+    state.begin_stop(began + stop_accept_time, end);
     control.announce_leaving();
     entry.announce_close();
     inner.announce_close();
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -94,6 +94,24 @@
     }
 }
 
+void gateway_state::begin_stop(time_point strict_from, time_point deadline)
+{
+    m_stop_strict_from = strict_from;
+    m_stop_deadline = deadline; // last, since it makes the stop visible
+}
+
+bool gateway_state::answers_before_end(const route_name& route, std::chrono::milliseconds time_left,
+                                       time_point now) const
+{
+    const auto deadline = m_stop_deadline.load();
+    if (deadline == time_point::max()) {
+        return true;
+    }
+    const auto needed =
+        now < m_stop_strict_from.load() ? std::min(times.upper_bound(route), time_left) : time_left;
+    return now + needed <= deadline;
+}
+
 void gateway_state::on_quarantine_changes(const std::vector<quarantine_change>& changes,
                                           const vm_name& source)
 {
--- a/src/request/gateway/tests/gateway_state_test.cpp
+++ b/src/request/gateway/tests/gateway_state_test.cpp
@@ -54,3 +54,34 @@
         CHECK(repeats <= requests * 0.2 + 52.0 / 8);
     }
 }
+
+TEST_CASE("a stop of the process doesn't cut a request that was taken late")
+{
+    traffic_group threads{1};
+    http_client client(threads.front().io(), {});
+    const node_settings settings;
+    decision_log log;
+    gateway_metrics counters;
+    gateway_state state(settings, client, log, counters, 7);
+    const route_name route("draft");
+    const auto start = boot_clock::now();
+    for (int i = 0; i < 50; ++i) {
+        state.times.sample(route, 1'000ms);
+    }
+    CHECK(state.answers_before_end(route, 1h, start));
+    CHECK_FALSE(state.stopping());
+
+    state.begin_stop(start + 2s, start + 7s);
+    CHECK(state.stopping());
+    SECTION("while callers are leaving, the usual time of a route decides")
+    {
+        CHECK(state.answers_before_end(route, 15s, start + 1s));
+    }
+    SECTION("from then on a request must end in time even if it uses up its time budget")
+    {
+        CHECK_FALSE(state.answers_before_end(route, 15s, start + 2s));
+        CHECK_FALSE(state.answers_before_end(route, 5'001ms, start + 2s));
+        CHECK(state.answers_before_end(route, 5'000ms, start + 2s));
+        CHECK(state.answers_before_end(route, 500ms, start + 6s));
+    }
+}
