HTTP server: a stop cuts no request that has come before it

The stop accepts first what waits to be accepted. The wait of an idle connection is cancelled instead of its socket being closed; its fiber closes it if nothing has arrived, and reads on otherwise.

A session is in its server's set from its acceptance on, so that `close_all` closes one whose fiber hasn't started; a server that is destroyed serves none.

--- a/include/cardamomstream/connection/http_server.h
+++ b/include/cardamomstream/connection/http_server.h
@@ -32,10 +32,14 @@
     /// Answers from now on carry `Connection: close`; connections are still accepted.
     void announce_close();
 
-    /// Accepts no further connections; open ones get `Connection: close` with their next answer and idle ones
-    /// are closed.
+    /// Accepts no further connections beyond those that wait to be accepted; open ones get `Connection:
+    /// close` with their next answer, and those on which nothing has come since the last are closed.
     void stop_accepting();
 
+    /// From now on no connection waits for a further request. Those that have sent one, or a part of it, are
+    /// answered first; `open_connections` falls to 0 afterwards.
+    void close_idle();
+
     /// Closes every connection that is still open.
     void close_all();
 
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -9,6 +9,7 @@
 #include <utility>
 #include <vector>
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <spdlog/spdlog.h>
@@ -37,7 +38,8 @@
 
     result<endpoint> bind(const endpoint& address);
     void accept_loop();
-    void start_session(tcp::socket socket, std::size_t thread);
+    void accept_waiting();
+    void start_session(tcp::socket socket);
 
     /// Calls `visit` with each session, on the session's thread.
     template <class Visitor>
@@ -46,6 +48,7 @@
     traffic_group& threads;
     std::vector<session_set> sessions; ///< by thread; each set is touched on its thread only
     tcp::acceptor acceptor;
+    std::size_t next_thread = 0; ///< of the next session
     std::shared_ptr<session_context> context = std::make_shared<session_context>();
     std::atomic<std::size_t> open = 0;
 };
@@ -83,24 +86,48 @@
 
 void http_server::state::accept_loop()
 {
-    for (std::size_t next = 0; !context->stopping; next = (next + 1) % threads.size()) {
-        tcp::socket socket(threads[next].io());
+    while (acceptor.is_open()) {
+        tcp::socket socket(threads[next_thread].io());
         const auto ec = acceptor.async_accept(socket, use_fiber);
-        if (ec == boost::asio::error::operation_aborted || context->stopping) {
+        if (ec == boost::asio::error::operation_aborted) {
             return;
         }
         if (ec) {
             spdlog::warn("accept failed: {}", ec.message());
             continue;
         }
-        start_session(std::move(socket), next);
+        start_session(std::move(socket));
     }
 }
 
-void http_server::state::start_session(tcp::socket socket, std::size_t thread)
+/// Accepts the connections that callers have opened already: closing the listener would reset them.
+void http_server::state::accept_waiting()
 {
+    boost::system::error_code ec;
+    acceptor.non_blocking(true, ec);
+    while (!ec) {
+        tcp::socket socket(threads[next_thread].io());
+        acceptor.accept(socket, ec);
+        if (!ec) {
+            start_session(std::move(socket));
+        }
+    }
+    if (ec != boost::asio::error::would_block) {
+        spdlog::warn("connections that wait to be accepted are reset: {}", ec.message());
+    }
+}
+
+void http_server::state::start_session(tcp::socket socket)
+{
+    if (context->closed) {
+        return;
+    }
+    const auto thread = std::exchange(next_thread, (next_thread + 1) % threads.size());
     auto session = std::make_shared<http_session>(std::move(socket), thread, context);
     const auto count = ++open;
+    boost::asio::dispatch(threads[thread].io(), [self = shared_from_this(), session, thread] {
+        self->sessions[thread].insert(session);
+    });
     threads[thread].spawn([self = shared_from_this(), session, thread, count] {
         if (count > self->context->limits.max_connections) {
             (void)session->send(error_response(
@@ -110,10 +137,9 @@
             session->close();
         }
         else {
-            self->sessions[thread].insert(session);
             session->run();
-            self->sessions[thread].erase(session);
         }
+        self->sessions[thread].erase(session);
         --self->open;
     });
 }
@@ -137,6 +163,7 @@
 
 http_server::~http_server()
 {
+    m_state->context->closed = true;
     stop_accepting();
     close_all();
 }
@@ -160,12 +187,21 @@
 {
     m_state->context->stopping = true;
     boost::asio::post(m_state->threads.front().io(), [self = m_state] {
+        if (self->acceptor.is_open()) {
+            self->accept_waiting();
+        }
         boost::system::error_code ignored;
         self->acceptor.close(ignored);
     });
     m_state->for_each_session([](http_session& session) { session.close_if_idle(); });
 }
 
+void http_server::close_idle()
+{
+    m_state->context->ending = true;
+    m_state->for_each_session([](http_session& session) { session.close_if_idle(); });
+}
+
 void http_server::close_all()
 {
     m_state->for_each_session([](http_session& session) { session.close(); });
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -111,18 +111,37 @@
     return m_ended && m_keep_alive && m_stream.socket().is_open();
 }
 
-boost::beast::error_code http_session::read_request(parser& incoming)
+/// Waits without a parser, so that an idle connection that ends is no malformed request.
+boost::beast::error_code http_session::await_request()
 {
-    m_idle = m_buffer.size() == 0;
-    if (m_idle) {
-        // Waits without a parser, so that an idle connection that ends is no malformed request.
-        m_stream.expires_after(m_context->limits.idle_timeout);
-        auto [wait_error, length] = m_stream.async_read_some(m_buffer.prepare(1024), use_fiber);
-        if (wait_error) {
+    while (m_buffer.size() == 0) {
+        if (m_context->ending && !has_unread_bytes()) {
             return http::error::end_of_stream;
         }
-        m_buffer.commit(length);
+        m_stream.expires_after(m_context->limits.idle_timeout);
+        m_idle = true;
+        auto [ec, length] = m_stream.async_read_some(m_buffer.prepare(1024), use_fiber);
         m_idle = false;
+        m_buffer.commit(length);
+        // A request may have come before the wait was ended.
+        if (ec && !(ec == boost::asio::error::operation_aborted && has_unread_bytes())) {
+            return http::error::end_of_stream;
+        }
+    }
+    return {};
+}
+
+bool http_session::has_unread_bytes()
+{
+    boost::beast::error_code ec;
+    const auto count = m_stream.socket().available(ec);
+    return !ec && count > 0;
+}
+
+boost::beast::error_code http_session::read_request(parser& incoming)
+{
+    if (auto ec = await_request()) {
+        return ec;
     }
     if (auto ec = read_within(m_context->limits.header_timeout, incoming, read_part::header)) {
         return ec;
@@ -182,7 +201,7 @@
 
 bool http_session::will_close() const
 {
-    return !m_keep_alive || m_context->closing || m_context->stopping;
+    return !m_keep_alive || m_context->closing || m_context->stopping || m_context->ending;
 }
 
 http::response<http::empty_body> http_session::make_head(const http_response_head& head) const
@@ -273,7 +292,8 @@
 void http_session::close_if_idle()
 {
     if (m_idle) {
-        close();
+        boost::beast::error_code ignored; // the waiting fiber closes the connection
+        m_stream.socket().cancel(ignored);
     }
 }
 
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -23,6 +23,8 @@
     request_handler handler;
     std::atomic<bool> closing = false;  ///< answers carry `Connection: close`
     std::atomic<bool> stopping = false; ///< no further connection is accepted
+    std::atomic<bool> ending = false;   ///< no connection waits for a further request
+    std::atomic<bool> closed = false;   ///< no connection is served
 };
 
 /// Reads requests from one connection and has them answered, one after the other. Keeps itself alive through
@@ -35,7 +37,7 @@
     /// Serves the connection until it ends; call in a fiber of the socket's thread.
     void run();
 
-    /// Ends the connection while it waits for a request; call on the socket's thread.
+    /// Ends the connection if it waits for a request of which nothing has come; call on the socket's thread.
     void close_if_idle();
     void close();
 
@@ -54,11 +56,13 @@
     enum class read_part { header, body };
 
     bool serve_one();
+    boost::beast::error_code await_request();
     boost::beast::error_code read_request(parser& incoming);
     boost::beast::error_code read_within(std::chrono::milliseconds limit, parser& incoming, read_part part);
     void refuse_malformed(boost::beast::error_code ec);
     void answer(parser& incoming);
     bool will_close() const;
+    bool has_unread_bytes();
     result<void> finish_write(boost::beast::error_code ec);
     boost::beast::http::response<boost::beast::http::empty_body>
     make_head(const http_response_head& head) const;
@@ -72,7 +76,7 @@
     bool m_keep_alive = true;
     bool m_started = false;
     bool m_ended = false;
-    bool m_idle = true;
+    bool m_idle = false; ///< waits for a request of which nothing has come
 };
 
 } // namespace cardamomstream
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -325,6 +325,43 @@
     }
 }
 
+TEST_CASE("a server closes its idle connections before its process ends")
+{
+    const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+    const std::string answer_end = "POST body";
+    running_server running(echo);
+    raw_caller kept(running.address);
+    kept.send(request);
+    REQUIRE(contains(kept.read_until(answer_end), "200 OK"));
+    const auto await_end = [&] {
+        for (int polls = 0; polls < 200 && running.server.open_connections() > 0; ++polls) {
+            std::this_thread::sleep_for(10ms);
+        }
+        return running.server.open_connections() == 0;
+    };
+
+    SECTION("one on which nothing has come, whether it was idle before or has just been answered")
+    {
+        running.server.close_idle();
+        CHECK(kept.read_all().empty());
+        CHECK(await_end());
+    }
+    SECTION("one on which a part of a request has come is answered first")
+    {
+        kept.send(request.substr(0, request.size() - 2));
+        running.server.stop_accepting();
+        running.server.close_idle();
+        std::this_thread::sleep_for(50ms);
+        CHECK(running.server.open_connections() == 1);
+        kept.send(request.substr(request.size() - 2));
+        const auto answer = kept.read_all();
+        CHECK(contains(answer, answer_end));
+        CHECK(contains(answer, "Connection: close"));
+        kept.close();
+        CHECK(await_end());
+    }
+}
+
 TEST_CASE("the last answer of a connection arrives, whatever its caller still sends")
 {
     constexpr std::size_t answer_bytes = 2 * 1024 * 1024;
