HTTP server: linger after the last answer of a connection

A server that answers with Connection: close shut down and closed the socket at once. The same holds for a request that is refused before its body was read, and for the refusal of one connection too many.

After the last answer the connection is shut down for sending, and what the caller still sends is read off until it closes, for 300 ms at most. Idle connections and streams that are cut are closed at once as before: nothing of an answer is on its way, and a request that crosses the close stays unread.

--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -134,7 +134,7 @@
                 {error_kind::too_many_connections, "this VM has too many open connections",
                  "try again, or another VM of GET /v1/entry", run_outcome::not_run, std::chrono::seconds{1}},
                 request_id{}));
-            session->close();
+            session->close_after_answer();
         }
         else {
             session->run();
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -4,6 +4,7 @@
 #include "cardamomstream/connection/io_deadline.h"
 #include "cardamomstream/connection/use_fiber.h"
 
+#include <tuple>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -66,6 +67,11 @@
     return hosts == 1 || (hosts == 0 && message.version() < http_1_1);
 }
 
+/// After the last answer of a connection, for what its caller still sends: a close with unread bytes resets
+/// the connection, which destroys what the caller hasn't received yet.
+constexpr std::chrono::milliseconds lingering_time{300};
+constexpr std::size_t lingering_read_bytes = 4 * 1024;
+
 error write_error()
 {
     return {error_kind::request_timeout,
@@ -91,7 +97,25 @@
     m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     while (serve_one()) {
     }
-    m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    if (m_ended) {
+        close_after_answer();
+    }
+    else {
+        close();
+    }
+}
+
+void http_session::close_after_answer()
+{
+    auto& socket = m_stream.socket();
+    boost::beast::error_code ec;
+    socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    m_stream.expires_never();
+    const io_deadline deadline(socket, lingering_time);
+    m_buffer.clear();
+    while (!ec && !deadline.expired()) {
+        std::tie(ec, std::ignore) = socket.async_read_some(m_buffer.prepare(lingering_read_bytes), use_fiber);
+    }
     close();
 }
 
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -40,6 +40,8 @@
     /// Ends the connection if it waits for a request of which nothing has come; call on the socket's thread.
     void close_if_idle();
     void close();
+    /// Ends the connection once its caller has received the last answer and closes, or after a short time.
+    void close_after_answer();
 
     result<void> send(const http_response& response) override;
     result<void> refuse(const error& reason, const request_id& id) override;
