Planned stops: the process ends when the last connection is closed

A VM that stops ended as soon as it saw no request in flight after the listener was closed. Streams that began before the signal promise keep-alive, so their callers do send on.

Once nothing is in flight, and 0.4 s before the end of the grace at the latest, no connection is kept for a further request any more; the process ends when all connections of callers and other VMs are closed, or by its grace.

--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -26,6 +26,9 @@
 /// The process ends so long before the kill.
 constexpr std::chrono::milliseconds stop_margin{600};
 constexpr std::chrono::milliseconds stop_poll{50};
+
+/// So long before the end of the process connections are no longer kept for a further request.
+constexpr std::chrono::milliseconds last_close_time{400};
 constexpr std::chrono::milliseconds cut_log_time{100}; ///< longest wait for the traffic thread
 
 constexpr std::uint32_t descriptors_for_files = 200;
@@ -196,14 +199,22 @@
     control.announce_leaving();
     entry.announce_close();
     inner.announce_close();
+    const auto refuse_connections_at = began + stop_accept_time;
     bool accepting = true;
-    while (boot_clock::now() < end && (accepting || state.in_flight > 0)) {
+    bool serving = true;
+    while (boot_clock::now() < end && (serving || caller_connections() > 0)) {
         std::this_thread::sleep_for(stop_poll);
-        if (accepting && boot_clock::now() - began >= stop_accept_time) {
+        const auto now = boot_clock::now();
+        if (accepting && now >= refuse_connections_at) {
             accepting = false;
             entry.stop_accepting();
             inner.stop_accepting();
         }
+        else if (!accepting && serving && (state.in_flight == 0 || now >= end - last_close_time)) {
+            serving = false;
+            entry.close_idle();
+            inner.close_idle();
+        }
     }
     if (state.in_flight > 0) {
         log_cut_requests(began);
