--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -8,22 +8,29 @@
 #include "cardamomstream/request/gateway/request_flow.h"
 
 #include <algorithm>
+#include <future>
 #include <thread>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <openssl/rand.h>
 
 namespace cardamomstream {
 
 namespace {
 
-/// Callers keep an entry answer for a while after this VM has left it.
+/// Callers keep an entry answer for a while after this VM has left it. Whoever sends later does so on a
+/// connection that it should have left.
 constexpr std::chrono::milliseconds stop_accept_time{2'000};
 
 /// The process ends so long before the kill.
 constexpr std::chrono::milliseconds stop_margin{600};
 constexpr std::chrono::milliseconds stop_poll{50};
 
+/// So long before the end of the process connections are no longer kept for a further request.
+constexpr std::chrono::milliseconds last_close_time{400};
+constexpr std::chrono::milliseconds cut_log_time{100}; ///< longest wait for the traffic thread
+
 constexpr std::uint32_t descriptors_for_files = 200;
 constexpr std::uint16_t metrics_port = 9'464; ///< the usual port of a Prometheus exporter
 
@@ -56,6 +63,11 @@
     return settings;
 }
 
+std::int64_t milliseconds_since(time_point from)
+{
+    return std::chrono::floor<std::chrono::milliseconds>(boot_clock::now() - from).count();
+}
+
 http_response not_found()
 {
     http_response response;
@@ -100,6 +112,11 @@
     std::vector<std::unique_ptr<http_server>> questions; ///< readiness, entry answers and metrics
 
 private:
+    std::int64_t caller_connections() const
+    {
+        return static_cast<std::int64_t>(entry.open_connections() + inner.open_connections());
+    }
+    void log_cut_requests(time_point stop_began);
     result<void> listen_for_questions(const endpoint& address);
     void serve_inner(const http_request& request, response_writer& writer);
     void serve_question(const http_request& request, response_writer& writer);
@@ -175,23 +192,60 @@
 {
     const auto began = boot_clock::now();
     log.write(log_weight::state, "stopping",
-              {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())}});
+              {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())},
+               {"connections", caller_connections()}});
     const auto end = began + settings.bounds.stop_grace - stop_margin;
-    state.stop_deadline = end;
+    state.begin_stop(began + stop_accept_time, end);
     control.announce_leaving();
     entry.announce_close();
     inner.announce_close();
+    const auto refuse_connections_at = began + stop_accept_time;
     bool accepting = true;
-    while (boot_clock::now() < end && (accepting || state.in_flight > 0)) {
+    bool serving = true;
+    while (boot_clock::now() < end && (serving || caller_connections() > 0)) {
         std::this_thread::sleep_for(stop_poll);
-        if (accepting && boot_clock::now() - began >= stop_accept_time) {
+        const auto now = boot_clock::now();
+        if (accepting && now >= refuse_connections_at) {
             accepting = false;
             entry.stop_accepting();
             inner.stop_accepting();
         }
+        else if (!accepting && serving && (state.in_flight == 0 || now >= end - last_close_time)) {
+            serving = false;
+            entry.close_idle();
+            inner.close_idle();
+        }
+    }
+    if (state.in_flight > 0) {
+        log_cut_requests(began);
     }
     log.write(log_weight::state, "stopped",
-              {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())}});
+              {{"in_flight", static_cast<std::int64_t>(state.in_flight.load())},
+               {"connections", caller_connections()},
+               {"took_ms", milliseconds_since(began)}});
+}
+
+/// The end of the process cuts these requests.
+void node_process::impl::log_cut_requests(time_point stop_began)
+{
+    const auto logged = std::make_shared<std::promise<void>>();
+    auto done = logged->get_future();
+    boost::asio::post(traffic.front().io(), [this, stop_began, logged] {
+        for (const auto& request : state.served) {
+            const auto after_signal =
+                std::chrono::floor<std::chrono::milliseconds>(request.read_at - stop_began);
+            log.write(log_weight::state, "cut_at_stop",
+                      {{"request", request.id.str()},
+                       {"route", request.route.str()},
+                       {"hop", std::int64_t{request.hop ? 1 : 0}},
+                       {"after_signal_ms", std::int64_t{after_signal.count()}},
+                       {"took_ms", milliseconds_since(request.read_at)}});
+        }
+        logged->set_value();
+    });
+    if (done.wait_for(cut_log_time) != std::future_status::ready) {
+        log.write(log_weight::failure, "cut_at_stop_unlogged", {});
+    }
 }
 
 node_process::node_process(node_settings settings)
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -4,6 +4,7 @@
 #include "cardamomstream/connection/io_deadline.h"
 #include "cardamomstream/connection/use_fiber.h"
 
+#include <tuple>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -67,6 +68,11 @@
     return hosts == 1 || (hosts == 0 && message.version() < http_1_1);
 }
 
+/// After the last answer of a connection, for what its caller still sends: a close with unread bytes resets
+/// the connection, which destroys what the caller hasn't received yet.
+constexpr std::chrono::milliseconds lingering_time{300};
+constexpr std::size_t lingering_read_bytes = 4 * 1024;
+
 error write_error()
 {
     return {error_kind::request_timeout,
@@ -92,7 +98,25 @@
     m_stream.socket().set_option(boost::asio::ip::tcp::no_delay(true), ignored);
     while (serve_one()) {
     }
-    m_stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    if (m_ended) {
+        close_after_answer();
+    }
+    else {
+        close();
+    }
+}
+
+void http_session::close_after_answer()
+{
+    auto& socket = m_stream.socket();
+    boost::beast::error_code ec;
+    socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
+    m_stream.expires_never();
+    const io_deadline deadline(socket, lingering_time);
+    m_buffer.clear();
+    while (!ec && !deadline.expired()) {
+        std::tie(ec, std::ignore) = socket.async_read_some(m_buffer.prepare(lingering_read_bytes), use_fiber);
+    }
     close();
 }
 
@@ -112,18 +136,37 @@
     return m_ended && m_keep_alive && m_stream.socket().is_open();
 }
 
-boost::beast::error_code http_session::read_request(parser& incoming)
+/// Waits without a parser, so that an idle connection that ends is no malformed request.
+boost::beast::error_code http_session::await_request()
 {
-    m_idle = m_buffer.size() == 0;
-    if (m_idle) {
-        // Waits without a parser, so that an idle connection that ends is no malformed request.
-        m_stream.expires_after(m_context->limits.idle_timeout);
-        auto [wait_error, length] = m_stream.async_read_some(m_buffer.prepare(1024), use_fiber);
-        if (wait_error) {
+    while (m_buffer.size() == 0) {
+        if (m_context->ending && !has_unread_bytes()) {
             return http::error::end_of_stream;
         }
-        m_buffer.commit(length);
+        m_stream.expires_after(m_context->limits.idle_timeout);
+        m_idle = true;
+        auto [ec, length] = m_stream.async_read_some(m_buffer.prepare(1024), use_fiber);
         m_idle = false;
+        m_buffer.commit(length);
+        // A request may have come before the wait was ended.
+        if (ec && !(ec == boost::asio::error::operation_aborted && has_unread_bytes())) {
+            return http::error::end_of_stream;
+        }
+    }
+    return {};
+}
+
+bool http_session::has_unread_bytes()
+{
+    boost::beast::error_code ec;
+    const auto count = m_stream.socket().available(ec);
+    return !ec && count > 0;
+}
+
+boost::beast::error_code http_session::read_request(parser& incoming)
+{
+    if (auto ec = await_request()) {
+        return ec;
     }
     if (auto ec = read_within(m_context->limits.header_timeout, incoming, read_part::header)) {
         return ec;
@@ -183,7 +226,7 @@
 
 bool http_session::will_close() const
 {
-    return !m_keep_alive || m_context->closing || m_context->stopping;
+    return !m_keep_alive || m_context->closing || m_context->stopping || m_context->ending;
 }
 
 http::response<http::empty_body> http_session::make_head(const http_response_head& head) const
@@ -287,7 +330,8 @@
 void http_session::close_if_idle()
 {
     if (m_idle) {
-        close();
+        boost::beast::error_code ignored; // the waiting fiber closes the connection
+        m_stream.socket().cancel(ignored);
     }
 }
 
