Not run: an upstream's refusal needs the id of the request

That an answer is the first on its connection doesn't show that it came after the request: the look for bytes before the write hardly ever finds them in time.

Without an id only a VM's own refusal counts, as the first on its connection: a VM that has too many connections refuses before it reads.

--- a/include/cardamomstream/request/gateway/answer_proof.h
+++ b/include/cardamomstream/request/gateway/answer_proof.h
@@ -28,8 +28,9 @@
     bool repeatable = false; ///< the request may run more than once
 };
 
-/// An answer belongs to the request of which it has the id. One without an id can only be to this request if
-/// it is the first on its connection.
+/// An answer belongs to the request of which it has the id. Upstreams return the id of every request that has
+/// one; a VM that refuses a connection before it reads a request can't. An answer without an id is therefore
+/// to this request only as the first on its connection, and only if it is a VM's own or the request has none.
 answer_proof assess_answer(const answer_facts& answer);
 
 } // namespace cardamomstream
--- a/src/request/gateway/answer_proof.cpp
+++ b/src/request/gateway/answer_proof.cpp
@@ -24,7 +24,13 @@
 answer_proof assess_answer(const answer_facts& answer)
 {
     const auto& origin = answer.origin;
-    if (origin.id.empty() ? !answer.first_on_connection : origin.id != answer.request) {
+    if (origin.id != answer.request) {
+        const bool vm_before_reading = answer.by_vm && origin.id.empty() && !origin.from_upstream;
+        if (!vm_before_reading || !answer.first_on_connection) {
+            return answer_proof::foreign;
+        }
+    }
+    else if (origin.id.empty() && !answer.first_on_connection) {
         return answer_proof::foreign;
     }
     const bool promises = guarantees_not_run(answer.status);
--- a/src/request/gateway/tests/answer_proof_test.cpp
+++ b/src/request/gateway/tests/answer_proof_test.cpp
@@ -66,10 +66,18 @@
     for (const auto& facts : {answer(200, none), rejection(503, none), vm_refusal(503, none)}) {
         CHECK(assess_answer(facts) == answer_proof::foreign);
     }
-    CHECK(assess_first(answer(200, none)) == answer_proof::answered);
-    CHECK(assess_first(rejection(503, none)) == answer_proof::not_run);
     CHECK(assess_first(vm_refusal(429, none)) == answer_proof::not_run);
 
+    SECTION("and nothing when it is an upstream's, which may have written it before it read the request")
+    {
+        CHECK(assess_first(answer(200, none)) == answer_proof::foreign);
+        CHECK(assess_first(rejection(503, none)) == answer_proof::foreign);
+        CHECK(assess_first(rejection(421, none)) == answer_proof::foreign);
+        auto relayed = answer(200, none);
+        relayed.by_vm = true;
+        CHECK(assess_first(relayed) == answer_proof::foreign);
+    }
+
     SECTION("also when the request has none")
     {
         auto facts = rejection(400, none);
