HTTP server: a stop waits for the accept queue; sessions stay on the thread of their socket

Found in review, by reading. A busy traffic thread could lose the accept queue: the process ended once nothing was open, before the posted stop_accepting had run; it now waits for accepting() to be false. The thread of a session was drawn after the accept, so that a stop in between could run it on another thread than its socket's.

--- a/include/cardamomstream/connection/http_server.h
+++ b/include/cardamomstream/connection/http_server.h
@@ -36,6 +36,9 @@
     /// close` with their next answer, and those on which nothing has come since the last are closed.
     void stop_accepting();
 
+    /// False once `stop_accepting` has accepted the connections that waited; then all are open connections.
+    bool accepting() const;
+
     /// From now on no connection waits for a further request. Those that have sent one, or a part of it, are
     /// answered first; `open_connections` falls to 0 afterwards.
     void close_idle();
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -210,7 +210,8 @@
             entry.stop_accepting();
             inner.stop_accepting();
         }
-        else if (!accepting && serving && (state.in_flight == 0 || now >= end - last_close_time)) {
+        else if (serving && !accepting && !entry.accepting() && !inner.accepting() &&
+                 (state.in_flight == 0 || now >= end - last_close_time)) {
             serving = false;
             entry.close_idle();
             inner.close_idle();
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -39,7 +39,8 @@
     result<endpoint> bind(const endpoint& address);
     void accept_loop();
     void accept_waiting();
-    void start_session(tcp::socket socket);
+    std::size_t take_thread() { return std::exchange(next_thread, (next_thread + 1) % threads.size()); }
+    void start_session(tcp::socket socket, std::size_t thread);
 
     /// Calls `visit` with each session, on the session's thread.
     template <class Visitor>
@@ -51,6 +52,7 @@
     std::size_t next_thread = 0; ///< of the next session
     std::shared_ptr<session_context> context = std::make_shared<session_context>();
     std::atomic<std::size_t> open = 0;
+    std::atomic<bool> accepting = false;
 };
 
 result<endpoint> http_server::state::bind(const endpoint& address)
@@ -87,7 +89,8 @@
 void http_server::state::accept_loop()
 {
     while (acceptor.is_open()) {
-        tcp::socket socket(threads[next_thread].io());
+        const auto thread = take_thread();
+        tcp::socket socket(threads[thread].io());
         const auto ec = acceptor.async_accept(socket, use_fiber);
         if (ec == boost::asio::error::operation_aborted) {
             return;
@@ -96,7 +99,7 @@
             spdlog::warn("accept failed: {}", ec.message());
             continue;
         }
-        start_session(std::move(socket));
+        start_session(std::move(socket), thread);
     }
 }
 
@@ -106,10 +109,11 @@
     boost::system::error_code ec;
     acceptor.non_blocking(true, ec);
     while (!ec) {
-        tcp::socket socket(threads[next_thread].io());
+        const auto thread = take_thread();
+        tcp::socket socket(threads[thread].io());
         acceptor.accept(socket, ec);
         if (!ec) {
-            start_session(std::move(socket));
+            start_session(std::move(socket), thread);
         }
     }
     if (ec != boost::asio::error::would_block) {
@@ -117,12 +121,11 @@
     }
 }
 
-void http_server::state::start_session(tcp::socket socket)
+void http_server::state::start_session(tcp::socket socket, std::size_t thread)
 {
     if (context->closed) {
         return;
     }
-    const auto thread = std::exchange(next_thread, (next_thread + 1) % threads.size());
     auto session = std::make_shared<http_session>(std::move(socket), thread, context);
     const auto count = ++open;
     boost::asio::dispatch(threads[thread].io(), [self = shared_from_this(), session, thread] {
@@ -134,7 +137,7 @@
                 {error_kind::too_many_connections, "this VM has too many open connections",
                  "try again, or another VM of GET /v1/entry", run_outcome::not_run, std::chrono::seconds{1}},
                 request_id{}));
-            session->close_after_answer();
+            session->close(); // without the wait for its caller, which would keep others out
         }
         else {
             session->run();
@@ -174,6 +177,7 @@
     if (!bound) {
         return bound;
     }
+    m_state->accepting = true;
     m_state->threads.front().spawn([self = m_state] { self->accept_loop(); });
     return bound;
 }
@@ -192,6 +196,7 @@
         }
         boost::system::error_code ignored;
         self->acceptor.close(ignored);
+        self->accepting = false;
     });
     m_state->for_each_session([](http_session& session) { session.close_if_idle(); });
 }
@@ -207,6 +212,11 @@
     m_state->for_each_session([](http_session& session) { session.close(); });
 }
 
+bool http_server::accepting() const
+{
+    return m_state->accepting;
+}
+
 std::size_t http_server::open_connections() const
 {
     return m_state->open;
