--- a/include/cardamomstream/request/gateway/event_splitter.h
+++ b/include/cardamomstream/request/gateway/event_splitter.h
@@ -69,7 +69,7 @@
     struct event_content;
 
     static event_content read_event(std::string_view event);
-    std::string accept(std::string event);
+    std::string accept(std::string_view event);
     event_fault check(const event_content& content);
 
     std::string m_partial_event;
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -94,6 +94,7 @@
     void init_placing_request(const pool_name& service, int urgency);
     void serve();
     void run_attempts();
+    void begin_send(const placement& where);
     send_result send_to_upstream(const placement& where);
     send_result send_to_region(const placement& where);
     send_result handle_answer(http_exchange& exchange, sent_request* sent, const placement& where);
@@ -104,6 +105,9 @@
     send_result relay_stream(http_exchange& exchange, sent_request* sent, const placement& where);
     send_result relay_answer(http_exchange& exchange, sent_request* sent, const placement& where);
     send_result use_answer(http_exchange& exchange, sent_request* sent, const placement& where);
+    send_result relay_part(std::string part, const http_response_head& head, sent_request* sent,
+                           const placement& where);
+    send_result end_stream(http_exchange& exchange, const sent_request* sent, const placement& where);
     send_result reject_events(std::string_view reason);
     void record_resumption(const http_response_head& head, const placement& where, std::string_view after,
                            send_result result);
@@ -237,15 +241,7 @@
             refuse_placing(where);
             return;
         }
-        m_sends += 1;
-        m_predicted = where.predicted;
-        m_running_at_upstream = where.running;
-        m_last_upstream = where.upstream.str();
-        m_sent_version = where.version;
-        m_answer_began_at.reset();
-        m_answer_lasts = false;
-        m_connection_broke = false;
-        m_events.begin_run();
+        begin_send(where);
         const auto result = here ? send_to_upstream(where) : send_to_region(where);
         if (result == send_result::answered || result == send_result::caller_left) {
             if (result == send_result::caller_left) {
@@ -287,6 +283,20 @@
     return {};
 }
 
+template <gateway_wire Wire>
+void request_flow<Wire>::begin_send(const placement& where)
+{
+    m_sends += 1;
+    m_predicted = where.predicted;
+    m_running_at_upstream = where.running;
+    m_last_upstream = where.upstream.str();
+    m_sent_version = where.version;
+    m_answer_began_at.reset();
+    m_answer_lasts = false;
+    m_connection_broke = false;
+    m_events.begin_run();
+}
+
 template <gateway_wire Wire>
 bool request_flow<Wire>::may_retry(send_result result)
 {
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -208,43 +208,62 @@
     m_last_event_at = boot_clock::now();
     while (true) {
         auto part = exchange.next();
-        const auto now = boot_clock::now();
         if (!part) {
             note_failure(part.error());
             return end_broken_stream();
         }
         if (sent != nullptr) {
-            m_state.load.on_first_event(*sent, now);
+            m_state.load.on_first_event(*sent, boot_clock::now());
         }
         if (!part.value()) {
-            break;
-        }
-        const auto bytes =
-            m_route->resumable ? m_events.feed(*part.value()) : m_events.pass_over(std::move(*part.value()));
-        if (write_events(bytes, exchange.head()) == send_result::caller_left) {
-            return send_result::caller_left;
+            return end_stream(exchange, sent, where);
         }
-        if (m_events.fault() != event_fault::none) {
-            return reject_events(to_text(m_events.fault()));
+        const auto result = relay_part(std::move(*part.value()), exchange.head(), sent, where);
+        if (result != send_result::answered) {
+            return result;
         }
-        if (bytes.empty() && !m_events.within_size_limit()) {
-            m_last_failure = "an event exceeds the size limit";
-            return send_result::may_have_run;
-        }
-        if (bytes.empty() && now - m_last_event_at > stall_timeout(where)) {
-            m_last_failure = "the stream sends bytes but completes no event";
-            return send_result::may_have_run;
+    }
+}
+
+/// Writes what the bytes complete. Returns `answered` while the stream goes on.
+template <gateway_wire Wire>
+typename request_flow<Wire>::send_result
+request_flow<Wire>::relay_part(std::string part, const http_response_head& head, sent_request* sent,
+                               const placement& where)
+{
+    const auto now = boot_clock::now();
+    const auto bytes = m_route->resumable ? m_events.feed(part) : m_events.pass_over(std::move(part));
+    if (write_events(bytes, head) == send_result::caller_left) {
+        return send_result::caller_left;
+    }
+    if (m_events.fault() != event_fault::none) {
+        return reject_events(to_text(m_events.fault()));
+    }
+    if (bytes.empty() && !m_events.within_size_limit()) {
+        m_last_failure = "an event exceeds the size limit";
+        return send_result::may_have_run;
+    }
+    if (bytes.empty() && now - m_last_event_at > stall_timeout(where)) {
+        m_last_failure = "the stream sends bytes but completes no event";
+        return send_result::may_have_run;
+    }
+    if (!bytes.empty()) {
+        m_last_event_at = now;
+        if (now - m_answer_began_at.value_or(now) >= lasting_answer) {
+            note_success(now);
         }
-        if (!bytes.empty()) {
-            m_last_event_at = now;
-            if (now - m_answer_began_at.value_or(now) >= lasting_answer) {
-                note_success(now);
-            }
-            if (sent != nullptr) {
-                m_state.load.record_activity(where.upstream, now);
-            }
+        if (sent != nullptr) {
+            m_state.load.record_activity(where.upstream, now);
         }
     }
+    return send_result::answered;
+}
+
+/// Ends the caller's stream if the upstream's bytes have come to an end that is the stream's.
+template <gateway_wire Wire>
+typename request_flow<Wire>::send_result
+request_flow<Wire>::end_stream(http_exchange& exchange, const sent_request* sent, const placement& where)
+{
     if (exchange.ends_with_connection() && (!m_events.at_event_end() || process_has_ended(sent, where))) {
         note_broken_end();
         return end_broken_stream();
--- a/src/request/gateway/event_splitter.cpp
+++ b/src/request/gateway/event_splitter.cpp
@@ -152,7 +152,8 @@
         }
         const bool ends_line = byte == '\r' || byte == '\n';
         if (std::exchange(m_line_empty, ends_line) && ends_line) {
-            events += accept(std::exchange(m_partial_event, {}));
+            events += accept(m_partial_event);
+            m_partial_event.clear();
         }
     }
     return events;
@@ -167,10 +168,10 @@
         m_fault = event_fault::incomplete_event;
         return {};
     }
-    return accept(std::exchange(m_partial_event, {}));
+    return accept(m_partial_event);
 }
 
-std::string event_splitter::accept(std::string event)
+std::string event_splitter::accept(std::string_view event)
 {
     const auto content = read_event(event);
     const bool comment = !content.has_field;
@@ -184,7 +185,9 @@
         m_held += event;
         return {};
     }
-    return std::exchange(m_held, {}) + event;
+    auto events = std::exchange(m_held, {});
+    events += event;
+    return events;
 }
 
 event_fault event_splitter::check(const event_content& content)
--- a/src/request/gateway/tests/event_splitter_test.cpp
+++ b/src/request/gateway/tests/event_splitter_test.cpp
@@ -178,7 +178,11 @@
 TEST_CASE("lines end with LF, CR or CRLF, in pieces of any size")
 {
     for (const std::string end : {"\n", "\r", "\r\n"}) {
-        const std::string stream = "id: 1" + end + "data: a" + end + end + "id: 2" + end + end;
+        std::string stream;
+        for (const auto* line : {"id: 1", "data: a", "", "id: 2", ""}) {
+            stream += line;
+            stream += end;
+        }
         for (std::size_t size = 1; size < stream.size(); ++size) {
             event_splitter split;
             event_splitter passed;
