Planned stop of the own interface: requests of which a part has come are answered

The same cause as at the gateway's planned stop: the process ended once no request was running, and cut one of which only a part had come. It now closes idle connections and waits, within the drain limit, until the others have been answered. The new test sends half a request at the signal and the rest 2.5 s later; that it failed before was not run by the lead.

--- a/src/app/control/stop_controller.cpp
+++ b/src/app/control/stop_controller.cpp
@@ -83,6 +83,10 @@
     while (m_state.service.running() > 0 && boot_clock::now() < until) {
         boost::this_fiber::sleep_for(drain_poll);
     }
+    m_entry.close_idle(); // requests of which a part has come are answered
+    while (m_entry.open_connections() > 0 && boot_clock::now() < until) {
+        boost::this_fiber::sleep_for(drain_poll);
+    }
 }
 
 } // namespace cardamomstream
--- a/tests/integration/stop_test.cpp
+++ b/tests/integration/stop_test.cpp
@@ -84,3 +84,18 @@
     REQUIRE(send_once(fleet.entry("riga-b"), guarded, std::chrono::seconds(20)));
     CHECK(fleet.runs_of(body) == 1);
 }
+
+TEST_CASE("a planned stop answers a request that is half sent when nothing else runs")
+{
+    fleet fleet(one_region(programs(), 2));
+    http_caller caller(fleet.entry("riga-a"));
+    REQUIRE(caller.send_raw("GET /v1/entry HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer " + keys::carrier));
+    fleet.process("riga-a").signal(SIGTERM);
+    std::this_thread::sleep_for(std::chrono::milliseconds(2'500));
+    CHECK(caller.send_raw("\r\n\r\n"));
+    const auto received = caller.finish();
+    REQUIRE(received);
+    CHECK(received.value().status == 200);
+    CHECK(received.value().header("Connection") == "close");
+    CHECK(fleet.process("riga-a").wait(std::chrono::seconds(15)) == 0);
+}
