--- a/src/request/serving/attempt_runner.cpp
+++ b/src/request/serving/attempt_runner.cpp
@@ -58,10 +58,10 @@
 /// ended.
 class upstream_response {
 public:
-    upstream_response(std::unique_ptr<http_exchange> exchange, http_client& client, const endpoint& address)
+    upstream_response(std::unique_ptr<http_exchange> exchange, http_client& client, endpoint address)
         : m_exchange(std::move(exchange))
         , m_client(client)
-        , m_address(address)
+        , m_address(std::move(address))
     {
     }
 
