--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -94,12 +94,12 @@
     /// Keeps the server's thread from running anything else for this time, as on a loaded machine.
     void occupy(std::chrono::milliseconds time)
     {
-        std::promise<void> began;
-        threads.front().spawn([&] {
-            began.set_value();
+        const auto began = std::make_shared<std::promise<void>>();
+        threads.front().spawn([time, began] {
+            began->set_value();
             std::this_thread::sleep_for(time);
         });
-        began.get_future().wait();
+        began->get_future().wait();
     }
 
     traffic_group threads{1};
