--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -54,10 +54,6 @@
     /// (closed in the middle), cancelled; all with outcome unknown.
     virtual result<std::optional<std::string>> next() = 0;
 
-    /// True when the body has neither a length nor chunks, so that it ends with the connection. Then a body
-    /// that was broken off may look like a complete one.
-    virtual bool ends_with_connection() const = 0;
-
     /// True when no other request was sent and no other answer came on the connection, so that this answer
     /// can be to no other request.
     virtual bool first_on_connection() const = 0;
--- a/include/cardamomstream/connection/http_types.h
+++ b/include/cardamomstream/connection/http_types.h
@@ -36,6 +36,9 @@
 struct http_response_head {
     unsigned status = 200;
     std::vector<http_header> headers;
+    /// The body has neither a length nor chunks: only the end of its connection ends it, so that a body that
+    /// was broken off may look like a complete one.
+    bool ends_with_connection = false;
 };
 
 /// A whole answer.
--- a/include/cardamomstream/connection/response_writer.h
+++ b/include/cardamomstream/connection/response_writer.h
@@ -12,7 +12,8 @@
 
 /// Writes one answer: either `send`, or `refuse`, or `begin_stream`, any number of `write_chunk`, then
 /// `end_stream` or `abort_stream`. Every call suspends the fiber until the bytes are with the kernel. Errors:
-/// error_kind::request_timeout when the caller reads too slowly or has left.
+/// error_kind::request_timeout when the caller reads too slowly or has left. A head with
+/// `ends_with_connection` gives the answer neither a length nor chunks; the connection is closed after it.
 class response_writer {
 public:
     response_writer() = default;
@@ -31,8 +32,8 @@
     virtual result<void> write_chunk(std::string_view data) = 0;
     virtual result<void> end_stream() = 0;
 
-    /// Closes the connection without the last chunk, so that the caller can tell that the answer is not
-    /// whole.
+    /// Closes the connection without the last chunk, or resets it if there are no chunks, so that the caller
+    /// can tell that the answer is incomplete.
     virtual void abort_stream() = 0;
 
     /// True once the first byte of an answer has been handed to the kernel.
--- a/include/cardamomstream/request/gateway/event_splitter.h
+++ b/include/cardamomstream/request/gateway/event_splitter.h
@@ -62,6 +62,9 @@
     /// False when another run couldn't show that its events come after those that were passed on.
     bool continuable() const noexcept { return m_continuable; }
 
+    /// True when this run has brought bytes.
+    bool has_bytes() const noexcept { return m_has_bytes; }
+
     /// True when the bytes that were added end at an event's end, or none were.
     bool at_event_end() const noexcept;
 
@@ -77,6 +80,7 @@
     std::string m_last_id;
     std::string m_first_id;
     event_fault m_fault = event_fault::none;
+    bool m_has_bytes = false;
     bool m_run_continues = false;
     bool m_continuable = true;
     bool m_line_empty = true;
--- a/include/cardamomstream/request/gateway/hop_headers.h
+++ b/include/cardamomstream/request/gateway/hop_headers.h
@@ -40,6 +40,11 @@
 void set_answer_version(std::vector<http_header>& headers, const std::optional<std::string>& version);
 std::optional<std::string> answer_version(const std::vector<http_header>& headers);
 
+/// Tells the VM that passed a request on that the upstream's answer has neither a length nor chunks. The
+/// answer to that VM has, so that it can tell the end of the answer from the end of the connection.
+void set_answer_unframed(std::vector<http_header>& headers, bool unframed);
+bool is_answer_unframed(const std::vector<http_header>& headers);
+
 /// True for statuses with which a VM guarantees that the request has not run and will not run.
 bool guarantees_not_run(unsigned status);
 
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -121,6 +121,8 @@
     std::string_view why_stream_ends() const;
     bool shows_orderly_end(const http_exchange& exchange) const;
     send_result end_broken_stream();
+    bool is_broken_end(const sent_request* sent, const placement& where);
+    void set_framing(http_response_head& head) const;
     bool process_has_ended(const sent_request* sent, const placement& where);
     void note_broken_end();
     send_result write_events(std::string_view bytes, const http_response_head& head);
@@ -174,17 +176,20 @@
     std::optional<http_response> m_held_failure;
     double m_charged_amount = 0;   ///< taken from the customer's allowance
     bool m_stream_started = false; ///< the head of a stream was sent to the caller
-    bool m_may_have_run = false;   ///< the request has run, or may have
-    std::uint32_t m_sends = 0;     ///< to upstreams and other VMs
-    std::uint32_t m_runs = 0;      ///< sends that ran, or may have, without a usable answer
-    std::string m_last_failure;    ///< why the last send failed; for the log
-    std::string_view m_no_retry;   ///< why it wasn't sent again; for the log
+    /// The end of the caller's stream states that it is complete. Unset before the stream has started.
+    bool m_stream_has_chunks = false;
+    bool m_may_have_run = false; ///< the request has run, or may have
+    std::uint32_t m_sends = 0;   ///< to upstreams and other VMs
+    std::uint32_t m_runs = 0;    ///< sends that ran, or may have, without a usable answer
+    std::string m_last_failure;  ///< why the last send failed; for the log
+    std::string_view m_no_retry; ///< why it wasn't sent again; for the log
     std::string m_last_upstream;
     /// Software version of the last send's upstream; empty if it isn't certain.
     std::optional<std::string> m_sent_version;
     std::optional<std::chrono::milliseconds> m_last_pause; ///< asked for by the last send's upstream
     // Of the last send:
     std::optional<time_point> m_answer_began_at; ///< when the head of its answer came
+    bool m_unframed = false;                     ///< its answer has neither a length nor chunks
     bool m_answer_lasts = false;     ///< the answer has gone on for `lasting_answer`, or is complete
     bool m_connection_broke = false; ///< the other side closed it before the answer's end
     std::optional<std::chrono::milliseconds> m_final_refusal; ///< by the VM to which it was passed on
@@ -307,6 +312,7 @@
     m_last_upstream = where.upstream.str();
     m_sent_version = where.version;
     m_answer_began_at.reset();
+    m_unframed = false;
     m_answer_lasts = false;
     m_connection_broke = false;
     m_events.begin_run();
@@ -490,6 +496,7 @@
          {"hop", std::int64_t{m_placing_request.own_region_only ? 1 : 0}},
          {"upstream", m_last_upstream},
          {"version", m_sent_version.value_or("")},
+         {"unframed", std::int64_t{m_unframed ? 1 : 0}},
          {"resumes", m_caller_request.resumes.str()},
          {"last_event", m_caller_request.last_event},
          {"sends", std::int64_t{m_sends}},
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -141,6 +141,7 @@
 {
     http_response answer;
     answer.head = {exchange.head().status, end_to_end_headers(exchange.head().headers)};
+    set_framing(answer.head);
     auto held = m_state.held_answers.reserve();
     while (true) {
         auto part = exchange.next();
@@ -157,7 +158,7 @@
         }
         answer.body += *part.value();
     }
-    if (exchange.ends_with_connection() && process_has_ended(sent, where)) {
+    if (m_unframed && process_has_ended(sent, where)) {
         note_broken_end();
         return send_result::may_have_run;
     }
@@ -186,6 +187,8 @@
 typename request_flow<Wire>::send_result
 request_flow<Wire>::relay_answer(http_exchange& exchange, sent_request* sent, const placement& where)
 {
+    m_unframed = exchange.head().ends_with_connection ||
+                 (sent == nullptr && is_answer_unframed(exchange.head().headers));
     const bool resumption = m_stream_started;
     const auto after = m_events.last_id();
     const auto result = use_answer(exchange, sent, where);
@@ -301,12 +304,24 @@
     return send_result::answered;
 }
 
+/// True when the end of an answer without frame isn't the end of a stream, or can't be passed on as what it
+/// is.
+template <gateway_wire Wire>
+bool request_flow<Wire>::is_broken_end(const sent_request* sent, const placement& where)
+{
+    if (!m_events.at_event_end() || !m_events.has_bytes()) {
+        return true;
+    }
+    // The last chunk would state that the stream is complete.
+    return m_stream_has_chunks || process_has_ended(sent, where);
+}
+
 /// Ends the caller's stream if the upstream's bytes have come to an end that is the stream's.
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result
 request_flow<Wire>::end_stream(http_exchange& exchange, const sent_request* sent, const placement& where)
 {
-    if (exchange.ends_with_connection() && (!m_events.at_event_end() || process_has_ended(sent, where))) {
+    if (m_unframed && is_broken_end(sent, where)) {
         note_broken_end();
         return end_broken_stream();
     }
@@ -342,7 +357,7 @@
 bool request_flow<Wire>::shows_orderly_end(const http_exchange& exchange) const
 {
     return !m_events.run_continues() || !m_events.first_id().empty() ||
-           (is_declared_event_stream(exchange.head()) && !exchange.ends_with_connection());
+           (is_declared_event_stream(exchange.head()) && !m_unframed);
 }
 
 /// True when the answer may have ended because the upstream's process did. An upstream that leaves may end
@@ -396,9 +411,19 @@
 {
     http_response_head relayed{head.status, end_to_end_headers(head.headers)};
     set_answer_version(relayed.headers, m_placing_request.own_region_only ? m_sent_version : std::nullopt);
+    set_framing(relayed);
     return relayed;
 }
 
+/// Gives the answer a frame only if the upstream's has one.
+template <gateway_wire Wire>
+void request_flow<Wire>::set_framing(http_response_head& head) const
+{
+    const bool to_vm = m_placing_request.own_region_only;
+    set_answer_unframed(head.headers, m_unframed && to_vm);
+    head.ends_with_connection = m_unframed && !to_vm;
+}
+
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result request_flow<Wire>::write_events(std::string_view bytes,
                                                                           const http_response_head& head)
@@ -410,6 +435,7 @@
         m_first_byte = elapsed();
         m_state.counters.first_byte.observe(m_first_byte, m_placing_request.service);
         begin_stream_at(m_sent_version);
+        m_stream_has_chunks = !m_unframed;
         if (!m_writer.begin_stream(answer_head(head))) {
             return send_result::caller_left;
         }
--- a/include/cardamomstream/request/ticket_types.h
+++ b/include/cardamomstream/request/ticket_types.h
@@ -71,11 +71,12 @@
     std::size_t max_kept_answer_bytes = 16UL * 1024 * 1024;
 };
 
-/// A complete response of an upstream, kept for replay.
+/// Response of an upstream, kept for replay.
 struct kept_answer {
     int status = 0;
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
+    bool ends_with_connection = false; ///< the upstream gave the body neither a length nor chunks
 };
 
 /// The call may run. Call `ticket_book::authorise_write` directly before the first byte to the upstream.
--- a/src/connection/client/pooled_exchange.cpp
+++ b/src/connection/client/pooled_exchange.cpp
@@ -110,7 +110,7 @@
 void pooled_exchange::take_head()
 {
     const auto& message = m_parser->get();
-    m_head = {message.result_int(), {}};
+    m_head = {message.result_int(), {}, m_parser->need_eof()};
     for (const auto& field : message) {
         m_head.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
--- a/src/connection/client/pooled_exchange.h
+++ b/src/connection/client/pooled_exchange.h
@@ -33,7 +33,6 @@
 
     const http_response_head& head() const override { return m_head; }
     result<std::optional<std::string>> next() override;
-    bool ends_with_connection() const override { return m_parser->need_eof(); }
     bool first_on_connection() const override { return m_first_on_connection; }
     result<void> skip_answer(std::size_t max_bytes) override;
     void limit_rest(std::chrono::milliseconds rest) override;
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -252,6 +252,11 @@
 
 result<void> http_session::send(const http_response& response)
 {
+    if (response.head.ends_with_connection) {
+        BOOST_OUTCOME_TRY(begin_stream(response.head));
+        BOOST_OUTCOME_TRY(write_chunk(response.body));
+        return end_stream();
+    }
     m_keep_alive = !will_close();
     http::response<http::string_body> message(make_head(response.head).base());
     message.body() = response.body;
@@ -274,7 +279,7 @@
 
 result<void> http_session::begin_stream(const http_response_head& head)
 {
-    m_chunked = m_version >= http_1_1;
+    m_chunked = m_version >= http_1_1 && !head.ends_with_connection;
     // Without chunks the end of the connection is the end of the stream.
     m_keep_alive = m_chunked && !will_close();
     auto message = make_head(head);
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -260,6 +260,46 @@
     }
 }
 
+TEST_CASE("an answer that ends with its connection states neither a length nor chunks")
+{
+    running_server running([](const http_request& request, std::size_t, response_writer& writer) {
+        const http_response_head head{200, {}, true};
+        if (request.path() == "/plain") {
+            (void)writer.send({head, "first second"});
+            return;
+        }
+        (void)writer.begin_stream(head);
+        (void)writer.write_chunk("first second");
+        if (request.path() == "/stream") {
+            (void)writer.end_stream();
+            return;
+        }
+        boost::this_fiber::sleep_for(50ms); // until the caller has read it
+        writer.abort_stream();
+    });
+    raw_caller caller(running.address);
+
+    SECTION("it is closed in order")
+    {
+        for (const auto* path : {"/plain", "/stream"}) {
+            raw_caller another(running.address);
+            another.send("GET " + std::string(path) + " HTTP/1.1\r\nHost: h\r\n\r\n");
+            const auto answer = another.read_all();
+            CHECK(answer.ends_with("\r\n\r\nfirst second"));
+            CHECK_FALSE(contains(answer, "Content-Length"));
+            CHECK_FALSE(contains(answer, "chunked"));
+            CHECK(contains(answer, "Connection: close"));
+            CHECK(another.closed_in_order());
+        }
+    }
+    SECTION("one that is known to be broken off is reset")
+    {
+        caller.send("GET /cut HTTP/1.1\r\nHost: h\r\n\r\n");
+        CHECK(contains(caller.read_all(), "first second"));
+        CHECK_FALSE(caller.closed_in_order());
+    }
+}
+
 TEST_CASE("the handler hears of a caller that leaves")
 {
     std::promise<void> gone;
--- a/src/connection/peer/forward_codec.cpp
+++ b/src/connection/peer/forward_codec.cpp
@@ -12,6 +12,7 @@
     wire::ForwardReply to;
     to.mutable_head()->set_status(head.status);
     encode_headers(head.headers, *to.mutable_head()->mutable_headers());
+    to.mutable_head()->set_ends_with_connection(head.ends_with_connection);
     return to;
 }
 
@@ -117,7 +118,8 @@
     switch (from.kind_case()) {
     case wire::ForwardReply::kHead:
         return success(
-            forward_reply{http_response_head{from.head().status(), decode_headers(from.head().headers())}});
+            forward_reply{http_response_head{from.head().status(), decode_headers(from.head().headers()),
+                                             from.head().ends_with_connection()}});
     case wire::ForwardReply::kPart:
         return success(forward_reply{from.part()});
     case wire::ForwardReply::kError:
--- a/src/connection/peer/hand_over_codec.cpp
+++ b/src/connection/peer/hand_over_codec.cpp
@@ -47,6 +47,7 @@
         added->set_value(text);
     }
     to.set_body(value.body);
+    to.set_ends_with_connection(value.ends_with_connection);
     return to;
 }
 
@@ -58,6 +59,7 @@
         value.headers.emplace_back(header.name(), header.value());
     }
     value.body = from.body();
+    value.ends_with_connection = from.ends_with_connection();
     return value;
 }
 
--- a/src/request/gateway/event_splitter.cpp
+++ b/src/request/gateway/event_splitter.cpp
@@ -130,6 +130,7 @@
     m_held.clear();
     m_first_id.clear();
     m_fault = event_fault::none;
+    m_has_bytes = false;
     m_run_continues = !m_last_id.empty();
     m_line_empty = true;
     m_after_cr = false;
@@ -137,6 +138,7 @@
 
 std::string event_splitter::feed(std::string_view bytes)
 {
+    m_has_bytes = m_has_bytes || !bytes.empty();
     std::string events;
     for (const char byte : bytes) {
         if (m_fault != event_fault::none) {
@@ -219,6 +221,7 @@
 
 std::string event_splitter::pass_over(std::string bytes)
 {
+    m_has_bytes = m_has_bytes || !bytes.empty();
     constexpr std::size_t longest_blank_line = 3; // CRLF after the end of another line
     m_partial_event.append(bytes, bytes.size() - std::min(bytes.size(), longest_blank_line));
     m_partial_event.erase(0, m_partial_event.size() - std::min(m_partial_event.size(), longest_blank_line));
--- a/src/request/gateway/hop_headers.cpp
+++ b/src/request/gateway/hop_headers.cpp
@@ -20,6 +20,7 @@
 constexpr std::string_view urgency_header = "Cs-Hop-Urgency";
 constexpr std::string_view waited_header = "Cs-Hop-Waited-Ms";
 constexpr std::string_view version_header = "Cs-Hop-Version";
+constexpr std::string_view unframed_header = "Cs-Hop-Unframed";
 constexpr std::string_view final_refusal_header = "Cs-Hop-Refused-Ms";
 
 std::optional<std::chrono::milliseconds> duration_of(const std::vector<http_header>& headers,
@@ -93,6 +94,19 @@
     return found == headers.end() ? std::nullopt : std::optional(found->value);
 }
 
+void set_answer_unframed(std::vector<http_header>& headers, bool unframed)
+{
+    remove_header(headers, unframed_header);
+    if (unframed) {
+        headers.push_back({std::string(unframed_header), "1"});
+    }
+}
+
+bool is_answer_unframed(const std::vector<http_header>& headers)
+{
+    return header_value(headers, unframed_header) == "1";
+}
+
 bool guarantees_not_run(unsigned status)
 {
     return status == 408 || status == 421 || status == 429 || status == 503;
--- a/src/request/serving/answer_relay.h
+++ b/src/request/serving/answer_relay.h
@@ -64,8 +64,7 @@
 result<void> relay_stream(request_context& context, Source& source, answer_meter& meter,
                           token_count max_tokens)
 {
-    BOOST_OUTCOME_TRY(context.writer.begin_stream(
-        {source.head().status, caller_headers(source.head().headers, context.id)}));
+    BOOST_OUTCOME_TRY(context.writer.begin_stream(caller_head(source.head(), context.id)));
     while (true) {
         BOOST_OUTCOME_TRY(auto part, source.next());
         if (!part) {
--- a/src/request/serving/attempt_runner.cpp
+++ b/src/request/serving/attempt_runner.cpp
@@ -54,8 +54,8 @@
     return fields;
 }
 
-/// Response of an upstream. One without length counts as complete only if the upstream's process hasn't
-/// ended.
+/// Response of an upstream. One with neither length nor chunks is known to be incomplete when it ends inside
+/// an event, or when the upstream's process has ended.
 class upstream_response {
 public:
     upstream_response(std::unique_ptr<http_exchange> exchange, http_client& client, endpoint address)
@@ -73,9 +73,9 @@
         if (part) {
             return std::optional<std::string>(m_events.pass_over(std::move(*part)));
         }
-        const bool inside_event = is_event_stream(head()) && !m_events.at_event_end();
-        if (m_exchange->ends_with_connection() &&
-            (inside_event || upstream_probe(m_client).has_ended(m_address))) {
+        const bool inside_event =
+            is_event_stream(head()) && (!m_events.at_event_end() || !m_events.has_bytes());
+        if (head().ends_with_connection && (inside_event || upstream_probe(m_client).has_ended(m_address))) {
             return error{error_kind::upstream_failed,
                          "the connection to the upstream broke: an answer without length was broken off",
                          "read the status before you submit again",
@@ -302,8 +302,7 @@
     if (m_work.max_tokens > 0) {
         m_meter.feed_body(body);
     }
-    BOOST_OUTCOME_TRY(
-        m_context.writer.send({{head.status, caller_headers(head.headers, m_context.id)}, body}));
+    BOOST_OUTCOME_TRY(m_context.writer.send({caller_head(head, m_context.id), body}));
     return attempt_result{head.status, {}, {}};
 }
 
--- a/src/request/serving/caller_auth.cpp
+++ b/src/request/serving/caller_auth.cpp
@@ -113,12 +113,12 @@
     return headers;
 }
 
-std::vector<http_header> caller_headers(const std::vector<http_header>& headers, const request_id& id)
+http_response_head caller_head(const http_response_head& head, const request_id& id)
 {
-    std::vector<http_header> passed{{"X-Request-Id", id.str()}};
-    for (const auto& header : headers) {
+    http_response_head passed{head.status, {{"X-Request-Id", id.str()}}, head.ends_with_connection};
+    for (const auto& header : head.headers) {
         if (is_one_of(header.name, relayed_response_headers)) {
-            passed.push_back(header);
+            passed.headers.push_back(header);
         }
     }
     return passed;
--- a/src/request/serving/caller_auth.h
+++ b/src/request/serving/caller_auth.h
@@ -25,6 +25,6 @@
 std::vector<http_header> upstream_headers(const http_request& request, const request_id& id);
 
 /// The headers of an upstream's response that are passed to the caller.
-std::vector<http_header> caller_headers(const std::vector<http_header>& headers, const request_id& id);
+http_response_head caller_head(const http_response_head& head, const request_id& id);
 
 } // namespace cardamomstream
--- a/src/request/serving/guarded_call.cpp
+++ b/src/request/serving/guarded_call.cpp
@@ -150,7 +150,7 @@
     }
     http_response response;
     if (auto* head = std::get_if<http_response_head>(&first)) {
-        response.head = {head->status, caller_headers(head->headers, m_context.id)};
+        response.head = caller_head(*head, m_context.id);
     }
     while (true) {
         BOOST_OUTCOME_TRY(auto reply, stream.next());
@@ -185,9 +185,11 @@
     }
     kept_answer kept;
     kept.status = static_cast<int>(end.value().status);
-    for (const auto& header : caller_headers(end.value().head.headers, m_context.id)) {
+    const auto head = caller_head(end.value().head, m_context.id);
+    for (const auto& header : head.headers) {
         kept.headers.emplace_back(header.name, header.value);
     }
+    kept.ends_with_connection = head.ends_with_connection;
     kept.body = std::move(end.value().body);
     with_tickets([&](ticket_book& book) { (void)book.finish(granted.id, kept, now); });
     m_context.record(event_kind::ticket_finished, {{"status", static_cast<std::int64_t>(kept.status)}});
@@ -243,6 +245,7 @@
 {
     http_response response;
     response.head.status = static_cast<unsigned>(kept.status);
+    response.head.ends_with_connection = kept.ends_with_connection;
     for (const auto& [name, value] : kept.headers) {
         response.head.headers.push_back({name, value});
     }
