--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -68,7 +68,13 @@
     std::chrono::milliseconds age{0};          ///< of the answer, when the report was made
 };
 
-/// An upstream process that ended while it began to answer a request with a prompt part, or before.
+/// What ends of upstreams are counted for.
+enum class crash_subject : std::uint8_t {
+    prompt_part, ///< shared by the prompts of many requests
+    request,     ///< one path, caller and body
+};
+
+/// An upstream that ended under a request of this subject.
 struct part_crash {
     std::uint64_t part = 0;
     std::uint64_t observer = 0; ///< the VM that saw it, by a hash of its address
@@ -77,19 +83,25 @@
     // When the report was made:
     std::chrono::milliseconds sent_age{0};  ///< since the request was sent
     std::chrono::milliseconds ended_age{0}; ///< since the process ended
+    /// 0: the process has ended. Otherwise only the connection is known to have, and this tells the send from
+    /// others.
+    std::uint64_t broken_send = 0;
+    crash_subject subject = crash_subject::prompt_part;
 };
 
-/// An answer to a request with a prompt part.
+/// An answer to a request of this subject.
 struct part_success {
     std::uint64_t part = 0;
     std::chrono::milliseconds age{0}; ///< when the report was made
+    crash_subject subject = crash_subject::prompt_part;
 };
 
-/// A request with a suspected prompt part that a VM sends, or is about to, as the only one of the fleet.
+/// A request of a suspected subject that a VM sends, or is about to, as the only one of the fleet.
 struct part_trial {
     std::uint64_t part = 0;
     std::uint64_t vm = 0;             ///< by a hash of its address
     std::chrono::milliseconds age{0}; ///< since it was announced, when the report was made
+    crash_subject subject = crash_subject::prompt_part;
 };
 
 /// Streams that began at upstreams of one software version.
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -50,8 +50,8 @@
     /// Counts a request to a service, which adds to the service's retry budget and raises its limit.
     void count_request(const pool_name& service, time_point now);
 
-    /// Logs which prompt parts are kept away from upstreams, or no longer are, and reports own findings
-    /// early. `source`: the VM whose findings led to it.
+    /// Logs which prompt parts and requests are kept away from upstreams, or no longer are, and reports own
+    /// findings early. `source`: the VM whose findings led to it.
     void on_quarantine_changes(const std::vector<quarantine_change>& changes, const vm_name& source);
 
     /// True when requests can be served: a plan is known and the process is not stopping.
@@ -76,7 +76,8 @@
     fleet_load load;
     placer placing;
     fleet_quota quota;
-    prompt_quarantine quarantine;
+    prompt_quarantine quarantine;         ///< of prompt parts
+    prompt_quarantine request_quarantine; ///< of whole requests
     upstream_probe probe;
     stream_origins origins;
     serving_times times;
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -9,6 +9,7 @@
 #include "cardamomstream/request/gateway/gateway_state.h"
 #include "cardamomstream/request/gateway/gateway_types.h"
 #include "cardamomstream/request/gateway/hop_headers.h"
+#include "cardamomstream/request/quarantine/request_digest.h"
 
 #include <algorithm>
 #include <optional>
@@ -64,6 +65,20 @@
         caller_left,  ///< the caller has disconnected
     };
 
+    /// Announcements that this request is sent as the fleet's only one of its suspected subjects.
+    struct trials {
+        trials(gateway_state& state, const shared_part_ids& parts, const shared_part_ids& request,
+               time_point now)
+            : of_parts(state.quarantine, parts, now)
+            , of_request(state.request_quarantine, request, now)
+        {
+        }
+        bool may_begin(time_point now) const { return of_parts.may_begin(now) && of_request.may_begin(now); }
+
+        prompt_quarantine::trial of_parts;
+        prompt_quarantine::trial of_request;
+    };
+
     /// Used if neither the caller nor the route sets one.
     static constexpr std::chrono::milliseconds default_timeout{15'000};
     static constexpr std::chrono::milliseconds connect_timeout{300};     ///< inside a region
@@ -81,6 +96,11 @@
     /// With less time left, a failure is reported as a timeout.
     static constexpr std::chrono::milliseconds timeout_margin{60};
 
+    static constexpr std::string_view ends_under_part =
+        "upstreams have ended while they answered prompts with the same part";
+    static constexpr std::string_view ends_under_request =
+        "upstreams have ended while they answered this request";
+
     /// Answers to other requests that are passed over before the request's own one, and the bytes of each.
     static constexpr int max_foreign_answers = 8;
     static constexpr std::size_t max_foreign_bytes = 256 * 1024;
@@ -132,10 +152,11 @@
     void refuse_placing(const placement& where);
     std::string permitted_regions() const;
     std::string shared_parts_text() const;
-    std::optional<error> check_quarantine(std::optional<prompt_quarantine::trial>& trial);
-    static error quarantined(std::chrono::milliseconds retry_after);
+    std::optional<error> check_quarantine(std::optional<trials>& trial);
+    static error quarantined(std::string_view reason, std::chrono::milliseconds retry_after);
     void note_failure(const error& failure);
     void note_success(time_point now);
+    void note_completion(time_point now);
     void check_upstream_end(const placement& where, const sent_request& sent);
     void log_end(std::string_view end, std::string_view reason);
 
@@ -168,7 +189,8 @@
     const plan_route* m_route = nullptr;
     const plan_customer* m_customer = nullptr;
     placing_request m_placing_request;
-    shared_part_ids m_shared_parts; ///< of the prompt
+    shared_part_ids m_shared_parts;   ///< of the prompt
+    shared_part_ids m_request_digest; ///< the single id under which the request itself may be suspected
     cancellation m_cancel;
     event_splitter m_events;
     time_point m_last_event_at; ///< when the last complete event of the stream came
@@ -229,7 +251,7 @@
 {
     const auto initial_wait = m_placing_request.waited;
     while (true) {
-        std::optional<prompt_quarantine::trial> trial;
+        std::optional<trials> trial;
         if (const auto refused = check_quarantine(trial)) {
             m_last_failure = refused->message;
             m_no_retry = "quarantined";
@@ -358,7 +380,7 @@
     if (result == send_result::not_run && !m_may_have_run) {
         using namespace std::chrono_literals;
         if (m_final_refusal) {
-            refuse(quarantined(*m_final_refusal));
+            refuse(quarantined(ends_under_request, *m_final_refusal));
             return;
         }
         refuse({error_kind::upstream_unavailable, "no upstream took the request", "try again", {}, 300ms});
@@ -433,35 +455,37 @@
     return fmt::format("{:x}", fmt::join(m_shared_parts, " "));
 }
 
-/// Refuses a request with a prompt part that ends upstreams. When the request may be sent as the fleet's only
-/// one, announces that in `trial` and waits until all VMs know.
+/// Refuses a request that ends upstreams, or a part of its prompt does. When the request may be sent as the
+/// fleet's only one, announces that in `trial` and waits until all VMs know.
 template <gateway_wire Wire>
-std::optional<error> request_flow<Wire>::check_quarantine(std::optional<prompt_quarantine::trial>& trial)
+std::optional<error> request_flow<Wire>::check_quarantine(std::optional<trials>& trial)
 {
-    const auto decision =
-        m_state.quarantine.check(m_shared_parts, m_placing_request.own_region_only, boot_clock::now());
-    if (decision.verdict == quarantine_verdict::refused) {
-        return quarantined(decision.retry_after);
+    const bool passed_on = m_placing_request.own_region_only;
+    const auto part = m_state.quarantine.check(m_shared_parts, passed_on, boot_clock::now());
+    const auto request = m_state.request_quarantine.check(m_request_digest, passed_on, boot_clock::now());
+    const auto reason = request.verdict == quarantine_verdict::refused ? ends_under_request : ends_under_part;
+    const auto verdict = std::max(part.verdict, request.verdict);
+    if (verdict == quarantine_verdict::refused) {
+        return quarantined(reason, std::max(part.retry_after, request.retry_after));
     }
-    if (decision.verdict == quarantine_verdict::trial) {
+    if (verdict == quarantine_verdict::trial) {
         if (time_left() <= 2 * prompt_quarantine::trial_notice) {
-            return quarantined(prompt_quarantine::trial_notice);
+            return quarantined(reason, prompt_quarantine::trial_notice);
         }
-        trial.emplace(m_state.quarantine, m_shared_parts, boot_clock::now());
+        trial.emplace(m_state, m_shared_parts, m_request_digest, boot_clock::now());
         m_state.on_quarantine_changes({}, m_state.settings.vm);
         boost::this_fiber::sleep_for(prompt_quarantine::trial_notice);
         if (!trial->may_begin(boot_clock::now())) {
-            return quarantined(prompt_quarantine::trial_notice);
+            return quarantined(reason, prompt_quarantine::trial_notice);
         }
     }
     return std::nullopt;
 }
 
 template <gateway_wire Wire>
-error request_flow<Wire>::quarantined(std::chrono::milliseconds retry_after)
+error request_flow<Wire>::quarantined(std::string_view reason, std::chrono::milliseconds retry_after)
 {
-    return {error_kind::prompt_quarantined,
-            "upstreams have ended while they answered prompts with the same part",
+    return {error_kind::prompt_quarantined, std::string(reason),
             "change the prompt, or come back after the time given", run_outcome::not_run, retry_after};
 }
 
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -152,6 +152,8 @@
     m_placing_request.answer_tokens =
         std::min(m_caller_request.expected_answer_tokens, m_caller_request.max_answer_tokens);
     m_placing_request.parts = m_caller_request.parts;
+    m_request_digest = {
+        request_digest_of(m_request, m_customer == nullptr ? customer_name{} : m_customer->name)};
     for (std::size_t at = 0; at + 1 < m_caller_request.parts.size(); ++at) {
         m_shared_parts.push_back(m_caller_request.parts[at].id);
     }
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -119,6 +119,14 @@
     }
 }
 
+/// Records that the upstream has sent the end of an answer.
+template <gateway_wire Wire>
+void request_flow<Wire>::note_completion(time_point now)
+{
+    m_state.on_quarantine_changes(m_state.request_quarantine.record_success(m_request_digest, now),
+                                  m_state.settings.vm);
+}
+
 /// Reads a short body to its end, so that the connection can be reused.
 template <gateway_wire Wire>
 void request_flow<Wire>::drain_rejection(http_exchange& exchange)
@@ -162,6 +170,7 @@
         note_broken_end();
         return send_result::may_have_run;
     }
+    note_completion(boot_clock::now());
     if (repeatable_failure) {
         m_last_failure = "the upstream failed with status " + std::to_string(answer.head.status);
         m_held_failure = std::move(answer);
@@ -337,6 +346,7 @@
         return send_result::caller_left;
     }
     note_success(boot_clock::now());
+    note_completion(boot_clock::now());
     m_state.times.sample(m_route->name, elapsed());
     log_end("answered", "stream");
     return send_result::answered;
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -3,6 +3,8 @@
 
 #include "cardamomstream/request/gateway/request_flow.h"
 
+#include <functional>
+
 namespace cardamomstream {
 
 template <gateway_wire Wire>
@@ -93,7 +95,7 @@
         outcome = send_outcome::abandoned;
     }
     m_state.load.end_request(sent, outcome, boot_clock::now());
-    if (m_connection_broke && !m_answer_lasts && !m_cancel.cancelled()) {
+    if (m_connection_broke && !m_cancel.cancelled()) {
         check_upstream_end(where, sent);
     }
     m_state.counters.sends.increment(m_placing_request.service, std::string(to_text(outcome)));
@@ -115,12 +117,20 @@
     return result;
 }
 
-/// Suspects the parts of the prompt when the upstream's process has ended.
+/// Suspects the request when its connection broke, and the parts of its prompt when the upstream's process
+/// has ended under an answer that had just begun.
 template <gateway_wire Wire>
 void request_flow<Wire>::check_upstream_end(const placement& where, const sent_request& sent)
 {
     const auto broke_at = boot_clock::now();
-    if (m_shared_parts.empty() || !m_state.probe.has_ended(where.address)) {
+    const bool ended = m_state.probe.has_ended(where.address);
+    const auto& id = m_caller_request.id.str();
+    const auto broken_send = ended ? 0 : std::max<std::uint64_t>(1, std::hash<std::string>{}(id));
+    m_state.on_quarantine_changes(m_state.request_quarantine.record_crash(m_request_digest, where.upstream,
+                                                                          sent.started_unix_ms, sent.sent_at,
+                                                                          broke_at, broken_send),
+                                  m_state.settings.vm);
+    if (!ended) {
         return;
     }
     m_state.load.record_process_end(where.upstream, broke_at);
@@ -128,7 +138,11 @@
     m_state.log.write(log_weight::failure, "upstream_ended",
                       {{"request", m_caller_request.id.str()},
                        {"upstream", where.upstream.str()},
+                       {"digest", fmt::format("{:x}", m_request_digest.front())},
                        {"parts", shared_parts_text()}});
+    if (m_answer_lasts) {
+        return;
+    }
     m_state.on_quarantine_changes(m_state.quarantine.record_crash(m_shared_parts, where.upstream,
                                                                   sent.started_unix_ms, sent.sent_at,
                                                                   broke_at),
--- a/include/cardamomstream/request/quarantine/prompt_quarantine.h
+++ b/include/cardamomstream/request/quarantine/prompt_quarantine.h
@@ -1,4 +1,4 @@
-/// Keeps prompt parts that end upstream processes away from the upstreams of the whole fleet.
+/// Keeps prompt parts and requests that end upstream processes away from the upstreams of the fleet.
 #pragma once
 
 #include "cardamomstream/core/boot_clock.h"
@@ -31,6 +31,7 @@
 
 /// A part that is now kept away from upstreams, or is no longer.
 struct quarantine_change {
+    crash_subject subject = crash_subject::prompt_part;
     std::uint64_t part = 0;
     bool quarantined = false;
     std::size_t crashes = 0;
@@ -43,23 +44,40 @@
     std::vector<part_trial> trials;
 };
 
+struct quarantine_settings {
+    crash_subject subject = crash_subject::prompt_part;
+    std::chrono::milliseconds first_quarantine{5'000};
+    int growth = 4; ///< of the quarantine's time, with each further end
+    std::chrono::milliseconds max_quarantine{3'600'000};
+    std::chrono::milliseconds crash_ttl{7'200'000}; ///< of a part with several ends
+    std::size_t max_reported_crashes = 96;          ///< in one report
+};
+
+/// For whole requests: a wrong suspicion harms a single request, so that trials may be rare.
+quarantine_settings whole_request_quarantine();
+
 /// A part is suspected when upstream processes ended while they began to answer requests with it, and cleared
 /// by any answer that goes on. Ends count once for each upstream process, and only if the request was sent
 /// after the end that was counted before: those that one outage causes at the same time count once. The VMs
 /// share what they know in their reports. After two ends, one request with the part runs at a time in the
-/// whole fleet; after three, none for a time that grows with each further end. Not thread safe.
+/// whole fleet; after three, none for a time that grows with each further end.
+///
+/// The same holds for a whole request, for which "part" stands then: its id is a digest of path, caller and
+/// body. Not thread safe.
 class prompt_quarantine {
 public:
     /// Ends after which a single request with the part may run.
     static constexpr std::size_t crashes_until_trial = 2;
     /// Ends after which a part is refused for some time.
     static constexpr std::size_t crashes_until_quarantine = 3;
+    /// So many ends don't count if only connections are known to have ended: they may have been reset.
+    static constexpr std::size_t uncertain_ends_ignored = 2;
     static constexpr std::size_t max_suspects = 4'096;
     /// Between the announcement of a trial and its request; longer than reports take to reach all VMs.
     static constexpr std::chrono::milliseconds trial_notice{700};
 
     /// `self`: the inner address by which the other VMs know this one.
-    explicit prompt_quarantine(const endpoint& self);
+    explicit prompt_quarantine(const endpoint& self, quarantine_settings settings = {});
 
     /// `passed_on`: the request comes from a VM that has made this decision for itself.
     quarantine_decision check(const shared_part_ids& parts, bool passed_on, time_point now) const;
@@ -84,10 +102,10 @@
         time_point m_announced_at;
     };
 
-    /// Records that an upstream process ended while it began to answer a request, or before.
+    /// Records that an upstream process ended under a request. `broken_send`: see `part_crash`.
     std::vector<quarantine_change> record_crash(const shared_part_ids& parts, const upstream_name& upstream,
                                                 std::int64_t started_unix_ms, time_point sent_at,
-                                                time_point now);
+                                                time_point now, std::uint64_t broken_send = 0);
 
     /// Records that an upstream answered a request with these parts, or has sent an answer for some time.
     std::vector<quarantine_change> record_success(const shared_part_ids& parts, time_point now);
@@ -110,12 +128,13 @@
         std::int64_t started_unix_ms = 0;
         time_point sent_at;
         time_point ended_at;
-        std::uint64_t observer = 0; ///< the VM that saw it
+        std::uint64_t observer = 0;    ///< the VM that saw it
+        std::uint64_t broken_send = 0; ///< see `part_crash`
     };
 
     struct suspect {
-        std::vector<crash> crashes; ///< in the order of `ended_at`
-        std::size_t independent = 0;
+        std::vector<crash> crashes;  ///< in the order of `ended_at`
+        std::size_t independent = 0; ///< ends that count
         time_point changed_at;
     };
 
@@ -129,6 +148,7 @@
 
     /// Positions of the ends that count: each request was sent after the end before.
     static std::vector<std::size_t> independent_of(const std::vector<crash>& crashes);
+    static std::size_t count_independent(const std::vector<crash>& crashes);
     static void limit_crashes(std::vector<crash>& crashes);
     void add_crash(std::uint64_t part, crash added, time_point now, std::vector<quarantine_change>& changes);
     void clear(suspects::iterator known, time_point now, std::vector<quarantine_change>& changes);
@@ -136,10 +156,12 @@
     bool is_voided(std::uint64_t part, const crash& seen) const;
     void limit_suspects(time_point now);
     void expire(time_point now);
-    static time_point next_trial_at(const suspect& known);
+    std::chrono::milliseconds quarantine_time(std::size_t crashes) const;
+    time_point next_trial_at(const suspect& known) const;
     bool goes_first(std::uint64_t part, const known_trial& other, time_point announced_at) const;
 
     std::uint64_t m_self;
+    quarantine_settings m_settings;
     suspects m_suspects;
     std::unordered_map<std::uint64_t, time_point> m_own_trials;                 ///< when announced, by part
     std::unordered_map<std::uint64_t, std::vector<known_trial>> m_other_trials; ///< by part
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -414,6 +414,7 @@
                                 m_state.load.take_lateness(),
                                 m_state.load.own_limits(boot_clock::now()),
                                 m_state.quarantine.take_report(boot_clock::now()),
+                                m_state.request_quarantine.take_report(boot_clock::now()),
                                 m_state.origins.take_report(boot_clock::now())};
         boost::asio::post(m_thread.io(),
                           [this, traffic = std::move(traffic)]() mutable { report(std::move(traffic)); });
@@ -445,6 +446,11 @@
     state.part_crashes = std::move(traffic.prompt_parts.crashes);
     state.part_successes = std::move(traffic.prompt_parts.successes);
     state.part_trials = std::move(traffic.prompt_parts.trials);
+    const auto& requests = traffic.requests;
+    state.part_crashes.insert(state.part_crashes.end(), requests.crashes.begin(), requests.crashes.end());
+    state.part_successes.insert(state.part_successes.end(), requests.successes.begin(),
+                                requests.successes.end());
+    state.part_trials.insert(state.part_trials.end(), requests.trials.begin(), requests.trials.end());
     state.stream_origins = std::move(traffic.stream_origins);
     send(m_exchange.report(std::move(state), now));
 }
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -21,6 +21,7 @@
     std::vector<lateness_sample> lateness;
     std::vector<stated_limit> limits;
     quarantine_report prompt_parts;
+    quarantine_report requests;
     std::vector<reported_origins> stream_origins;
 };
 
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -113,6 +113,11 @@
     return limit;
 }
 
+crash_subject decode_subject(bool request)
+{
+    return request ? crash_subject::request : crash_subject::prompt_part;
+}
+
 void encode_crash(const part_crash& crash, report_messages::PartCrash& message)
 {
     message.set_part(crash.part);
@@ -121,6 +126,8 @@
     message.set_started_unix_ms(crash.started_unix_ms);
     message.set_sent_age_ms(encode_age(crash.sent_age));
     message.set_ended_age_ms(encode_age(crash.ended_age));
+    message.set_request(crash.subject == crash_subject::request);
+    message.set_broken_send(crash.broken_send);
 }
 
 /// Empty when the ages make no sense.
@@ -134,7 +141,9 @@
                       upstream_name(message.upstream()),
                       message.started_unix_ms(),
                       std::chrono::milliseconds(message.sent_age_ms()),
-                      std::chrono::milliseconds(message.ended_age_ms())};
+                      std::chrono::milliseconds(message.ended_age_ms()),
+                      message.broken_send(),
+                      decode_subject(message.request())};
 }
 
 void encode_summary(const data_centre_summary_part& summary, report_messages::Summary& message)
@@ -207,12 +216,14 @@
         auto& added = *message.add_part_successes();
         added.set_part(success.part);
         added.set_age_ms(encode_age(success.age));
+        added.set_request(success.subject == crash_subject::request);
     }
     for (const auto& trial : report.part_trials) {
         auto& added = *message.add_part_trials();
         added.set_part(trial.part);
         added.set_vm(trial.vm);
         added.set_age_ms(encode_age(trial.age));
+        added.set_request(trial.subject == crash_subject::request);
     }
 }
 
@@ -225,13 +236,14 @@
     }
     for (const auto& success : message.part_successes()) {
         if (success.age_ms() <= max_age_ms) {
-            report.part_successes.push_back({success.part(), std::chrono::milliseconds(success.age_ms())});
+            report.part_successes.push_back({success.part(), std::chrono::milliseconds(success.age_ms()),
+                                             decode_subject(success.request())});
         }
     }
     for (const auto& trial : message.part_trials()) {
         if (trial.age_ms() <= max_age_ms) {
-            report.part_trials.push_back(
-                {trial.part(), trial.vm(), std::chrono::milliseconds(trial.age_ms())});
+            report.part_trials.push_back({trial.part(), trial.vm(), std::chrono::milliseconds(trial.age_ms()),
+                                          decode_subject(trial.request())});
         }
     }
 }
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -51,6 +51,10 @@
     , parts_quarantined(m_registry, {"cardamomstream_gateway_prompt_parts_quarantined",
                                      "Prompt parts that are kept away from upstreams.",
                                      {}})
+    , requests_quarantined(m_registry,
+                           {"cardamomstream_gateway_requests_quarantined",
+                            "Requests, by path, caller and body, that are kept away from upstreams.",
+                            {}})
     , prediction_scale(m_registry, {"cardamomstream_gateway_prediction_scale",
                                     "Factor by which first events come later than predicted.",
                                     {}})
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -46,6 +46,7 @@
     , placing(node.region, node.data_centre, placing_settings_from(node), seed, boot_clock::now(),
               node.inner_listener)
     , quarantine(node.inner_listener)
+    , request_quarantine(node.inner_listener, whole_request_quarantine())
     , probe(upstream_client)
     , random(seed)
 {
@@ -80,7 +81,9 @@
             quota.apply_report(vm->report);
             load.add_reported_lateness(*vm);
             load.apply_reported_limits(*vm);
-            on_quarantine_changes(quarantine.apply_reported(vm->report, vm->received_at), vm->report.vm);
+            for (auto* suspects : {&quarantine, &request_quarantine}) {
+                on_quarantine_changes(suspects->apply_reported(vm->report, vm->received_at), vm->report.vm);
+            }
             origins.apply_reported(vm->report.stream_origins, vm->received_at);
             applied = vm;
         }
@@ -116,15 +119,20 @@
                                           const vm_name& source)
 {
     for (const auto& change : changes) {
-        log.write(log_weight::state, change.quarantined ? "prompt_part_quarantined" : "prompt_part_cleared",
-                  {{"part", fmt::format("{:x}", change.part)},
+        const bool part = change.subject == crash_subject::prompt_part;
+        const auto* event = change.quarantined ? (part ? "prompt_part_quarantined" : "request_quarantined")
+                                               : (part ? "prompt_part_cleared" : "request_cleared");
+        log.write(log_weight::state, event,
+                  {{part ? "part" : "digest", fmt::format("{:x}", change.part)},
                    {"crashes", static_cast<std::int64_t>(change.crashes)},
                    {"source", source.str()}});
     }
     if (!changes.empty()) {
         counters.parts_quarantined.set(static_cast<double>(quarantine.quarantined()));
+        counters.requests_quarantined.set(static_cast<double>(request_quarantine.quarantined()));
     }
-    if (quarantine.take_early_report_due() && request_early_report) {
+    const bool parts_due = quarantine.take_early_report_due();
+    if ((request_quarantine.take_early_report_due() || parts_due) && request_early_report) {
         request_early_report();
     }
 }
--- a/src/request/quarantine/prompt_quarantine.cpp
+++ b/src/request/quarantine/prompt_quarantine.cpp
@@ -18,23 +18,17 @@
 /// Largest error of the times in a report: delays on the way, and of a busy receiver.
 constexpr std::chrono::milliseconds report_time_error{300};
 
-constexpr std::chrono::seconds first_quarantine{5};
-constexpr int quarantine_growth = 4; ///< with each further end
-constexpr std::chrono::hours max_quarantine{1};
-
 /// A trial that another VM has not reported for this long has ended, or its VM has.
 constexpr std::chrono::milliseconds trial_report_ttl{2'000};
 constexpr std::chrono::milliseconds trial_retry_after{1'000}; ///< while a trial runs in the fleet
 
 constexpr std::size_t max_crashes_per_part = 8; ///< with more, the quarantine has its longest time
 constexpr std::chrono::minutes single_crash_ttl{10};
-constexpr std::chrono::hours crash_ttl{2};
 
 constexpr std::size_t max_successes = 8'192;
 constexpr std::chrono::seconds success_report_time{10};
 
 /// Bounds on one report. What has changed lately is in each report, the rest in some of them.
-constexpr std::size_t max_reported_crashes = 96;
 constexpr std::size_t max_reported_successes = 64;
 constexpr std::size_t max_reported_trials = 32;
 constexpr std::chrono::seconds recent_change{5};
@@ -50,20 +44,35 @@
     return std::max(std::chrono::floor<std::chrono::milliseconds>(now - then), std::chrono::milliseconds{0});
 }
 
-std::chrono::milliseconds quarantine_time(std::size_t crashes)
+} // namespace
+
+quarantine_settings whole_request_quarantine()
 {
-    std::chrono::milliseconds time = first_quarantine;
-    for (auto more = crashes - prompt_quarantine::crashes_until_quarantine; more > 0; --more) {
-        time *= quarantine_growth;
-    }
-    return std::min<std::chrono::milliseconds>(time, max_quarantine);
+    using namespace std::chrono_literals;
+    quarantine_settings settings;
+    settings.subject = crash_subject::request;
+    settings.first_quarantine = 10min;
+    settings.growth = 6;
+    settings.max_quarantine = 24h;
+    settings.crash_ttl = 48h;
+    settings.max_reported_crashes = 48;
+    return settings;
 }
 
-} // namespace
-
-prompt_quarantine::prompt_quarantine(const endpoint& self)
+prompt_quarantine::prompt_quarantine(const endpoint& self, quarantine_settings settings)
     : m_self(shared_hash(self))
+    , m_settings(settings)
+{
+}
+
+std::chrono::milliseconds prompt_quarantine::quarantine_time(std::size_t crashes) const
 {
+    auto time = m_settings.first_quarantine;
+    for (auto more = crashes - crashes_until_quarantine; more > 0 && time < m_settings.max_quarantine;
+         --more) {
+        time *= m_settings.growth;
+    }
+    return std::min(time, m_settings.max_quarantine);
 }
 
 quarantine_decision prompt_quarantine::check(const shared_part_ids& parts, bool passed_on,
@@ -97,7 +106,7 @@
     return decision;
 }
 
-time_point prompt_quarantine::next_trial_at(const suspect& known)
+time_point prompt_quarantine::next_trial_at(const suspect& known) const
 {
     const auto last = known.crashes.back().ended_at;
     return known.independent < crashes_until_quarantine ? last : last + quarantine_time(known.independent);
@@ -138,7 +147,7 @@
 {
     return std::all_of(m_parts.begin(), m_parts.end(), [&](std::uint64_t part) {
         const auto known = m_owner.m_suspects.find(part);
-        if (known != m_owner.m_suspects.end() && next_trial_at(known->second) > now) {
+        if (known != m_owner.m_suspects.end() && m_owner.next_trial_at(known->second) > now) {
             return false;
         }
         const auto others = m_owner.m_other_trials.find(part);
@@ -168,6 +177,15 @@
     return independent;
 }
 
+std::size_t prompt_quarantine::count_independent(const std::vector<crash>& crashes)
+{
+    const auto independent = independent_of(crashes);
+    const auto certain =
+        static_cast<std::size_t>(std::count_if(independent.begin(), independent.end(),
+                                               [&](std::size_t at) { return crashes[at].broken_send == 0; }));
+    return std::max(certain, independent.size() - std::min(independent.size(), uncertain_ends_ignored));
+}
+
 void prompt_quarantine::limit_crashes(std::vector<crash>& crashes)
 {
     if (crashes.size() <= max_crashes_per_part) {
@@ -193,7 +211,8 @@
 {
     auto& known = m_suspects[part];
     const auto same = std::find_if(known.crashes.begin(), known.crashes.end(), [&](const crash& other) {
-        return other.upstream == added.upstream && other.started_unix_ms == added.started_unix_ms;
+        return other.upstream == added.upstream && other.started_unix_ms == added.started_unix_ms &&
+               other.broken_send == added.broken_send;
     });
     if (same != known.crashes.end()) {
         // A report's times are late, never early.
@@ -203,17 +222,18 @@
         known.crashes.erase(same);
     }
     const auto before = known.independent;
+    const auto ends_before = independent_of(known.crashes).size();
     known.crashes.insert(
         std::upper_bound(known.crashes.begin(), known.crashes.end(), added,
                          [](const crash& one, const crash& other) { return one.ended_at < other.ended_at; }),
         added);
     limit_crashes(known.crashes);
-    known.independent = independent_of(known.crashes).size();
-    if (known.independent > before) {
+    known.independent = count_independent(known.crashes);
+    if (independent_of(known.crashes).size() > ends_before || known.independent > before) {
         known.changed_at = now;
         m_early_report_due = m_early_report_due || added.observer == m_self;
-        if (known.independent >= crashes_until_quarantine) {
-            changes.push_back({part, true, known.independent});
+        if (known.independent > before && known.independent >= crashes_until_quarantine) {
+            changes.push_back({m_settings.subject, part, true, known.independent});
         }
     }
 }
@@ -221,12 +241,13 @@
 std::vector<quarantine_change> prompt_quarantine::record_crash(const shared_part_ids& parts,
                                                                const upstream_name& upstream,
                                                                std::int64_t started_unix_ms,
-                                                               time_point sent_at, time_point now)
+                                                               time_point sent_at, time_point now,
+                                                               std::uint64_t broken_send)
 {
     std::vector<quarantine_change> changes;
     expire(now);
     for (const auto part : parts) {
-        const crash seen{upstream, started_unix_ms, sent_at, now, m_self};
+        const crash seen{upstream, started_unix_ms, sent_at, now, m_self, broken_send};
         if (!is_voided(part, seen)) {
             limit_suspects(now);
             add_crash(part, seen, now, changes);
@@ -261,7 +282,7 @@
         m_early_report_due = true;
     }
     if (known->second.independent >= crashes_until_quarantine) {
-        changes.push_back({known->first, false, known->second.independent});
+        changes.push_back({m_settings.subject, known->first, false, known->second.independent});
     }
     m_suspects.erase(known);
 }
@@ -271,6 +292,9 @@
 {
     std::vector<quarantine_change> changes;
     for (const auto& answered : report.part_successes) {
+        if (answered.subject != m_settings.subject) {
+            continue;
+        }
         const auto at = received_at - answered.age;
         auto& known = m_successes[answered.part];
         known = std::max(known, at);
@@ -278,9 +302,9 @@
             const auto before = found->second.independent;
             std::erase_if(found->second.crashes,
                           [&](const crash& seen) { return is_voided(answered.part, seen); });
-            found->second.independent = independent_of(found->second.crashes).size();
+            found->second.independent = count_independent(found->second.crashes);
             if (before >= crashes_until_quarantine && found->second.independent < crashes_until_quarantine) {
-                changes.push_back({answered.part, false, before});
+                changes.push_back({m_settings.subject, answered.part, false, before});
             }
             if (found->second.crashes.empty()) {
                 m_suspects.erase(found);
@@ -288,8 +312,15 @@
         }
     }
     for (const auto& reported : report.part_crashes) {
-        const crash seen{reported.upstream, reported.started_unix_ms, received_at - reported.sent_age,
-                         received_at - reported.ended_age, reported.observer};
+        if (reported.subject != m_settings.subject) {
+            continue;
+        }
+        const crash seen{reported.upstream,
+                         reported.started_unix_ms,
+                         received_at - reported.sent_age,
+                         received_at - reported.ended_age,
+                         reported.observer,
+                         reported.broken_send};
         if (is_voided(reported.part, seen)) {
             // The reporter doesn't know that the part was answered.
             m_reported_until[reported.part] = received_at + success_report_time;
@@ -299,7 +330,7 @@
         add_crash(reported.part, seen, received_at, changes);
     }
     for (const auto& reported : report.part_trials) {
-        if (reported.vm != m_self) {
+        if (reported.subject == m_settings.subject && reported.vm != m_self) {
             apply_trial(reported, received_at);
         }
     }
@@ -339,8 +370,9 @@
 {
     std::erase_if(m_suspects, [&](const auto& known) {
         const auto& [part, state] = known;
-        const boot_clock::duration ttl =
-            state.independent < crashes_until_trial ? boot_clock::duration(single_crash_ttl) : crash_ttl;
+        const boot_clock::duration ttl = state.independent < crashes_until_trial
+                                             ? boot_clock::duration(single_crash_ttl)
+                                             : m_settings.crash_ttl;
         return now - state.crashes.back().ended_at > ttl;
     });
 }
@@ -365,24 +397,25 @@
                std::pair(other->second.independent, other->second.changed_at);
     });
     for (const auto& known : reported) {
-        if (report.crashes.size() + known->second.crashes.size() > max_reported_crashes) {
+        if (report.crashes.size() + known->second.crashes.size() > m_settings.max_reported_crashes) {
             break;
         }
         for (const auto& seen : known->second.crashes) {
             report.crashes.push_back({known->first, seen.observer, seen.upstream, seen.started_unix_ms,
-                                      age_at(now, seen.sent_at), age_at(now, seen.ended_at)});
+                                      age_at(now, seen.sent_at), age_at(now, seen.ended_at), seen.broken_send,
+                                      m_settings.subject});
         }
     }
     for (const auto& [part, announced_at] : m_own_trials) {
         if (report.trials.size() < max_reported_trials) {
-            report.trials.push_back({part, m_self, age_at(now, announced_at)});
+            report.trials.push_back({part, m_self, age_at(now, announced_at), m_settings.subject});
         }
     }
     std::erase_if(m_reported_until, [&](const auto& known) { return known.second <= now; });
     for (const auto& [part, until] : m_reported_until) {
         const auto answered = m_successes.find(part);
         if (answered != m_successes.end() && report.successes.size() < max_reported_successes) {
-            report.successes.push_back({part, age_at(now, answered->second)});
+            report.successes.push_back({part, age_at(now, answered->second), m_settings.subject});
         }
     }
     return report;
--- a/src/request/quarantine/tests/prompt_quarantine_test.cpp
+++ b/src/request/quarantine/tests/prompt_quarantine_test.cpp
@@ -240,3 +240,72 @@
         CHECK(report.successes.size() <= 100);
     }
 }
+
+TEST_CASE("upstreams end one after another under the same request")
+{
+    prompt_quarantine quarantine(self, whole_request_quarantine());
+
+    SECTION("after three ends it is kept away for the rest of a day, but for three trials")
+    {
+        auto at = end_upstreams(quarantine, 3, start);
+        int trials = 0;
+        for (const auto day_ends = at + 24h; at < day_ends; at += 1min) {
+            if (verdict_of(quarantine, {bad}, at) == quarantine_verdict::trial) {
+                ++trials;
+                quarantine.record_crash({bad}, upstream(100 + static_cast<std::size_t>(trials)), 1, at,
+                                        at + 50ms);
+            }
+        }
+        CHECK(trials == 3);
+    }
+    SECTION("connections that break may have been reset: five of them count as three ends")
+    {
+        auto at = start;
+        for (std::uint64_t send = 1; send <= 5; ++send) {
+            CHECK(verdict_of(quarantine, {bad}, at) != quarantine_verdict::refused);
+            at += 100ms;
+            quarantine.record_crash({bad}, upstream(1), 1, at - 50ms, at, send);
+        }
+        CHECK(verdict_of(quarantine, {bad}, at) == quarantine_verdict::refused);
+    }
+    SECTION("a complete answer clears it")
+    {
+        const auto at = end_upstreams(quarantine, 3, start);
+        quarantine.record_success({bad}, at);
+        CHECK(verdict_of(quarantine, {bad}, at) == quarantine_verdict::allowed);
+    }
+    SECTION("other VMs learn it, also one that starts later, and don't take it for a prompt part")
+    {
+        const auto at = end_upstreams(quarantine, 3, start);
+        const auto report = report_of(quarantine, at);
+        prompt_quarantine requests({"10.0.0.2", 7020}, whole_request_quarantine());
+        prompt_quarantine parts({"10.0.0.2", 7020});
+        requests.apply_reported(report, at + 100ms);
+        parts.apply_reported(report, at + 100ms);
+        CHECK(verdict_of(requests, {bad}, at + 100ms) == quarantine_verdict::refused);
+        CHECK(verdict_of(parts, {bad}, at + 100ms) == quarantine_verdict::allowed);
+        const auto later = at + 5min;
+        prompt_quarantine restarted({"10.0.0.3", 7020}, whole_request_quarantine());
+        for (int full = 0; full < 5; ++full) {
+            restarted.apply_reported(report_of(requests, later), later + 100ms);
+        }
+        CHECK(verdict_of(restarted, {bad}, later + 100ms) == quarantine_verdict::refused);
+    }
+    SECTION(
+        "one VM sees a connection break, others further ones: each counts once, however often it is reported")
+    {
+        prompt_quarantine other({"10.0.0.2", 7020}, whole_request_quarantine());
+        quarantine.record_crash({bad}, upstream(1), 1, start, start + 50ms, 7);
+        for (auto late = 100ms; late < 3s; late += 200ms) {
+            other.apply_reported(report_of(quarantine, start + 60ms), start + late);
+        }
+        CHECK(verdict_of(other, {bad}, start + 3s) == quarantine_verdict::allowed);
+    }
+    SECTION("the table stays bounded under ever new requests")
+    {
+        for (std::uint64_t request = 0; request < 3 * prompt_quarantine::max_suspects; ++request) {
+            quarantine.record_crash({request}, upstream(1), 1, start, start + 50ms, request + 1);
+        }
+        CHECK(quarantine.take_report(start + 50ms).crashes.size() <= 48);
+    }
+}
