ORDER: an unknown stream is taken up only after a list that was read since its caller came

Cause: a stream of which a VM knows nothing was given to "the only version" of a list that had been confirmed up to 10 s before. The confirmation was a flag that nothing reset while the process stood still.

The change: such a caller waits for a read of the list that begins after its arrival, at most 400 ms; callers within 20 ms share one call to the store. Every version at which a VM can have begun the stream is in it, since that VM had read it there. Without such a read the take-up is refused as before, at once when the store doesn't answer. A gap of more than 10 s between confirmations begins the time anew in which a single version must have served.

Evidence: three new checks of stream_origin failed before (1 ms and 6 s after the last read; after a gap) and pass now.

--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -86,6 +86,8 @@
     std::list<served_request> served;
     std::atomic<std::size_t> in_flight = 0;     ///< requests being served; awaited when the process stops
     std::function<void()> request_early_report; ///< sends a report to the other VMs before the next is due
+    std::function<void()> request_list_read;    ///< reads the list of upstreams anew; see `origins`
+    time_point list_read_failed_at;             ///< the last such read without an answer
 
 private:
     struct service_retries {
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -93,6 +93,9 @@
     static constexpr std::chrono::milliseconds lasting_answer{1'000};
     /// Until the reports of all VMs that know where a stream began have come.
     static constexpr std::chrono::milliseconds origin_report_time{600};
+    /// Until the list of upstreams has been read anew, for a stream of which nothing is known.
+    static constexpr std::chrono::milliseconds list_read_timeout{400};
+    static constexpr std::chrono::milliseconds list_read_poll{5};
     /// With less time left, a failure is reported as a timeout.
     static constexpr std::chrono::milliseconds timeout_margin{60};
 
@@ -113,6 +116,7 @@
     std::optional<error> admit_hop(const hop_details& hop);
     std::optional<error> check_stopping() const;
     std::optional<error> require_origin();
+    void await_list_read(const pool_name& service);
     static error not_resumable(std::string_view reason);
     void begin_stream_at(const std::optional<std::string>& version);
     http_response_head answer_head(const http_response_head& head) const;
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -117,6 +117,21 @@
                  "send it to another VM", run_outcome::not_run, 100ms};
 }
 
+/// Waits for a list that contains every version at which the stream can have begun.
+template <gateway_wire Wire>
+void request_flow<Wire>::await_list_read(const pool_name& service)
+{
+    const auto until = boot_clock::now() + std::min(list_read_timeout, time_left());
+    bool requested = false;
+    while (m_state.origins.needs_list_read(m_caller_request.resumes, service, m_started) &&
+           m_state.list_read_failed_at < m_started && boot_clock::now() < until) {
+        if (!std::exchange(requested, true) && m_state.request_list_read) {
+            m_state.request_list_read();
+        }
+        boost::this_fiber::sleep_for(list_read_poll);
+    }
+}
+
 /// A stream that a caller takes up goes on at the service and software version that began it.
 template <gateway_wire Wire>
 std::optional<error> request_flow<Wire>::require_origin()
@@ -125,6 +140,7 @@
         return std::nullopt;
     }
     const auto& service = m_placing_request.service;
+    await_list_read(service);
     auto origin = m_state.origins.find(m_caller_request.resumes, service, m_started);
     if (!origin) {
         auto unknown = not_resumable("it isn't known at which software version the stream began");
--- a/include/cardamomstream/request/stream_origin/stream_origins.h
+++ b/include/cardamomstream/request/stream_origin/stream_origins.h
@@ -26,8 +26,9 @@
 /// Events of two software versions don't fit together, so a stream goes on at the version that began it. Each
 /// VM remembers its own streams. While more than one version of a service is known, it tells the others,
 /// since a caller may come back to any VM and the first one may be gone. A stream of which nothing is known
-/// may be of a version that served earlier; it can be taken up only if a single version has served for as
-/// long as streams live. Not thread safe.
+/// may be of a version that served earlier, or that this VM doesn't know yet; it can be taken up only if a
+/// single version has served for as long as streams live, and is the only one in a list that was read after
+/// the caller came. Not thread safe.
 class stream_origins {
 public:
     /// After the start of a stream its caller may come back for this long at least.
@@ -43,14 +44,22 @@
     /// `confirmed`: the list is known to be up to date. Call several times a second.
     void set_list_confirmed(bool confirmed, time_point now);
 
+    /// The versions that are set contain those of a list whose reading began then.
+    void set_list_read(time_point began);
+
+    /// True when a list that is read from now on may show where the stream of a caller who came at `arrived`
+    /// began.
+    bool needs_list_read(const request_id& attempt, const pool_name& service, time_point arrived) const;
+
     /// Records that the first event of a stream came from this origin; empty if its version isn't certain.
     /// `reported`: this VM tells the others, as the one to which the caller sent the request.
     void record(const request_id& attempt, const std::optional<stream_origin>& origin, bool reported,
                 time_point now);
 
-    /// Origin of the stream that an attempt began. Empty if it isn't certain.
+    /// Origin of the stream that an attempt began, for a caller who came at `arrived`. Empty if it isn't
+    /// certain.
     std::optional<stream_origin> find(const request_id& attempt, const pool_name& service,
-                                      time_point now) const;
+                                      time_point arrived) const;
 
     /// Applies what another VM or data centre reports.
     void apply_reported(const std::vector<reported_origins>& reported, time_point now);
@@ -91,6 +100,8 @@
     std::map<pool_name, std::map<std::string, time_point>> m_seen; ///< when each version was last known
     service_versions m_listed;
     std::optional<time_point> m_confirmed_since;
+    time_point m_confirmed_until;
+    time_point m_list_read_began;
 };
 
 } // namespace cardamomstream
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -40,6 +40,10 @@
 /// The longest watch, and the time for its answer.
 constexpr std::chrono::milliseconds list_confirmation_ttl = longest_watch_wait + std::chrono::seconds{2};
 
+/// Takers-up of unknown streams that come within this time share one call.
+constexpr std::chrono::milliseconds confirmation_pause{20};
+constexpr std::chrono::milliseconds confirmation_limit{400};
+
 constexpr std::size_t max_report_bytes = 60'000; ///< below the largest datagram
 
 vm_identity identity_of(const node_settings& settings, incarnation process)
@@ -103,6 +107,14 @@
         m_state.request_early_report = [this] {
             boost::asio::post(m_thread.io(), [this] { report_here(); });
         };
+        m_state.request_list_read = [this] {
+            boost::asio::post(m_thread.io(), [this] {
+                m_confirmation_wanted = true;
+                if (!std::exchange(m_confirming, true)) {
+                    m_thread.spawn([this] { confirm_upstreams(); });
+                }
+            });
+        };
     });
     follow(m_operator_entries, false);
     follow(m_upstream_entries, true);
@@ -393,6 +405,25 @@
     }
 }
 
+void node_control::confirm_upstreams()
+{
+    while (std::exchange(m_confirmation_wanted, false)) {
+        boost::this_fiber::sleep_for(confirmation_pause);
+        m_confirmation_wanted = false;
+        const auto began = boot_clock::now();
+        const bool read = m_upstream_entries.confirm(confirmation_limit);
+        boost::asio::post(m_traffic.io(), [this, read, began] {
+            if (read) {
+                m_state.origins.set_list_read(began);
+            }
+            else {
+                m_state.list_read_failed_at = boot_clock::now();
+            }
+        });
+    }
+    m_confirming = false;
+}
+
 void node_control::publish_vms(time_point now)
 {
     m_vms_published_at = now;
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -62,6 +62,7 @@
     void summarise_periodically();
     void report_from_traffic();
     void report_here();
+    void confirm_upstreams();
     void publish_vms(time_point now);
     void report(traffic_figures traffic);
     vm_report describe(time_point now) const;
@@ -85,6 +86,8 @@
     time_point m_reported_at;
     time_point m_vms_published_at;
     bool m_leaving = false;
+    bool m_confirmation_wanted = false;
+    bool m_confirming = false;         ///< the fiber that reads the list anew is running
     bool m_upstreams_listed = false;   ///< until then, upstreams may have started long ago
     bool m_evacuations_listed = false; ///< until then, evacuations may have begun long ago
 };
--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -16,6 +16,10 @@
 /// Of a watch for something that other VMs know of already.
 constexpr std::chrono::milliseconds question_wait{200};
 
+/// Of a call that only shows whether something has changed.
+constexpr std::chrono::milliseconds confirmation_wait{1};
+constexpr std::chrono::milliseconds confirmation_poll{5};
+
 constexpr std::chrono::milliseconds first_retry{100};
 constexpr std::chrono::milliseconds longest_retry{1'000};
 
@@ -68,6 +72,32 @@
     }
 }
 
+bool store_follower::confirm(std::chrono::milliseconds limit)
+{
+    const auto until = boot_clock::now() + limit;
+    if (!m_listed) {
+        return false;
+    }
+    cancellation cancel;
+    const auto missing = m_store.watch(m_prefix, m_revision, confirmation_wait, cancel);
+    if (!missing) {
+        m_log.write(log_weight::failure, "store_unconfirmed",
+                    {{"prefix", m_prefix}, {"reason", missing.error().message}});
+        return false;
+    }
+    std::uint64_t newest = 0;
+    for (const auto& item : missing.value().items) {
+        newest = std::max(newest, item.revision);
+    }
+    // The watch brings these changes: applied here as well, an older one might follow a newer one.
+    while (m_revision < newest && boot_clock::now() < until) {
+        m_asked = true;
+        m_wanted.notify_all();
+        boost::this_fiber::sleep_for(confirmation_poll);
+    }
+    return m_listed && m_revision >= newest;
+}
+
 void store_follower::take(store_changes changes)
 {
     if (!m_listed || !m_lag.accept_changes(changes)) {
--- a/src/app/node/store_follower.h
+++ b/src/app/node/store_follower.h
@@ -55,6 +55,10 @@
     /// missing.
     void set_reads(bool reads);
 
+    /// Asks the store for changes that are missing, and waits until they have been applied. True when this
+    /// part is then known as it was after the call had begun; false if the store doesn't answer in time.
+    bool confirm(std::chrono::milliseconds limit);
+
     /// What another VM of the data centre has read.
     void take(store_changes changes);
 
--- a/src/request/stream_origin/stream_origins.cpp
+++ b/src/request/stream_origin/stream_origins.cpp
@@ -17,6 +17,9 @@
 /// made of the last report of each VM.
 constexpr std::chrono::milliseconds report_time{900};
 
+/// Longest time without a confirmation of the list: the process may have stood still meanwhile.
+constexpr std::chrono::seconds confirmation_ttl{10};
+
 std::uint64_t key_of(const request_id& attempt)
 {
     return XXH3_64bits(attempt.str().data(), attempt.str().size());
@@ -50,12 +53,25 @@
     if (!confirmed || m_listed.empty()) {
         m_confirmed_since.reset();
     }
-    else if (!m_confirmed_since) {
+    else if (!m_confirmed_since || now - m_confirmed_until > confirmation_ttl) {
         m_confirmed_since = now;
     }
+    m_confirmed_until = now;
     expire(now);
 }
 
+void stream_origins::set_list_read(time_point began)
+{
+    m_list_read_began = std::max(m_list_read_began, began);
+}
+
+bool stream_origins::needs_list_read(const request_id& attempt, const pool_name& service,
+                                     time_point arrived) const
+{
+    return m_list_read_began < arrived && !m_streams.contains(key_of(attempt)) &&
+           only_version(service, arrived);
+}
+
 stream_origins::origin_index stream_origins::index_of(const stream_origin& origin)
 {
     const auto found = std::find(m_origins.begin(), m_origins.end(), origin);
@@ -94,11 +110,14 @@
 }
 
 std::optional<stream_origin> stream_origins::find(const request_id& attempt, const pool_name& service,
-                                                  time_point now) const
+                                                  time_point arrived) const
 {
     const auto known = m_streams.find(key_of(attempt));
     if (known == m_streams.end()) {
-        const auto version = only_version(service, now);
+        if (m_list_read_began < arrived) {
+            return std::nullopt;
+        }
+        const auto version = only_version(service, arrived);
         return version ? std::optional(stream_origin{service, *version}) : std::nullopt;
     }
     return known->second.origin ? std::optional(m_origins[*known->second.origin]) : std::nullopt;
--- a/src/request/stream_origin/tests/stream_origins_test.cpp
+++ b/src/request/stream_origin/tests/stream_origins_test.cpp
@@ -13,12 +13,13 @@
 const stream_origin old_version{service, "v1"};
 const stream_origin new_version{service, "v2"};
 
-/// A VM that has known this list without a gap from `start` to `until`.
+/// A VM that has known this list without a gap from `from` to `until`, and has read it then.
 void confirm(stream_origins& origins, time_point from, time_point until)
 {
     for (auto at = from; at <= until; at += 200ms) {
         origins.set_list_confirmed(true, at);
     }
+    origins.set_list_read(until);
 }
 
 } // namespace
@@ -57,6 +58,16 @@
             confirm(origins, start + life + 1s, start + life + 2s);
             CHECK_FALSE(origins.find(attempt, service, start + life + 2s));
         }
+        SECTION("but the list was read before the caller came, when a newer one may not have been in it")
+        {
+            CHECK_FALSE(origins.find(attempt, service, start + life + 1ms));
+            CHECK_FALSE(origins.find(attempt, service, start + life + 6s));
+        }
+        SECTION("but this VM stood still meanwhile, so that another one may have come and gone")
+        {
+            confirm(origins, start + life + 20s, start + life + 21s);
+            CHECK_FALSE(origins.find(attempt, service, start + life + 21s));
+        }
         SECTION("but another VM has seen a second one")
         {
             origins.apply_reported({{service, "v2", {17}}}, start + life);
