Summaries to other data centres: an end is told apart by its broken send as well

What callers would see: a request that ends upstreams which are back at once is stopped later in other regions than in its own.

A summary kept one of several connections that had broken at one upstream, so that other regions counted one.

Evidence: the new test of report_exchange found 1 of 2 ends before, and finds both now.

--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -114,7 +114,8 @@
         const bool known =
             std::any_of(report.part_crashes.begin(), report.part_crashes.end(), [&](const part_crash& added) {
                 return added.part == crash.part && added.upstream == crash.upstream &&
-                       added.started_unix_ms == crash.started_unix_ms;
+                       added.started_unix_ms == crash.started_unix_ms &&
+                       added.broken_send == crash.broken_send;
             });
         if (!known && report.part_crashes.size() < max_summary_crashes) {
             crash.sent_age += more;
--- a/src/process/deployment/tests/report_exchange_test.cpp
+++ b/src/process/deployment/tests/report_exchange_test.cpp
@@ -430,3 +430,41 @@
     // The asking VM's neighbours do not become neighbours of the answering one.
     CHECK(answering_vm.vms().known_in(remote).empty());
 }
+
+TEST_CASE("connections that break at one upstream are told apart in a summary")
+{
+    const data_centre_name local("dc-0");
+    const data_centre_name remote("dc-1");
+    const region_name region("r");
+    const time_point start{1'000s};
+    report_exchange exchange({vm_name("a"), {1}, region, local, {}, {"10.0.0.1", 7'000}},
+                             {{local, region}, {remote, region}});
+    const part_crash first{5, 9, upstream_name("u"), 17, 900ms, 400ms, 31, crash_subject::request};
+    part_crash second = first;
+    second.broken_send = 32;
+
+    vm_report neighbour;
+    neighbour.vm = vm_name("c");
+    neighbour.process = {3};
+    neighbour.sequence = 1;
+    neighbour.region = region;
+    neighbour.data_centre = local;
+    neighbour.inner = {"10.0.0.2", 7'000};
+    neighbour.part_crashes = {first};
+    exchange.receive(neighbour, start);
+    vm_report other = neighbour;
+    other.vm = vm_name("d");
+    other.data_centre = remote;
+    other.inner = {"10.1.0.1", 7'000};
+    other.part_crashes = {};
+    exchange.receive(other, start);
+    vm_report own;
+    own.part_crashes = {first, second};
+    (void)exchange.report(own, start);
+
+    const auto summaries = exchange.summarise(start);
+    REQUIRE_FALSE(summaries.empty());
+    for (const auto& [summary, receivers] : summaries) {
+        CHECK(summary.part_crashes.size() == 2);
+    }
+}
