--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -91,8 +91,7 @@
     }
     // The watch brings these changes: applied here as well, an older one might follow a newer one.
     while (m_revision < newest && boot_clock::now() < until) {
-        m_asked = true;
-        m_wanted.notify_all();
+        want_watch();
         boost::this_fiber::sleep_for(confirmation_poll);
     }
     return m_listed && m_revision >= newest;
@@ -182,6 +181,12 @@
         m_waiting->cancel();
         return;
     }
+    want_watch();
+}
+
+/// Lets a VM that takes what others read ask the store once.
+void store_follower::want_watch()
+{
     m_asked = true;
     m_wanted.notify_all();
 }
--- a/src/app/node/store_follower.h
+++ b/src/app/node/store_follower.h
@@ -79,6 +79,7 @@
 private:
     bool list();
     bool watch();
+    void want_watch();
     void await_question();
     void note_failure(const error& reason);
     void note_answer(const store_batch& answer);
--- a/src/request/quarantine/prompt_quarantine.cpp
+++ b/src/request/quarantine/prompt_quarantine.cpp
@@ -229,12 +229,14 @@
         added);
     limit_crashes(known.crashes);
     known.independent = count_independent(known.crashes);
-    if (independent_of(known.crashes).size() > ends_before || known.independent > before) {
+    const bool more = known.independent > before;
+    // Ends that don't count yet are reported as well: with those that other VMs see they may.
+    if (more || independent_of(known.crashes).size() > ends_before) {
         known.changed_at = now;
         m_early_report_due = m_early_report_due || added.observer == m_self;
-        if (known.independent > before && known.independent >= crashes_until_quarantine) {
-            changes.push_back({m_settings.subject, part, true, known.independent});
-        }
+    }
+    if (more && known.independent >= crashes_until_quarantine) {
+        changes.push_back({m_settings.subject, part, true, known.independent});
     }
 }
 
--- a/src/request/serving/attempt_runner.cpp
+++ b/src/request/serving/attempt_runner.cpp
@@ -73,9 +73,9 @@
         if (part) {
             return std::optional<std::string>(m_events.pass_over(std::move(*part)));
         }
-        const bool inside_event =
+        const bool broken_stream =
             is_event_stream(head()) && (!m_events.at_event_end() || !m_events.has_bytes());
-        if (head().ends_with_connection && (inside_event || upstream_probe(m_client).has_ended(m_address))) {
+        if (head().ends_with_connection && (broken_stream || upstream_probe(m_client).has_ended(m_address))) {
             return error{error_kind::upstream_failed,
                          "the connection to the upstream broke: an answer without length was broken off",
                          "read the status before you submit again",
--- a/src/request/serving/caller_auth.h
+++ b/src/request/serving/caller_auth.h
@@ -24,7 +24,7 @@
 /// The request headers that are passed to an upstream; none of them contains the key.
 std::vector<http_header> upstream_headers(const http_request& request, const request_id& id);
 
-/// The headers of an upstream's response that are passed to the caller.
+/// Head of an upstream's response for the caller, with those headers that are passed on.
 http_response_head caller_head(const http_response_head& head, const request_id& id);
 
 } // namespace cardamomstream
