--- /dev/null
+++ b/include/cardamomstream/connection/buffer_memory.h
@@ -0,0 +1,37 @@
+/// Limit on the memory of the read buffers of many connections.
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+
+namespace cardamomstream {
+
+/// Counts the bytes of the buffers that share it. Thread safe.
+class buffer_memory {
+public:
+    static constexpr std::size_t default_max_bytes = std::size_t{16} * 1024 * 1024;
+
+    explicit buffer_memory(std::size_t max_bytes = default_max_bytes)
+        : m_max_bytes(max_bytes)
+    {
+    }
+
+    /// False, and nothing is reserved, when the limit would be exceeded.
+    bool reserve(std::size_t bytes) noexcept
+    {
+        if (m_bytes.fetch_add(bytes) + bytes <= m_max_bytes) {
+            return true;
+        }
+        m_bytes -= bytes;
+        return false;
+    }
+    void release(std::size_t bytes) noexcept { m_bytes -= bytes; }
+
+    std::size_t bytes() const noexcept { return m_bytes; }
+
+private:
+    std::size_t m_max_bytes;
+    std::atomic<std::size_t> m_bytes = 0;
+};
+
+} // namespace cardamomstream
--- a/include/cardamomstream/request/gateway/answer_memory.h
+++ b/include/cardamomstream/request/gateway/answer_memory.h
@@ -12,7 +12,7 @@
     static constexpr std::size_t max_bytes_per_answer = std::size_t{8} * 1024 * 1024;
     static constexpr std::size_t max_bytes = std::size_t{48} * 1024 * 1024;
 
-    /// Bytes reserved for one answer; released on destruction.
+    /// Bytes reserved for one answer, or for a stream's incomplete event; released on destruction.
     class reservation {
     public:
         explicit reservation(answer_memory& owner)
@@ -26,13 +26,17 @@
         reservation& operator=(reservation&&) = delete;
 
         /// Reserves more bytes. False when a limit would be exceeded.
-        bool add(std::size_t bytes)
+        bool add(std::size_t bytes) { return resize(m_bytes + bytes); }
+
+        /// Reserves this many bytes in all. False when a limit would be exceeded.
+        bool resize(std::size_t bytes)
         {
-            if (m_bytes + bytes > max_bytes_per_answer || m_owner.m_bytes + bytes > max_bytes) {
+            const auto others = m_owner.m_bytes - m_bytes;
+            if (bytes > m_bytes && (bytes > max_bytes_per_answer || others + bytes > max_bytes)) {
                 return false;
             }
-            m_bytes += bytes;
-            m_owner.m_bytes += bytes;
+            m_owner.m_bytes = others + bytes;
+            m_bytes = bytes;
             return true;
         }
 
--- a/include/cardamomstream/request/gateway/event_splitter.h
+++ b/include/cardamomstream/request/gateway/event_splitter.h
@@ -44,11 +44,11 @@
 
     event_fault fault() const noexcept { return m_fault; }
 
+    /// Bytes that are held until their event is complete.
+    std::size_t held_bytes() const noexcept { return m_partial_event.size() + m_held.size(); }
+
     /// False once the incomplete event exceeds `max_event_bytes`.
-    bool within_size_limit() const noexcept
-    {
-        return m_partial_event.size() + m_held.size() <= max_event_bytes;
-    }
+    bool within_size_limit() const noexcept { return held_bytes() <= max_event_bytes; }
 
     /// Id of the last complete event; empty before the first one.
     const std::string& last_id() const noexcept { return m_last_id; }
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -137,7 +137,7 @@
     send_result relay_answer(http_exchange& exchange, sent_request* sent, const placement& where);
     send_result use_answer(http_exchange& exchange, sent_request* sent, const placement& where);
     send_result relay_part(std::string part, const http_response_head& head, sent_request* sent,
-                           const placement& where);
+                           const placement& where, answer_memory::reservation& held);
     send_result end_stream(http_exchange& exchange, const sent_request* sent, const placement& where);
     send_result reject_events(std::string_view reason);
     void record_resumption(const http_response_head& head, const placement& where, std::string_view after,
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -260,6 +260,7 @@
         m_sent_version = answer_version(exchange.head().headers);
     }
     m_last_event_at = boot_clock::now();
+    auto held = m_state.held_answers.reserve();
     while (true) {
         auto part = exchange.next();
         if (!part) {
@@ -272,7 +273,7 @@
         if (!part.value()) {
             return end_stream(exchange, sent, where);
         }
-        const auto result = relay_part(std::move(*part.value()), exchange.head(), sent, where);
+        const auto result = relay_part(std::move(*part.value()), exchange.head(), sent, where, held);
         if (result != send_result::answered) {
             return result;
         }
@@ -283,7 +284,7 @@
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result
 request_flow<Wire>::relay_part(std::string part, const http_response_head& head, sent_request* sent,
-                               const placement& where)
+                               const placement& where, answer_memory::reservation& held)
 {
     const auto now = boot_clock::now();
     const auto bytes = m_route->resumable ? m_events.feed(part) : m_events.pass_over(std::move(part));
@@ -293,8 +294,8 @@
     if (m_events.fault() != event_fault::none) {
         return reject_events(to_text(m_events.fault()));
     }
-    if (bytes.empty() && !m_events.within_size_limit()) {
-        m_last_failure = "an event exceeds the size limit";
+    if (!held.resize(m_events.held_bytes()) || !m_events.within_size_limit()) {
+        m_last_failure = "an event exceeds the size limit or the memory for incomplete events";
         return send_result::may_have_run;
     }
     if (bytes.empty() && now - m_last_event_at > stall_timeout(where)) {
--- a/src/connection/client/client_connection.h
+++ b/src/connection/client/client_connection.h
@@ -1,22 +1,25 @@
 /// One TCP connection to a server, with the limits that tell a silent connection from a slow server.
 #pragma once
 
+#include "cardamomstream/connection/read_buffer.h"
 #include "cardamomstream/core/boot_clock.h"
 #include "cardamomstream/core/core_types.h"
 #include "cardamomstream/core/error.h"
 
 #include <chrono>
+#include <memory>
+#include <utility>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 
 namespace cardamomstream {
 
 class client_connection {
 public:
-    explicit client_connection(boost::asio::io_context& io)
+    client_connection(boost::asio::io_context& io, std::shared_ptr<buffer_memory> memory)
         : m_socket(io)
+        , m_buffer(make_read_buffer(std::move(memory)))
     {
     }
 
@@ -29,14 +32,14 @@
     void close();
 
     boost::asio::ip::tcp::socket& socket() noexcept { return m_socket; }
-    boost::beast::flat_buffer& buffer() noexcept { return m_buffer; }
+    read_buffer& buffer() noexcept { return m_buffer; }
 
     time_point idle_since;
     bool has_carried_request = false;
 
 private:
     boost::asio::ip::tcp::socket m_socket;
-    boost::beast::flat_buffer m_buffer;
+    read_buffer m_buffer;
 };
 
 } // namespace cardamomstream
--- a/src/connection/client/tests/raw_answer_test.cpp
+++ b/src/connection/client/tests/raw_answer_test.cpp
@@ -6,6 +6,8 @@
 #include <future>
 #include <string>
 #include <thread>
+#include <utility>
+#include <vector>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -141,3 +143,39 @@
         CHECK_FALSE(fetch_from(server, 300ms));
     }
 }
+
+// A faulty server sends bytes that are no answer until the caller closes: they must not be kept.
+TEST_CASE("bytes without end wherever a parser waits for a delimiter")
+{
+    const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+    const std::string filler(64 * 1024, 'x');
+    std::string fields;
+    while (fields.size() < filler.size()) {
+        fields += "X-Filler: 0123456789\r\n";
+    }
+    const std::vector<std::pair<std::string, std::string>> places{
+        {chunked, filler},                                        // chunk header
+        {chunked + "4;", filler},                                 // chunk extension
+        {chunked + "0\r\nX: ", filler},                           // trailer
+        {chunked + "0\r\n", fields},                              // trailers
+        {"HTTP/1.1 200 ", filler},                                // reason
+        {"HTTP/1.1 200 OK\r\n", fields},                          // head
+        {"HTTP/1.1 103 Early Hints\r\n", fields},                 // informational head
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: ", filler},       // one header
+        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", // first chunk header
+         filler},
+    };
+    for (const auto& [beginning, endless] : places) {
+        CAPTURE(beginning);
+        raw_server server([&, &first = beginning, &rest = endless](const byte_writer& write) {
+            bool open = write(first);
+            while (open) {
+                open = write(rest);
+                std::this_thread::sleep_for(1ms); // slow enough for the memory of a test that fails
+            }
+        });
+        const auto began = std::chrono::steady_clock::now();
+        CHECK_FALSE(fetch_from(server, 2s));
+        CHECK(std::chrono::steady_clock::now() - began < 1s);
+    }
+}
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -4,6 +4,7 @@
 #include "caller_watch.h"
 
 #include "cardamomstream/connection/http_server.h"
+#include "cardamomstream/connection/read_buffer.h"
 
 #include <atomic>
 #include <chrono>
@@ -21,6 +22,7 @@
 struct session_context {
     http_limits limits;
     request_handler handler;
+    std::shared_ptr<buffer_memory> memory = std::make_shared<buffer_memory>();
     std::atomic<bool> closing = false;  ///< answers carry `Connection: close`
     std::atomic<bool> stopping = false; ///< no further connection is accepted
     std::atomic<bool> ending = false;   ///< no connection waits for a further request
@@ -72,7 +74,7 @@
     boost::beast::tcp_stream m_stream;
     std::size_t m_thread;
     std::shared_ptr<session_context> m_context;
-    boost::beast::flat_buffer m_buffer;
+    read_buffer m_buffer;
     std::shared_ptr<caller_watch> m_watch;
     unsigned m_version = 11;
     bool m_keep_alive = true;
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -464,3 +464,17 @@
     REQUIRE_FALSE(bound);
     CHECK(bound.error().kind == error_kind::invalid_settings);
 }
+
+// A caller's bytes without end in a chunk header, an extension or trailers must not be kept.
+TEST_CASE("a request has no end where a parser waits for a delimiter")
+{
+    running_server running(echo);
+    const std::string chunked =
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n";
+    for (const auto* place : {"", "4;", "0\r\nX: "}) {
+        CAPTURE(place);
+        raw_caller caller(running.address);
+        caller.send(chunked + place + std::string(256 * 1024, 'x'));
+        CHECK(contains(caller.read_until("\r\n"), " 400 "));
+    }
+}
