--- a/include/cardamomstream/process/deployment/change_lag.h
+++ b/include/cardamomstream/process/deployment/change_lag.h
@@ -9,28 +9,28 @@
 
 namespace cardamomstream {
 
-/// Compares the newest store revision known to this VM with those that other VMs report. A watch whose
-/// connection went silent, or whose response was lost, could wait for a long time; a newer revision at
+/// Compares the position up to which this VM knows the store with the changes that other VMs report. A watch
+/// whose connection went silent, or whose response was lost, could wait for a long time; a newer change at
 /// another VM reveals it. Not thread-safe.
 class change_lag {
 public:
-    /// Records that this VM knows of the change with this revision and all earlier ones.
-    void record_known(std::uint64_t revision);
+    /// Records that this VM knows of all changes up to this position. One of an older era changes nothing.
+    void record_known(store_position position);
 
     /// Records changes that another VM has read and removes from `changes` those already known. Returns
     /// false, and changes nothing, when this VM misses changes before these.
     bool accept_changes(store_changes& changes);
 
-    /// Records that another VM knows of `revision`. Returns true when this VM's watch should be restarted.
-    bool record_peer_revision(std::uint64_t revision, time_point now);
+    /// Records that another VM knows of this change. Returns true when this VM's watch should be restarted.
+    bool record_peer_change(store_position change, time_point now);
 
-    /// Revision of the newest change that this VM knows of, for its reports.
-    std::uint64_t known() const noexcept { return m_known; }
+    /// All changes up to here are known to this VM.
+    store_position known() const noexcept { return m_known; }
 
 private:
-    std::uint64_t m_known = 0;
-    std::uint64_t m_peer_revision = 0;
-    time_point m_behind_since; ///< valid while `m_peer_revision` is newer than `m_known`
+    store_position m_known;
+    store_position m_peer_change;
+    time_point m_behind_since; ///< valid while `m_peer_change` is newer than `m_known`
     time_point m_restarted_at; ///< epoch: never
 };
 
--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -173,10 +173,14 @@
     std::vector<part_success> part_successes; ///< of parts that other VMs may suspect
     std::vector<part_trial> part_trials;
     std::vector<reported_origins> stream_origins; ///< begun lately; while several versions are known
-    std::vector<std::uint64_t> known_changes;     ///< newest revision known in each `store_part`
+    std::vector<store_position> known_changes;    ///< newest change known in each `store_part`
     bool store_failing = false;                   ///< the store has recently failed to answer this VM
-    std::vector<std::uint64_t> read_up_to;        ///< store revision up to which each `store_part` is known
-    std::optional<store_changes> changes;         ///< store changes that the VM has just read
+    /// Position up to which each `store_part` is known, of the same era as the newest change.
+    std::vector<store_position> read_up_to;
+    /// Position of the listing with which the VM began to read each `store_part`. It may not know of changes
+    /// before it, such as the removal of an entry.
+    std::vector<store_position> read_from;
+    std::optional<store_changes> changes; ///< store changes that the VM has just read
 };
 
 } // namespace cardamomstream
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -7,6 +7,7 @@
 #include "cardamomstream/process/deployment/vm_report_codec.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -152,7 +153,7 @@
     follower.on_changes([this](const store_changes& changes) {
         const bool lapsed = changes.after_outage || after_outage(boot_clock::now());
         for (const auto& item : changes.items) {
-            apply(item, lapsed);
+            apply(item, {lapsed, false});
         }
         publish();
     });
@@ -174,16 +175,30 @@
     if (report.known_changes.size() != store_part_count) {
         return;
     }
-    const bool read = report.reads_store && report.read_up_to.size() == store_part_count;
-    m_operator_entries.record_peer_revisions(report.known_changes[0], read ? report.read_up_to[0] : 0, now);
-    m_upstream_entries.record_peer_revisions(report.known_changes[1], read ? report.read_up_to[1] : 0, now);
+    const auto reading_of = [&](std::size_t part) -> std::optional<store_follower::peer_reading> {
+        if (!report.reads_store || report.read_up_to.size() != store_part_count) {
+            return std::nullopt;
+        }
+        // Reports of earlier versions don't say from where on the store was read.
+        const bool states_from = report.read_from.size() == store_part_count;
+        return store_follower::peer_reading{states_from ? report.read_from[part] : store_position{},
+                                            report.read_up_to[part]};
+    };
+    m_operator_entries.record_peer(report.known_changes[0], reading_of(0), now);
+    m_upstream_entries.record_peer(report.known_changes[1], reading_of(1), now);
 }
 
 void node_control::choose_reader(time_point now)
 {
     const bool answered = m_operator_entries.answered() && m_upstream_entries.answered();
-    const bool reads =
-        m_reader.should_read(m_settings.inner_listener, answered, m_exchange.vms().neighbours(now), now);
+    auto neighbours = m_exchange.vms().neighbours(now);
+    // What a VM reads that doesn't know the store's present era is of no use to the others.
+    std::erase_if(neighbours, [&](const auto& vm) {
+        const auto& known = vm->report.known_changes;
+        return known.size() == store_part_count && (known[0].era < m_operator_entries.read_up_to().era ||
+                                                    known[1].era < m_upstream_entries.read_up_to().era);
+    });
+    const bool reads = m_reader.should_read(m_settings.inner_listener, answered, neighbours, now);
     m_operator_entries.set_reads(reads);
     m_upstream_entries.set_reads(reads);
     const auto readers = static_cast<int>(m_exchange.vms().store_readers(now)) + 1;
@@ -205,7 +220,7 @@
         auto state = describe(now);
         state.changes = part;
         send({m_exchange.announce(std::move(state), now)});
-        part.after = part.items.back().revision;
+        part.after.revision = part.items.back().revision;
         part.items.clear();
         bytes = 0;
     };
@@ -214,13 +229,13 @@
             return; // reports name the newer revision, and the others ask the store for it
         }
         if (bytes + size_of(item) > max_announced_bytes) {
-            part.revision = part.items.back().revision;
+            part.up_to.revision = part.items.back().revision;
             send_part();
         }
         bytes += size_of(item);
         part.items.push_back(item);
     }
-    part.revision = changes.revision;
+    part.up_to = changes.up_to;
     send_part();
 }
 
@@ -229,7 +244,7 @@
     std::set<upstream_name> upstreams;
     std::set<data_centre_name> evacuated;
     for (const auto& item : batch.items) {
-        apply(item, false);
+        apply(item, {false, batch.restored});
         const auto subject = platform::subject_of(item.key);
         if (subject == platform::store_subject::upstream) {
             upstreams.insert(platform::upstream_of(item.key));
@@ -239,19 +254,22 @@
         }
     }
     const auto now = boot_clock::now();
+    if (batch.restored) {
+        m_state.counters.store_restorations.increment(lists_upstreams ? "upstreams" : "operators");
+    }
     if (lists_upstreams) {
-        m_upstreams.retain_listed(upstreams, after_outage(now), now);
+        m_upstreams.retain_listed(upstreams, batch.restored || after_outage(now), now);
         m_upstreams_listed = true;
     }
     else {
-        for (const auto& opened : m_upstreams.retain_evacuations(evacuated, now)) {
+        for (const auto& opened : m_upstreams.retain_evacuations(evacuated, batch.restored, now)) {
             log_evacuation(opened, false);
         }
         m_evacuations_listed = true;
     }
 }
 
-void node_control::apply(const store_item& item, bool lapsed)
+void node_control::apply(const store_item& item, store_condition condition)
 {
     switch (platform::subject_of(item.key)) {
     case platform::store_subject::plan:
@@ -261,7 +279,7 @@
         apply_evacuation(item);
         return;
     case platform::store_subject::upstream:
-        apply_upstream(item, lapsed);
+        apply_upstream(item, condition);
         return;
     case platform::store_subject::other:
         return;
@@ -304,14 +322,14 @@
     }
 }
 
-void node_control::apply_upstream(const store_item& item, bool lapsed)
+void node_control::apply_upstream(const store_item& item, store_condition condition)
 {
     const auto id = platform::upstream_of(item.key);
     const auto now = boot_clock::now();
     if (item.removed) {
         m_log.write(log_weight::state, "upstream_removed",
-                    {{"upstream", id.str()}, {"after_outage", std::int64_t{lapsed ? 1 : 0}}});
-        m_upstreams.remove(id, lapsed, now);
+                    {{"upstream", id.str()}, {"after_outage", std::int64_t{condition.lapsed ? 1 : 0}}});
+        m_upstreams.remove(id, condition.lapsed, now);
         return;
     }
     const auto record = platform::decode_upstream(id, item.value);
@@ -321,7 +339,15 @@
         }
         return;
     }
-    m_upstreams.apply(record.value(), !m_upstreams_listed, now);
+    if (condition.restored) {
+        if (!m_upstreams.apply_restored(record.value(), now)) {
+            m_log.write(log_weight::state, "upstream_entry_outdated", {{"upstream", id.str()}});
+            return;
+        }
+    }
+    else {
+        m_upstreams.apply(record.value(), !m_upstreams_listed, now);
+    }
     m_log.write(log_weight::state, "upstream",
                 {{"upstream", id.str()},
                  {"service", record.value().service.str()},
@@ -382,7 +408,11 @@
         const auto now = boot_clock::now();
         m_exchange.expire(now);
         choose_reader(now);
-        if (m_upstreams.expire(now)) {
+        const auto opened = m_upstreams.expire_evacuations(now);
+        for (const auto& data_centre : opened) {
+            log_evacuation(data_centre, false);
+        }
+        if (m_upstreams.expire(now) || !opened.empty()) {
             publish();
         }
         publish_vms(now);
@@ -461,6 +491,7 @@
     report.known_changes = {m_operator_entries.newest_change(), m_upstream_entries.newest_change()};
     report.reads_store = m_operator_entries.answered() && m_upstream_entries.answered();
     report.read_up_to = {m_operator_entries.read_up_to(), m_upstream_entries.read_up_to()};
+    report.read_from = {m_operator_entries.read_from(), m_upstream_entries.read_from()};
     report.store_failing = store_failed_lately(now);
     return report;
 }
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -50,11 +50,17 @@
     void set_watch_pace(time_point now);
 
     void apply_listing(const store_batch& batch, bool lists_upstreams);
-    void apply(const store_item& item, bool lapsed);
+    /// What is known of the store when an entry is applied.
+    struct store_condition {
+        bool lapsed = false;   ///< it was down shortly before, so that entries may have expired
+        bool restored = false; ///< the entry may be of a copy that is older than what was known
+    };
+
+    void apply(const store_item& item, store_condition condition);
     void apply_evacuation(const store_item& item);
     void log_evacuation(const data_centre_name& data_centre, bool began);
     void apply_plan(const store_item& item);
-    void apply_upstream(const store_item& item, bool lapsed);
+    void apply_upstream(const store_item& item, store_condition condition);
     void publish();
 
     void receive_reports();
--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds confirmation_wait{1};
 constexpr std::chrono::milliseconds confirmation_poll{5};
 
+/// The VMs that take what others read list a restored store within this time, not all at once.
+constexpr std::chrono::milliseconds restored_listing_spread{800};
+
 constexpr std::chrono::milliseconds first_retry{100};
 constexpr std::chrono::milliseconds longest_retry{1'000};
 
@@ -44,6 +47,13 @@
         if (m_listed) {
             await_question();
         }
+        if (m_listed && behind_era()) {
+            if (!m_reads) {
+                std::uniform_int_distribution<std::int64_t> pick(0, restored_listing_spread.count());
+                boost::this_fiber::sleep_for(std::chrono::milliseconds(pick(m_random)));
+            }
+            m_listed = false;
+        }
         if (m_listed ? watch() : list()) {
             retry = first_retry;
             continue;
@@ -79,32 +89,37 @@
         return false;
     }
     cancellation cancel;
-    const auto missing = m_store.watch(m_prefix, m_revision, confirmation_wait, cancel);
+    const auto missing = m_store.watch(m_prefix, m_lag.known().revision, confirmation_wait, cancel);
     if (!missing) {
         m_log.write(log_weight::failure, "store_unconfirmed",
                     {{"prefix", m_prefix}, {"reason", missing.error().message}});
         return false;
     }
-    std::uint64_t newest = 0;
+    if (!check_era(missing.value().position)) {
+        want_watch();
+        return false;
+    }
+    store_position newest{missing.value().position.era, 0};
     for (const auto& item : missing.value().items) {
-        newest = std::max(newest, item.revision);
+        newest.revision = std::max(newest.revision, item.revision);
     }
     // The watch brings these changes: applied here as well, an older one might follow a newer one.
-    while (m_revision < newest && boot_clock::now() < until) {
+    while (m_lag.known() < newest && boot_clock::now() < until) {
         want_watch();
         boost::this_fiber::sleep_for(confirmation_poll);
     }
-    return m_listed && m_revision >= newest;
+    return m_listed && m_lag.known() >= newest;
 }
 
 void store_follower::take(store_changes changes)
 {
-    if (!m_listed || !m_lag.accept_changes(changes)) {
+    note_era(changes.up_to.era);
+    if (!m_listed || behind_era() || !m_lag.accept_changes(changes)) {
         return; // a listing brings it, or the store is asked when it stays missing
     }
-    m_revision = std::max(m_revision, changes.revision);
     m_confirmed_at = boot_clock::now();
     if (!changes.items.empty()) {
+        note_changes(changes.up_to.era, changes.items);
         m_on_changes(changes);
     }
 }
@@ -118,21 +133,87 @@
         return false;
     }
     note_answer(all.value());
-    m_revision = all.value().revision;
-    m_listed = true;
-    for (const auto& item : all.value().items) {
-        m_lag.record_known(item.revision);
+    if (all.value().position.era < m_newest_era) {
+        log_outdated(all.value().position);
+        return false;
     }
-    m_on_listing(all.value());
+    apply_listing(std::move(all.value()));
     return true;
 }
 
+void store_follower::apply_listing(store_batch all)
+{
+    const auto before = m_lag.known();
+    all.restored = m_ever_listed && all.position.era > before.era;
+    m_newest_era = all.position.era;
+    if (all.restored) {
+        m_log.write(log_weight::state, "store_restored",
+                    {{"prefix", m_prefix},
+                     {"era", static_cast<std::int64_t>(before.era)},
+                     {"revision", static_cast<std::int64_t>(before.revision)},
+                     {"new_era", static_cast<std::int64_t>(all.position.era)},
+                     {"new_revision", static_cast<std::int64_t>(all.position.revision)},
+                     {"reads", std::int64_t{m_reads ? 1 : 0}}});
+    }
+    m_lag.record_known(all.position);
+    m_listed_at = all.position;
+    m_newest_change = std::max(m_newest_change, store_position{all.position.era, 0});
+    note_changes(all.position.era, all.items);
+    m_listed = true;
+    m_ever_listed = true;
+    m_on_listing(all);
+}
+
+void store_follower::note_changes(std::uint64_t era, const std::vector<store_item>& items)
+{
+    for (const auto& item : items) {
+        m_newest_change = std::max(m_newest_change, store_position{era, item.revision});
+    }
+}
+
+/// False for an answer of another era than the one that is followed: of a newer one a listing is due, and an
+/// older one is passed over.
+bool store_follower::check_era(const store_position& answer)
+{
+    const auto known = m_lag.known();
+    if (answer.era == known.era) {
+        return true;
+    }
+    note_era(answer.era);
+    if (answer.era < m_newest_era) {
+        log_outdated(answer);
+    }
+    return false;
+}
+
+void store_follower::log_outdated(const store_position& answer)
+{
+    m_log.write(log_weight::state, "store_answer_outdated",
+                {{"prefix", m_prefix},
+                 {"era", static_cast<std::int64_t>(answer.era)},
+                 {"revision", static_cast<std::int64_t>(answer.revision)},
+                 {"newest_era", static_cast<std::int64_t>(m_newest_era)}});
+}
+
+/// Lets the store be listed anew when this era is newer than the one that is followed.
+void store_follower::note_era(std::uint64_t era)
+{
+    if (era <= m_newest_era) {
+        return;
+    }
+    m_newest_era = era;
+    if (m_waiting != nullptr) {
+        m_waiting->cancel();
+    }
+    want_watch();
+}
+
 bool store_follower::watch()
 {
     cancellation cancel;
     m_waiting = &cancel;
     const auto wait = m_reads ? next_wait() : question_wait;
-    auto changes = m_store.watch(m_prefix, m_revision, wait, cancel);
+    auto changes = m_store.watch(m_prefix, m_lag.known().revision, wait, cancel);
     m_waiting = nullptr;
     if (!changes && cancel.cancelled()) {
         return true; // the next watch goes on from the same revision, on a new connection
@@ -148,14 +229,17 @@
         return false;
     }
     note_answer(changes.value());
-    m_revision = std::max(m_revision, changes.value().revision);
+    const auto& position = changes.value().position;
+    if (!check_era(position)) {
+        return behind_era();
+    }
+    const auto after = m_newest_change;
+    m_lag.record_known(position);
     if (changes.value().items.empty()) {
         return true;
     }
-    store_changes read{m_part, m_lag.known(), m_revision, false, std::move(changes.value().items)};
-    for (const auto& item : read.items) {
-        m_lag.record_known(item.revision);
-    }
+    store_changes read{m_part, after, position, false, std::move(changes.value().items)};
+    note_changes(position.era, read.items);
     if (m_reads) {
         m_on_read(read);
     }
@@ -164,19 +248,25 @@
     return true;
 }
 
-void store_follower::record_peer_revisions(std::uint64_t change, std::uint64_t revision, time_point now)
+void store_follower::record_peer(store_position change, const std::optional<peer_reading>& reading,
+                                 time_point now)
 {
-    if (m_listed && change == m_lag.known()) {
-        m_revision = std::max(m_revision, revision); // no change lies between
-        m_confirmed_at = revision > 0 ? now : m_confirmed_at;
+    note_era(change.era);
+    if (!m_listed || change.era != m_lag.known().era) {
+        return;
+    }
+    const auto needed = change;
+    if (reading && needed == m_newest_change) {
+        m_lag.record_known(reading->up_to); // no change lies between
+        m_confirmed_at = now;
     }
-    if (!m_listed || !m_lag.record_peer_revision(change, now)) {
+    if (!m_lag.record_peer_change(needed, now)) {
         return;
     }
     m_log.write(log_weight::state, "watch_renewed",
                 {{"prefix", m_prefix},
-                 {"known", static_cast<std::int64_t>(m_lag.known())},
-                 {"told", static_cast<std::int64_t>(change)}});
+                 {"known", static_cast<std::int64_t>(m_lag.known().revision)},
+                 {"told", static_cast<std::int64_t>(needed.revision)}});
     if (m_waiting != nullptr) {
         m_waiting->cancel();
         return;
--- a/src/app/node/store_follower.h
+++ b/src/app/node/store_follower.h
@@ -7,8 +7,10 @@
 #include "cardamomstream/process/deployment/change_lag.h"
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
+#include <vector>
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
@@ -31,7 +33,7 @@
 };
 
 /// Lists once, then watches or takes what other VMs have read, in a fiber of the control thread. Lists again
-/// when the store has dropped the history that the watch asks for.
+/// when the store has dropped the history that the watch asks for, or was restored from an older copy.
 class store_follower {
 public:
     using listing_action = std::function<void(const store_batch&)>;
@@ -62,16 +64,25 @@
     /// What another VM of the data centre has read.
     void take(store_changes changes);
 
-    /// Another VM knows of this change, and has read the store up to `revision`; 0: not reported.
-    void record_peer_revisions(std::uint64_t change, std::uint64_t revision, time_point now);
+    /// What another VM of the data centre knows of this part by reading it.
+    struct peer_reading {
+        store_position from;  ///< of its listing: it may not know of changes before it
+        store_position up_to; ///< all changes between the two are known to it
+    };
+
+    /// Another VM knows of this change; `reading` is set for one that reads the store.
+    void record_peer(store_position change, const std::optional<peer_reading>& reading, time_point now);
 
     /// True while this VM reads for others and the store answers.
     bool answered() const noexcept { return m_reads && m_answered; }
 
-    /// Revision of the store up to which this part is known.
-    std::uint64_t read_up_to() const noexcept { return m_revision; }
+    /// Position of the store up to which this part is known.
+    store_position read_up_to() const noexcept { return m_lag.known(); }
+
+    /// Position of this VM's last listing.
+    store_position read_from() const noexcept { return m_listed_at; }
 
-    std::uint64_t newest_change() const noexcept { return m_lag.known(); }
+    store_position newest_change() const noexcept { return m_newest_change; }
 
     /// When this part was last known to be up to date; epoch: never.
     time_point confirmed_at() const noexcept { return m_confirmed_at; }
@@ -79,6 +90,12 @@
 private:
     bool list();
     bool watch();
+    bool check_era(const store_position& answer);
+    void log_outdated(const store_position& answer);
+    bool behind_era() const noexcept { return m_newest_era > m_lag.known().era; }
+    void note_era(std::uint64_t era);
+    void apply_listing(store_batch all);
+    void note_changes(std::uint64_t era, const std::vector<store_item>& items);
     void want_watch();
     void await_question();
     void note_failure(const error& reason);
@@ -96,9 +113,12 @@
     change_action m_on_changes;
     change_lag m_lag;
     cancellation* m_waiting = nullptr; ///< ends the watch under way
-    std::uint64_t m_revision = 0;      ///< of the store; the next watch goes on from here
+    store_position m_newest_change;    ///< that this VM knows of
+    store_position m_listed_at;
+    std::uint64_t m_newest_era = 0; ///< of which this VM has learnt, also from others
     time_point m_confirmed_at;
     bool m_listed = false;
+    bool m_ever_listed = false;
     bool m_reads = true;
     bool m_answered = false; ///< the last call
     bool m_asked = false;    ///< one watch is wanted though others read
--- a/src/process/deployment/change_lag.cpp
+++ b/src/process/deployment/change_lag.cpp
@@ -15,32 +15,30 @@
 
 } // namespace
 
-void change_lag::record_known(std::uint64_t revision)
+void change_lag::record_known(store_position position)
 {
-    m_known = std::max(m_known, revision);
+    m_known = std::max(m_known, position);
 }
 
 bool change_lag::accept_changes(store_changes& changes)
 {
-    if (m_known < changes.after) {
+    if (changes.after.era != m_known.era || m_known < changes.after) {
         return false;
     }
-    std::erase_if(changes.items, [&](const store_item& item) { return item.revision <= m_known; });
-    for (const auto& item : changes.items) {
-        record_known(item.revision);
-    }
+    std::erase_if(changes.items, [&](const store_item& item) { return item.revision <= m_known.revision; });
+    record_known(changes.up_to);
     return true;
 }
 
-bool change_lag::record_peer_revision(std::uint64_t revision, time_point now)
+bool change_lag::record_peer_change(store_position change, time_point now)
 {
-    if (revision <= m_known) {
+    if (change <= m_known) {
         return false;
     }
-    if (m_peer_revision <= m_known) {
+    if (m_peer_change <= m_known) {
         m_behind_since = now;
     }
-    m_peer_revision = std::max(m_peer_revision, revision);
+    m_peer_change = std::max(m_peer_change, change);
     const bool restarted_recently =
         m_restarted_at != time_point{} && now - m_restarted_at < min_restart_interval;
     if (now - m_behind_since < max_normal_lag || restarted_recently) {
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -86,8 +86,8 @@
     return subset;
 }
 
-/// Keeps the newest revision of each store part.
-void merge_newest(std::vector<std::uint64_t>& changes, const std::vector<std::uint64_t>& others)
+/// Keeps the newest change of each store part.
+void merge_newest(std::vector<store_position>& changes, const std::vector<store_position>& others)
 {
     changes.resize(std::max(changes.size(), others.size()));
     for (std::size_t part = 0; part < others.size(); ++part) {
@@ -374,6 +374,7 @@
 {
     auto summary = m_last_report;
     summary.read_up_to.clear();
+    summary.read_from.clear();
     summary.limits.clear();
     add_newest_limits(summary.limits, m_last_report.limits, now - m_last_report_at);
     summary.part_crashes.clear();
--- a/src/process/deployment/tests/upstream_registry_test.cpp
+++ b/src/process/deployment/tests/upstream_registry_test.cpp
@@ -95,9 +95,9 @@
         CHECK_FALSE(registry.evacuate(riga_a, start + 1s)); // listed again
         CHECK(registry.evacuated() == evacuations{{riga_a, start}});
         CHECK(usable(start) == 0);
-        CHECK(registry.retain_evacuations({riga_a}, start + 4s).empty());
+        CHECK(registry.retain_evacuations({riga_a}, false, start + 4s).empty());
         CHECK(usable(start + 4s) == 0);
-        CHECK(registry.retain_evacuations({}, start + 5s) == std::vector{riga_a});
+        CHECK(registry.retain_evacuations({}, false, start + 5s) == std::vector{riga_a});
         CHECK_FALSE(registry.end_evacuation(riga_a, start + 6s));
         CHECK(registry.evacuated().empty());
         REQUIRE(usable(start + 5s) == 1);
@@ -177,3 +177,85 @@
         CHECK(registry.size() == 2);
     }
 }
+
+// What had been withdrawn was in use again on the word of the copy.
+TEST_CASE("the store comes back from an older copy")
+{
+    const time_point start{1'000s};
+    const data_centre_name riga_a("riga-a");
+    upstream_registry registry({{riga_a, region_name("riga")}});
+    const auto plan = plan_with_cold_time();
+    const auto usable = [&](time_point now) { return registry.usable(&plan, now).size(); };
+    registry.apply(record_of("a"), true, start);
+    registry.apply(record_of("b"), true, start);
+    auto leaving = record_of("b");
+    leaving.leaving = true;
+
+    SECTION("an upstream that was leaving isn't used again")
+    {
+        registry.apply(leaving, false, start);
+        CHECK_FALSE(registry.apply_restored(record_of("b"), start + 1s));
+        CHECK(usable(start + 1s) == 1);
+        SECTION("unless it has started again")
+        {
+            auto again = record_of("b");
+            again.started_unix_ms = 2;
+            CHECK(registry.apply_restored(again, start + 1s));
+            CHECK(usable(start + 1s) == 2);
+        }
+    }
+    SECTION("an upstream that had left isn't used again")
+    {
+        registry.remove(upstream_name("b"), false, start);
+        CHECK_FALSE(registry.apply_restored(record_of("b"), start + 1s));
+        CHECK_FALSE(registry.expire(start + 2s));
+        CHECK(usable(start + 2s) == 1);
+        SECTION("until its entry is written anew")
+        {
+            registry.apply(record_of("b"), false, start + 2s);
+            CHECK(usable(start + 2s) == 2);
+        }
+        SECTION("nor later, once its entry has expired")
+        {
+            registry.remove(upstream_name("b"), false, start + 3s);
+            CHECK_FALSE(registry.expire(start + 10s));
+            CHECK(usable(start + 10s) == 1);
+        }
+        SECTION("nor when a later listing lacks it")
+        {
+            registry.retain_listed({upstream_name("a")}, false, start + 3s);
+            CHECK_FALSE(registry.expire(start + 10s));
+            CHECK(usable(start + 10s) == 1);
+        }
+        SECTION("an entry that stays for longer than that of an upstream that has ended is used")
+        {
+            CHECK(registry.expire(start + 8s));
+            CHECK(usable(start + 8s) == 2);
+        }
+    }
+    SECTION("an upstream that registered after the copy was made isn't dropped at once")
+    {
+        registry.retain_listed({upstream_name("a")}, true, start + 1s);
+        CHECK(usable(start + 2s) == 2);
+        CHECK(registry.expire(start + 4s));
+        CHECK(usable(start + 4s) == 1);
+    }
+    SECTION("an evacuation that began after the copy was made doesn't end at once")
+    {
+        REQUIRE(registry.evacuate(riga_a, start));
+        CHECK(registry.retain_evacuations({}, true, start + 1s).empty());
+        CHECK(registry.expire_evacuations(start + 2s).empty());
+        CHECK(usable(start + 2s) == 0);
+        SECTION("it goes on when it is written again")
+        {
+            registry.evacuate(riga_a, start + 2s);
+            CHECK(registry.expire_evacuations(start + 10s).empty());
+            CHECK(usable(start + 10s) == 0);
+        }
+        SECTION("it ends when it isn't")
+        {
+            CHECK(registry.expire_evacuations(start + 4s) == std::vector{riga_a});
+            CHECK(usable(start + 4s) == 2);
+        }
+    }
+}
--- a/src/process/deployment/tests/vm_table_test.cpp
+++ b/src/process/deployment/tests/vm_table_test.cpp
@@ -168,11 +168,15 @@
     sent.lateness.push_back({pool_name("s"), 2, -30ms, 7});
     sent.uses.push_back({customer_name("c"), 12.5});
     sent.known_vms.push_back({"10.0.0.3", 7000});
-    sent.read_up_to = {8, 9};
-    sent.changes = store_changes{
-        store_part::upstreams, 4, 9, true, {{"k", std::string("\0v", 2), 7, false}, {"l", {}, 8, true}}};
+    sent.read_up_to = {{2, 8}, {3, 9}};
+    sent.read_from = {{2, 6}, {3, 7}};
+    sent.changes = store_changes{store_part::upstreams,
+                                 {3, 4},
+                                 {3, 9},
+                                 true,
+                                 {{"k", std::string("\0v", 2), 7, false}, {"l", {}, 8, true}}};
     sent.known_elsewhere.push_back({"10.0.0.4", 7000});
-    sent.known_changes = {1ULL << 40U, 7};
+    sent.known_changes = {{2, 1ULL << 40U}, {3, 7}};
     sent.store_failing = true;
     sent.reads_store = true;
     sent.asks_for_members = true;
@@ -232,10 +236,11 @@
         CHECK(read.value().known_vms == sent.known_vms);
         CHECK(read.value().known_elsewhere == sent.known_elsewhere);
         CHECK(read.value().read_up_to == sent.read_up_to);
+        CHECK(read.value().read_from == sent.read_from);
         REQUIRE(read.value().changes);
         CHECK(read.value().changes->part == store_part::upstreams);
-        CHECK(read.value().changes->after == 4);
-        CHECK(read.value().changes->revision == 9);
+        CHECK(read.value().changes->after == store_position{3, 4});
+        CHECK(read.value().changes->up_to == store_position{3, 9});
         CHECK(read.value().changes->after_outage);
         REQUIRE(read.value().changes->items.size() == 2);
         CHECK(read.value().changes->items[0].value == std::string("\0v", 2));
--- a/src/process/deployment/upstream_registry.cpp
+++ b/src/process/deployment/upstream_registry.cpp
@@ -1,6 +1,7 @@
 #include "cardamomstream/process/deployment/upstream_registry.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace cardamomstream {
@@ -19,6 +20,12 @@
 
 constexpr std::size_t max_refusals_logged = 1'000; ///< within the interval
 
+/// The entry of an upstream that has ended expires sooner.
+constexpr std::chrono::seconds doubt_time{6};
+
+/// Longer than the age of a copy from which the store is restored.
+constexpr std::chrono::seconds departure_memory{120};
+
 } // namespace
 
 upstream_registry::upstream_registry(std::map<data_centre_name, region_name> regions)
@@ -40,6 +47,31 @@
     entry.record = record;
     entry.readable = true;
     entry.gone_at.reset();
+    m_doubted.erase(record.id);
+}
+
+bool upstream_registry::apply_restored(const upstream_record& record, time_point now)
+{
+    if (const auto known = m_entries.find(record.id); known != m_entries.end()) {
+        const auto& entry = known->second.record;
+        if (entry.leaving && !record.leaving && entry.started_unix_ms == record.started_unix_ms) {
+            known->second.gone_at.reset();
+            return false;
+        }
+    }
+    else if (const auto left = m_departures.find(record.id);
+             left != m_departures.end() && left->second.started_unix_ms == record.started_unix_ms) {
+        m_doubted.insert_or_assign(record.id, doubted_entry{record, now});
+        return false;
+    }
+    apply(record, false, now);
+    return true;
+}
+
+void upstream_registry::depart(std::map<upstream_name, upstream_entry>::iterator entry, time_point now)
+{
+    m_departures.insert_or_assign(entry->first, departure{entry->second.record.started_unix_ms, now});
+    m_entries.erase(entry);
 }
 
 bool upstream_registry::refuse(const upstream_name& id, time_point now)
@@ -55,12 +87,13 @@
 
 void upstream_registry::remove(const upstream_name& id, bool after_outage, time_point now)
 {
+    m_doubted.erase(id);
     const auto found = m_entries.find(id);
     if (found == m_entries.end()) {
         return;
     }
     if (!after_outage || found->second.record.leaving) {
-        m_entries.erase(found);
+        depart(found, now);
         return;
     }
     if (!found->second.gone_at) {
@@ -71,6 +104,7 @@
 void upstream_registry::retain_listed(const std::set<upstream_name>& listed, bool after_outage,
                                       time_point now)
 {
+    std::erase_if(m_doubted, [&](const auto& doubted) { return !listed.contains(doubted.first); });
     std::vector<upstream_name> missing;
     for (const auto& [id, entry] : m_entries) {
         if (!listed.contains(id)) {
@@ -84,11 +118,13 @@
 
 bool upstream_registry::evacuate(const data_centre_name& data_centre, time_point now)
 {
+    m_evacuation_missing.erase(data_centre);
     return m_evacuated.emplace(data_centre, now).second;
 }
 
 bool upstream_registry::end_evacuation(const data_centre_name& data_centre, time_point now)
 {
+    m_evacuation_missing.erase(data_centre);
     if (m_evacuated.erase(data_centre) == 0) {
         return false;
     }
@@ -97,11 +133,31 @@
 }
 
 std::vector<data_centre_name> upstream_registry::retain_evacuations(const std::set<data_centre_name>& listed,
-                                                                    time_point now)
+                                                                    bool after_outage, time_point now)
 {
     std::vector<data_centre_name> opened;
     for (const auto& [data_centre, since] : m_evacuated) {
-        if (!listed.contains(data_centre)) {
+        if (listed.contains(data_centre)) {
+            continue;
+        }
+        if (after_outage) {
+            m_evacuation_missing.emplace(data_centre, now);
+        }
+        else {
+            opened.push_back(data_centre);
+        }
+    }
+    for (const auto& data_centre : opened) {
+        end_evacuation(data_centre, now);
+    }
+    return opened;
+}
+
+std::vector<data_centre_name> upstream_registry::expire_evacuations(time_point now)
+{
+    std::vector<data_centre_name> opened;
+    for (const auto& [data_centre, missing_since] : m_evacuation_missing) {
+        if (now - missing_since >= expiry_grace) {
             opened.push_back(data_centre);
         }
     }
@@ -113,9 +169,27 @@
 
 bool upstream_registry::expire(time_point now)
 {
-    return std::erase_if(m_entries, [&](const auto& item) {
-               return item.second.gone_at && now - *item.second.gone_at >= expiry_grace;
-           }) > 0;
+    bool changed = false;
+    for (auto entry = m_entries.begin(); entry != m_entries.end();) {
+        const auto next = std::next(entry);
+        if (entry->second.gone_at && now - *entry->second.gone_at >= expiry_grace) {
+            depart(entry, now);
+            changed = true;
+        }
+        entry = next;
+    }
+    std::vector<upstream_record> believed;
+    for (const auto& [id, doubted] : m_doubted) {
+        if (now - doubted.since >= doubt_time) {
+            believed.push_back(doubted.record);
+        }
+    }
+    for (const auto& record : believed) {
+        apply(record, false, now);
+        changed = true;
+    }
+    std::erase_if(m_departures, [&](const auto& item) { return now - item.second.at >= departure_memory; });
+    return changed;
 }
 
 time_point upstream_registry::cold_until(const upstream_entry& entry, const service_plan* plan) const
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -182,8 +182,9 @@
 void encode_changes(const store_changes& changes, report_messages::StoreChanges& message)
 {
     message.set_part(static_cast<std::uint32_t>(changes.part));
-    message.set_after(changes.after);
-    message.set_revision(changes.revision);
+    message.set_after(changes.after.revision);
+    message.set_revision(changes.up_to.revision);
+    message.set_era(changes.up_to.era);
     message.set_after_outage(changes.after_outage);
     for (const auto& item : changes.items) {
         auto& added = *message.add_items();
@@ -198,8 +199,8 @@
 {
     store_changes changes;
     changes.part = static_cast<store_part>(message.part());
-    changes.after = message.after();
-    changes.revision = message.revision();
+    changes.after = {message.era(), message.after()};
+    changes.up_to = {message.era(), message.revision()};
     changes.after_outage = message.after_outage();
     for (const auto& item : message.items()) {
         changes.items.push_back({item.key(), item.value(), item.revision(), item.removed()});
@@ -207,6 +208,19 @@
     return changes;
 }
 
+/// Positions of the store's parts, in the eras that the report names for them.
+std::vector<store_position>
+decode_positions(const report_messages::Report& message,
+                 const google::protobuf::RepeatedField<google::protobuf::uint64>& revisions)
+{
+    std::vector<store_position> positions;
+    for (int part = 0; part < revisions.size(); ++part) {
+        positions.push_back(
+            {part < message.store_eras_size() ? message.store_eras(part) : 0, revisions[part]});
+    }
+    return positions;
+}
+
 void encode_prompt_parts(const vm_report& report, report_messages::Report& message)
 {
     for (const auto& crash : report.part_crashes) {
@@ -334,9 +348,17 @@
     }
     encode_prompt_parts(report, message);
     encode_origins(report, message);
-    message.mutable_known_changes()->Add(report.known_changes.begin(), report.known_changes.end());
+    for (const auto& change : report.known_changes) {
+        message.add_known_changes(change.revision);
+        message.add_store_eras(change.era);
+    }
     message.set_store_failing(report.store_failing);
-    message.mutable_read_up_to()->Add(report.read_up_to.begin(), report.read_up_to.end());
+    for (const auto& position : report.read_up_to) {
+        message.add_read_up_to(position.revision);
+    }
+    for (const auto& position : report.read_from) {
+        message.add_read_from(position.revision);
+    }
     if (report.changes) {
         encode_changes(*report.changes, *message.mutable_store_changes());
     }
@@ -386,9 +408,10 @@
     }
     decode_prompt_parts(message, report);
     decode_origins(message, report);
-    report.known_changes.assign(message.known_changes().begin(), message.known_changes().end());
+    report.known_changes = decode_positions(message, message.known_changes());
     report.store_failing = message.store_failing();
-    report.read_up_to.assign(message.read_up_to().begin(), message.read_up_to().end());
+    report.read_up_to = decode_positions(message, message.read_up_to());
+    report.read_from = decode_positions(message, message.read_from());
     if (message.has_store_changes() && message.store_changes().part() < store_part_count) {
         report.changes = decode_changes(message.store_changes());
     }
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -36,6 +36,9 @@
     , upstream_ends(m_registry, {"cardamomstream_gateway_upstream_ends_total",
                                  "Sends under which the process of an upstream ended.",
                                  {"service"}})
+    , store_restorations(m_registry, {"cardamomstream_gateway_store_restorations_total",
+                                      "Times that the store was found restored from an older copy, by part.",
+                                      {"part"}})
     , first_byte(m_registry,
                  {"cardamomstream_gateway_first_byte_seconds", "Time to the first byte.", {"service"}},
                  first_byte_bounds())
