--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -281,6 +281,10 @@
 result<void> http_session::begin_stream(const http_response_head& head)
 {
     m_chunked = m_version >= http_1_1 && !head.ends_with_connection;
+    if (!m_chunked) {
+        // However the process ends, the system then resets a connection whose answer isn't complete.
+        set_reset_on_close(true);
+    }
     // Without chunks the end of the connection is the end of the stream.
     m_keep_alive = m_chunked && !will_close();
     auto message = make_head(head);
@@ -310,6 +314,7 @@
 {
     m_ended = true;
     if (!m_chunked) {
+        set_reset_on_close(false);
         return boost::outcome_v2::success();
     }
     m_stream.expires_after(m_context->limits.write_timeout);
@@ -320,13 +325,16 @@
 void http_session::abort_stream()
 {
     m_ended = false;
-    if (!m_chunked) {
-        boost::beast::error_code ignored; // the caller may have closed the socket
-        m_stream.socket().set_option(boost::asio::socket_base::linger(true, 0), ignored);
-    }
     close();
 }
 
+/// For an answer whose end is shown by an orderly close only.
+void http_session::set_reset_on_close(bool reset)
+{
+    boost::beast::error_code ignored; // the caller may have closed the socket
+    m_stream.socket().set_option(boost::asio::socket_base::linger(reset, 0), ignored);
+}
+
 void http_session::on_caller_gone(std::function<void()> notify)
 {
     m_watch = std::make_shared<caller_watch>(m_stream.socket());
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -67,6 +67,7 @@
     void answer(parser& incoming);
     bool will_close() const;
     bool has_unread_bytes();
+    void set_reset_on_close(bool reset);
     result<void> finish_write(boost::beast::error_code ec);
     boost::beast::http::response<boost::beast::http::empty_body>
     make_head(const http_response_head& head) const;
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -478,3 +478,46 @@
         CHECK(contains(caller.read_until("\r\n"), " 400 "));
     }
 }
+
+// The end of its connection is all that shows the end of an answer without length or chunks.
+TEST_CASE("an answer with neither length nor chunks is cut before its end")
+{
+    std::promise<void> writing;
+    std::promise<void> cut;
+    auto is_cut = cut.get_future().share();
+    auto running =
+        std::make_unique<running_server>([&](const http_request&, std::size_t, response_writer& writer) {
+            (void)writer.begin_stream({200, {}, true});
+            (void)writer.write_chunk("id: 1\ndata: a\n\n");
+            writing.set_value();
+            while (is_cut.wait_for(0s) != std::future_status::ready) {
+                boost::this_fiber::sleep_for(5ms);
+            }
+        });
+    raw_caller caller(running->address);
+    caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(contains(caller.read_until("a\n\n"), "data: a"));
+    writing.get_future().wait();
+
+    SECTION("by the end of the server: the caller sees a broken connection")
+    {
+        running->server.close_all();
+        caller.read_all();
+        CHECK_FALSE(caller.closed_in_order());
+    }
+    cut.set_value();
+}
+
+TEST_CASE("an answer with neither length nor chunks that has come to its end is closed in order")
+{
+    running_server running([](const http_request&, std::size_t, response_writer& writer) {
+        (void)writer.begin_stream({200, {}, true});
+        (void)writer.write_chunk(std::string(512 * 1024, 'x'));
+        (void)writer.end_stream();
+    });
+    raw_caller caller(running.address);
+    caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::string text;
+    CHECK(caller.read_slowly(text));
+    CHECK(text.size() > 512 * 1024);
+}
