--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -233,7 +233,8 @@
     if (!check_era(position)) {
         return behind_era();
     }
-    const auto after = m_newest_change;
+    // Before the last listing, changes may be unknown to this VM that others have missed.
+    const auto after = std::max(m_newest_change, m_listed_at);
     m_lag.record_known(position);
     if (changes.value().items.empty()) {
         return true;
@@ -255,8 +256,9 @@
     if (!m_listed || change.era != m_lag.known().era) {
         return;
     }
-    const auto needed = change;
-    if (reading && needed == m_newest_change) {
+    // A removal leaves no trace in a listing: the reader may not know of one that came before it.
+    const auto needed = reading ? std::max(change, reading->from) : change;
+    if (reading && needed <= m_lag.known()) {
         m_lag.record_known(reading->up_to); // no change lies between
         m_confirmed_at = now;
     }
