--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -89,6 +89,12 @@
     static constexpr std::chrono::milliseconds min_answer_timeout{400};
     /// Between two events of a stream that can be resumed.
     static constexpr std::chrono::milliseconds stream_event_timeout{1'000};
+    /// While an upstream is silent, until another one is looked for again.
+    static constexpr std::chrono::milliseconds replacement_poll{150};
+    /// Callers abandon a stream after the longest of this time and multiples of the route's objectives.
+    static constexpr std::chrono::milliseconds min_caller_patience{2'000};
+    static constexpr int patience_in_objectives = 4;
+    static constexpr int patience_in_event_gaps = 8;
     /// An answer that goes on for this long shows that the prompt does no harm to the upstream.
     static constexpr std::chrono::milliseconds lasting_answer{1'000};
     /// Until the reports of all VMs that know where a stream began have come.
@@ -164,8 +170,13 @@
     void check_upstream_end(const placement& where, const sent_request& sent);
     void log_end(std::string_view end, std::string_view reason);
 
-    call_limits limits_for(const placement& where, std::chrono::milliseconds connect) const;
+    void limit_silence(http_call& call, const placement& where, const sent_request* sent,
+                       std::chrono::milliseconds connect);
     std::chrono::milliseconds stall_timeout(const placement& where) const;
+    std::chrono::milliseconds caller_patience() const;
+    std::chrono::milliseconds wait_on(const placement& where, const sent_request* sent, time_point since);
+    bool permit_replacement(const placement& where, time_point now);
+    retry_decision decide_retry(send_result result, time_point now);
     upstream_call call_details(const placement& where) const;
     std::chrono::milliseconds time_left() const
     {
@@ -218,6 +229,11 @@
     bool m_unframed = false;                     ///< its answer has neither a length nor chunks
     bool m_answer_lasts = false;     ///< the answer has gone on for `lasting_answer`, or is complete
     bool m_connection_broke = false; ///< the other side closed it before the answer's end
+    bool m_silence_recorded = false;
+    time_point m_replacement_sought_at;
+    time_point m_last_byte_at; ///< of its answer; when it was sent until the first one
+    /// The budget's permission to send the request to another upstream, as this one is silent.
+    std::optional<retry_decision> m_replacement;
     std::optional<std::chrono::milliseconds> m_final_refusal; ///< by the VM to which it was passed on
     std::chrono::milliseconds m_predicted{0};
     std::uint32_t m_running_at_upstream = 0;
@@ -341,6 +357,9 @@
     m_unframed = false;
     m_answer_lasts = false;
     m_connection_broke = false;
+    m_silence_recorded = false;
+    m_last_byte_at = boot_clock::now();
+    m_replacement.reset();
     m_events.begin_run();
 }
 
@@ -351,14 +370,12 @@
         m_no_retry = m_final_refusal ? "final_refusal" : "runs_used";
         return false;
     }
-    retry_query query;
-    query.repeat = m_route->repeatable() ? repeat_policy::idempotent : repeat_policy::at_most_once;
-    query.outcome = result == send_result::not_run ? run_outcome::not_run : run_outcome::unknown;
-    query.attempts_made = m_sends;
-    query.deadline = m_deadline;
+    if (m_replacement) { // at once, while the upstream that was found for it is free
+        m_state.counters.repeats.increment(m_placing_request.service);
+        return !m_cancel.cancelled();
+    }
     const auto now = boot_clock::now();
-    const auto decision =
-        m_state.retry_budget_for(m_placing_request.service).next(query, now, m_state.random);
+    const auto decision = decide_retry(result, now);
     if (decision.verdict != retry_verdict::allowed) {
         m_no_retry = to_text(decision.verdict);
         return false;
@@ -368,6 +385,18 @@
     return !m_cancel.cancelled();
 }
 
+/// Takes one retry of the budget if it is allowed.
+template <gateway_wire Wire>
+retry_decision request_flow<Wire>::decide_retry(send_result result, time_point now)
+{
+    retry_query query;
+    query.repeat = m_route->repeatable() ? repeat_policy::idempotent : repeat_policy::at_most_once;
+    query.outcome = result == send_result::not_run ? run_outcome::not_run : run_outcome::unknown;
+    query.attempts_made = m_sends;
+    query.deadline = m_deadline;
+    return m_state.retry_budget_for(m_placing_request.service).next(query, now, m_state.random);
+}
+
 template <gateway_wire Wire>
 void request_flow<Wire>::give_up(send_result result)
 {
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -7,26 +7,26 @@
 
 namespace cardamomstream {
 
+/// Sets for how long the other side may be silent before the request is sent elsewhere.
 template <gateway_wire Wire>
-call_limits request_flow<Wire>::limits_for(const placement& where, std::chrono::milliseconds connect) const
+void request_flow<Wire>::limit_silence(http_call& call, const placement& where, const sent_request* sent,
+                                       std::chrono::milliseconds connect)
 {
     const auto left = time_left();
-    call_limits limits{connect, left, left, left};
-    // Timing out early is useless for a request that can't be sent again.
-    if (m_route->repeatable() && m_runs + 1 < max_runs()) {
-        const auto silence = is_stream() ? where.predicted * 2 + first_byte_margin
-                                         : std::max(min_answer_timeout, where.predicted * 4);
-        limits.first_byte = std::min(left, silence);
-        limits.chunk_gap = stall_timeout(where);
+    const auto silence = stall_timeout(where);
+    call.limits = {connect, silence, silence, left};
+    if (silence < left) {
+        call.on_silence = [this, where, sent] { return wait_on(where, sent, m_last_byte_at); };
     }
-    return limits;
 }
 
-/// Longest time without a byte of a plain answer, or without a complete event of a stream.
+/// Time without a byte of a plain answer, or without a complete event of a stream, after which another
+/// upstream is preferred.
 template <gateway_wire Wire>
 std::chrono::milliseconds request_flow<Wire>::stall_timeout(const placement& where) const
 {
     const auto left = time_left();
+    // Timing out early is useless for a request that can't be sent again.
     if (!m_route->repeatable() || m_runs + 1 >= max_runs()) {
         return left;
     }
@@ -36,6 +36,81 @@
     return std::min(left, m_stream_started ? stream_event_timeout : where.predicted * 2 + first_byte_margin);
 }
 
+/// Silence after which the caller abandons the request, or has little time left for another attempt.
+template <gateway_wire Wire>
+std::chrono::milliseconds request_flow<Wire>::caller_patience() const
+{
+    return std::max({min_caller_patience, m_route->latency_objective * patience_in_objectives,
+                     m_route->event_gap_objective * patience_in_event_gaps});
+}
+
+/// For how much longer the running answer is waited for, of which nothing has come since `since`. Zero only
+/// if the request is sent elsewhere next, or the caller waits no longer: a sound upstream may be silent for a
+/// while.
+template <gateway_wire Wire>
+std::chrono::milliseconds request_flow<Wire>::wait_on(const placement& where, const sent_request* sent,
+                                                      time_point since)
+{
+    using namespace std::chrono_literals;
+    const auto now = boot_clock::now();
+    const auto silent = std::chrono::floor<std::chrono::milliseconds>(now - since);
+    if (const auto preferred = stall_timeout(where); silent < preferred) {
+        return preferred - silent;
+    }
+    if (silent >= caller_patience()) {
+        return 0ms;
+    }
+    if (now - m_replacement_sought_at >= replacement_poll) {
+        m_replacement_sought_at = now;
+        if (permit_replacement(where, now)) {
+            return 0ms;
+        }
+    }
+    if (sent != nullptr && !std::exchange(m_silence_recorded, true)) {
+        m_state.load.record_silence(*sent, now);
+        m_state.log.write(log_weight::failure, "upstream_silent",
+                          {{"request", m_caller_request.id.str()},
+                           {"upstream", where.upstream.str()},
+                           {"silent_ms", std::int64_t{silent.count()}},
+                           {"begun", std::int64_t{m_stream_started ? 1 : 0}},
+                           {"send", std::int64_t{m_sends}}});
+    }
+    return std::min(replacement_poll, caller_patience() - silent);
+}
+
+/// True when the request may be sent elsewhere now and some upstream could take it; then one retry of the
+/// budget is taken.
+template <gateway_wire Wire>
+bool request_flow<Wire>::permit_replacement(const placement& where, time_point now)
+{
+    if (!why_stream_ends().empty() || !m_state.answers_before_end(m_route->name, time_left(), now)) {
+        return false;
+    }
+    const bool passed_on = m_placing_request.own_region_only;
+    if (m_state.quarantine.check(m_shared_parts, passed_on, now).verdict != quarantine_verdict::allowed ||
+        m_state.request_quarantine.check(m_request_digest, passed_on, now).verdict !=
+            quarantine_verdict::allowed) {
+        return false;
+    }
+    auto request = m_placing_request;
+    request.time_left = time_left();
+    if (where.verdict == placing_verdict::here) {
+        request.tried.push_back(where.upstream);
+    }
+    else {
+        request.refused_by.push_back(where.region);
+    }
+    if (!m_state.placing.has_alternative(request, *m_plan, m_state.load, now)) {
+        return false;
+    }
+    const auto decision = decide_retry(send_result::may_have_run, now);
+    if (decision.verdict != retry_verdict::allowed) {
+        return false;
+    }
+    m_replacement = decision;
+    return true;
+}
+
 template <gateway_wire Wire>
 upstream_call request_flow<Wire>::call_details(const placement& where) const
 {
@@ -64,9 +139,9 @@
     remove_hop_headers(call.headers);
     call.body = m_request.body;
     call.fresh_connection = m_caller_request.id.empty(); // nothing else shows that an answer belongs to it
-    call.limits = limits_for(where, connect_timeout);
     auto sent =
         m_state.load.begin_request(where.upstream, m_placing_request, where.predicted, boot_clock::now());
+    limit_silence(call, where, &sent, connect_timeout);
     m_state.counters.predicted_first_byte.observe(where.predicted, m_placing_request.service);
     if (m_state.load.take_early_report_due() && m_state.request_early_report) {
         m_state.request_early_report();
@@ -164,7 +239,7 @@
                        m_placing_request.waited + m_state.placing.region_delay(), m_placing_request.version});
     call.body = m_request.body;
     call.fresh_connection = m_caller_request.id.empty(); // nothing else shows that an answer belongs to it
-    call.limits = limits_for(where, hop_connect_timeout);
+    limit_silence(call, where, nullptr, hop_connect_timeout);
     m_state.load.record_hop(where.upstream, m_placing_request, boot_clock::now());
     m_state.counters.hops.increment(where.region);
     auto exchange = m_state.client.send(call, m_cancel);
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -77,6 +77,9 @@
     /// Counts a request that was passed on to another region until that region's reports include it.
     void record_hop(const upstream_name& upstream, const placing_request& request, time_point now);
 
+    /// Records that the upstream owes this request an answer and has fallen silent. Call once for each send.
+    void record_silence(const sent_request& sent, time_point now);
+
     /// Records that bytes came from the upstream.
     void record_activity(const upstream_name& upstream, time_point now);
 
@@ -152,6 +155,7 @@
 private:
     /// True when the upstream has restarted since the request was sent.
     bool has_restarted(const sent_request& sent) const;
+    static void count_outcome(upstream_state& state, bool failure);
     void record_failure(upstream_state& state, time_point now, bool unreachable);
     static void mark_active(upstream_state& state, time_point now);
     void remove_pending_prefill(upstream_state& state, std::uint64_t number, time_point now);
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -24,6 +24,10 @@
     placement place(const placing_request& request, const service_plan& plan, const fleet_load& load,
                     time_point now);
 
+    /// True when some upstream could take the request now and is likely to answer in time.
+    bool has_alternative(const placing_request& request, const service_plan& plan, const fleet_load& load,
+                         time_point now) const;
+
     /// Predicted time to the first byte at one upstream of this VM's region.
     std::chrono::milliseconds predict(const placing_request& request, const fleet_load& load,
                                       const fleet_load::upstream_state& state, time_point now) const;
--- a/src/connection/client/pooled_exchange.cpp
+++ b/src/connection/client/pooled_exchange.cpp
@@ -54,6 +54,7 @@
 result<void> pooled_exchange::begin(const http_call& call)
 {
     m_limits = call.limits;
+    m_on_silence = call.on_silence;
     m_started = boot_clock::now();
     m_first_on_connection = !std::exchange(m_connection->has_carried_request, true);
     m_cancel.set_action([connection = m_connection] { connection->close(); });
@@ -61,9 +62,31 @@
     return read_head(call.limits.first_byte);
 }
 
+template <class Operation>
+result<void> pooled_exchange::run_within(std::chrono::milliseconds limit, Operation operation)
+{
+    while (true) {
+        io_deadline deadline(m_connection->socket(), limit);
+        auto [ec, n] = operation();
+        if (!ec || ec == http::error::need_buffer) {
+            return boost::outcome_v2::success();
+        }
+        const auto left = m_limits.total - spent();
+        if (!deadline.expired() || m_cancel.cancelled() || !m_on_silence ||
+            left <= std::chrono::milliseconds::zero()) {
+            return failure(ec, deadline.expired());
+        }
+        // The operation goes on where the deadline has interrupted it.
+        limit = std::min(m_on_silence(), left);
+        if (limit <= std::chrono::milliseconds::zero()) {
+            return failure(ec, true);
+        }
+    }
+}
+
 result<void> pooled_exchange::write(const http_call& call)
 {
-    const auto request = make_request(call);
+    auto request = make_request(call);
     if (m_cancel.cancelled()) {
         return error{error_kind::cancelled, "the caller has left", "", run_outcome::not_run, {}};
     }
@@ -78,27 +101,24 @@
                      run_outcome::not_run,
                      {}};
     }
-    io_deadline deadline(m_connection->socket(), call.limits.first_byte);
-    auto [ec, n] = http::async_write(m_connection->socket(), request, use_fiber);
-    if (ec) {
-        return failure(ec, deadline.expired());
-    }
-    return boost::outcome_v2::success();
+    http::request_serializer<http::string_body> serializer{request};
+    return run_within(call.limits.first_byte,
+                      [&] { return http::async_write(m_connection->socket(), serializer, use_fiber); });
 }
 
 result<void> pooled_exchange::read_head(std::chrono::milliseconds limit)
 {
-    io_deadline deadline(m_connection->socket(), limit);
+    const auto until = boot_clock::now() + limit;
     // Informational heads may come before that of the answer.
     for (int heads = 0; heads <= max_informational_heads; ++heads) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(until - boot_clock::now());
         m_parser.emplace();
         m_parser->body_limit(boost::none);
         m_parser->header_limit(max_response_header_bytes);
-        auto [ec, n] =
-            http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser, use_fiber);
-        if (ec) {
-            return failure(ec, deadline.expired());
-        }
+        BOOST_OUTCOME_TRY(run_within(std::max(left, std::chrono::milliseconds{0}), [&] {
+            return http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser,
+                                           use_fiber);
+        }));
         if (m_parser->get().result_int() >= first_final_status) {
             take_head();
             return boost::outcome_v2::success();
@@ -136,12 +156,10 @@
         body.data = m_data.data();
         body.size = m_data.size();
         body.more = true;
-        io_deadline deadline(m_connection->socket(), left);
-        auto [ec, n] =
-            http::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser, use_fiber);
-        if (ec && ec != http::error::need_buffer) {
-            return failure(ec, deadline.expired());
-        }
+        BOOST_OUTCOME_TRY(run_within(left, [&] {
+            return http::async_read_some(m_connection->socket(), m_connection->buffer(), *m_parser,
+                                         use_fiber);
+        }));
         const auto length = m_data.size() - body.size;
         if (length > 0) {
             return std::optional<std::string>(std::string(m_data.data(), length));
@@ -165,7 +183,7 @@
             return failure(http::error::body_limit, false);
         }
     }
-    const auto left = std::min(m_limits.first_byte, m_limits.total) - spent();
+    const auto left = std::min(m_limits.first_byte, m_limits.total - spent());
     if (left <= std::chrono::milliseconds::zero()) {
         return failure({}, true);
     }
--- a/src/connection/client/pooled_exchange.h
+++ b/src/connection/client/pooled_exchange.h
@@ -40,6 +40,9 @@
 private:
     using parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
 
+    /// Runs an operation on the connection, within the limit on the server's silence.
+    template <class Operation>
+    result<void> run_within(std::chrono::milliseconds limit, Operation operation);
     result<void> write(const http_call& call);
     result<void> read_head(std::chrono::milliseconds limit);
     result<std::optional<std::string>> read_part();
@@ -54,6 +57,7 @@
     std::optional<parser> m_parser; ///< of one head and what follows it
     http_response_head m_head;
     call_limits m_limits;
+    std::function<std::chrono::milliseconds()> m_on_silence;
     time_point m_started;
     bool m_first_on_connection = false;
     bool m_reusable = true;
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -298,8 +298,7 @@
         sample_lateness(sent, now);
     }
     const bool failure = outcome != send_outcome::answered && outcome != send_outcome::rejected;
-    state.outcomes += 1;
-    state.failure_rate += failure_weight * ((failure ? 1.0 : 0.0) - state.failure_rate);
+    count_outcome(state, failure);
     if (failure && outcome != send_outcome::failed) {
         record_failure(state, now, outcome != send_outcome::broken);
         return;
@@ -308,6 +307,22 @@
     mark_active(state, now);
 }
 
+void fleet_load::record_silence(const sent_request& sent, time_point now)
+{
+    const auto found = m_upstreams.find(sent.upstream);
+    if (found == m_upstreams.end() || has_restarted(sent)) {
+        return;
+    }
+    count_outcome(found->second, true);
+    record_failure(found->second, now, true);
+}
+
+void fleet_load::count_outcome(upstream_state& state, bool failure)
+{
+    state.outcomes += 1;
+    state.failure_rate += failure_weight * ((failure ? 1.0 : 0.0) - state.failure_rate);
+}
+
 void fleet_load::record_process_end(const upstream_name& upstream, time_point now)
 {
     const auto found = m_upstreams.find(upstream);
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -397,6 +397,16 @@
     return &preferred->state->view.record.id;
 }
 
+bool placer::has_alternative(const placing_request& request, const service_plan& plan, const fleet_load& load,
+                             time_point now) const
+{
+    exclusion excluded;
+    const auto candidates = candidates_for(request, plan, load, now, excluded);
+    return std::any_of(candidates.begin(), candidates.end(), [&](const candidate& option) {
+        return !option.suspected && option.first_byte < request.time_left;
+    });
+}
+
 placement placer::place(const placing_request& request, const service_plan& plan, const fleet_load& load,
                         time_point now)
 {
