--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -12,6 +12,7 @@
 #include "cardamomstream/request/quarantine/request_digest.h"
 
 #include <algorithm>
+#include <list>
 #include <optional>
 #include <set>
 #include <string>
@@ -65,6 +66,60 @@
         caller_left,  ///< the caller has disconnected
     };
 
+    /// Counts the request as one that is being served, whatever ends it.
+    class serving_mark {
+    public:
+        serving_mark(gateway_state& state, served_request request)
+            : m_state(state)
+            , m_place(state.served.insert(state.served.end(), std::move(request)))
+        {
+            m_state.in_flight += 1;
+            m_state.counters.in_flight.increment();
+        }
+        ~serving_mark()
+        {
+            m_state.counters.in_flight.decrement();
+            m_state.served.erase(m_place);
+            m_state.in_flight -= 1;
+        }
+        serving_mark(const serving_mark&) = delete;
+        serving_mark& operator=(const serving_mark&) = delete;
+        serving_mark(serving_mark&&) = delete;
+        serving_mark& operator=(serving_mark&&) = delete;
+
+    private:
+        gateway_state& m_state;
+        std::list<served_request>::iterator m_place;
+    };
+
+    /// Load that a send puts on an upstream until it has ended, also by an exception.
+    class load_mark {
+    public:
+        load_mark(fleet_load& load, sent_request request)
+            : sent(std::move(request))
+            , m_load(load)
+        {
+        }
+        ~load_mark() { end(send_outcome::abandoned); }
+        load_mark(const load_mark&) = delete;
+        load_mark& operator=(const load_mark&) = delete;
+        load_mark(load_mark&&) = delete;
+        load_mark& operator=(load_mark&&) = delete;
+
+        void end(send_outcome outcome)
+        {
+            if (!std::exchange(m_ended, true)) {
+                m_load.end_request(sent, outcome, boot_clock::now());
+            }
+        }
+
+        sent_request sent;
+
+    private:
+        fleet_load& m_load;
+        bool m_ended = false;
+    };
+
     /// Announcements that this request is sent as the fleet's only one of its suspected subjects.
     struct trials {
         trials(gateway_state& state, const shared_part_ids& parts, const shared_part_ids& request,
@@ -244,11 +299,8 @@
 void request_flow<Wire>::serve()
 {
     m_writer.on_caller_gone([this] { m_cancel.cancel(); });
-    m_state.in_flight += 1;
-    const auto served =
-        m_state.served.insert(m_state.served.end(), {m_caller_request.id, m_route->name, m_started,
-                                                     m_placing_request.own_region_only});
-    m_state.counters.in_flight.increment();
+    const serving_mark served(
+        m_state, {m_caller_request.id, m_route->name, m_started, m_placing_request.own_region_only});
     if (m_route->resumable) {
         m_events.continue_after(m_caller_request.last_event);
     }
@@ -258,9 +310,6 @@
     else {
         run_attempts();
     }
-    m_state.counters.in_flight.decrement();
-    m_state.served.erase(served);
-    m_state.in_flight -= 1;
     if (!m_may_have_run && m_customer != nullptr) {
         m_state.quota.refund(m_customer->name, m_charged_amount);
     }
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -139,8 +139,9 @@
     remove_hop_headers(call.headers);
     call.body = m_request.body;
     call.fresh_connection = m_caller_request.id.empty(); // nothing else shows that an answer belongs to it
-    auto sent =
-        m_state.load.begin_request(where.upstream, m_placing_request, where.predicted, boot_clock::now());
+    load_mark load(m_state.load, m_state.load.begin_request(where.upstream, m_placing_request,
+                                                            where.predicted, boot_clock::now()));
+    auto& sent = load.sent;
     limit_silence(call, where, &sent, connect_timeout);
     m_state.counters.predicted_first_byte.observe(where.predicted, m_placing_request.service);
     if (m_state.load.take_early_report_due() && m_state.request_early_report) {
@@ -169,7 +170,7 @@
         result = send_result::caller_left;
         outcome = send_outcome::abandoned;
     }
-    m_state.load.end_request(sent, outcome, boot_clock::now());
+    load.end(outcome);
     if (m_connection_broke && !m_cancel.cancelled()) {
         check_upstream_end(where, sent);
     }
--- a/src/connection/client/pooled_exchange.cpp
+++ b/src/connection/client/pooled_exchange.cpp
@@ -86,6 +86,10 @@
 
 result<void> pooled_exchange::write(const http_call& call)
 {
+    if (call.method == "TRACE" && !call.body.empty()) {
+        return error{error_kind::invalid_request, "HTTP forbids a body of TRACE", "send none",
+                     run_outcome::not_run, std::nullopt};
+    }
     auto request = make_request(call);
     if (m_cancel.cancelled()) {
         return error{error_kind::cancelled, "the caller has left", "", run_outcome::not_run, {}};
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -5,6 +5,8 @@
 #include "cardamomstream/connection/error_response.h"
 #include "cardamomstream/connection/use_fiber.h"
 
+#include <chrono>
+#include <exception>
 #include <set>
 #include <utility>
 #include <vector>
@@ -41,6 +43,7 @@
     void accept_waiting();
     std::size_t take_thread() { return std::exchange(next_thread, (next_thread + 1) % threads.size()); }
     void start_session(tcp::socket socket, std::size_t thread);
+    static void run(http_session& session);
 
     /// Calls `visit` with each session, on the session's thread.
     template <class Visitor>
@@ -121,6 +124,18 @@
     }
 }
 
+/// A fault of one connection ends only that one.
+void http_server::state::run(http_session& session)
+{
+    try {
+        session.run();
+    }
+    catch (const std::exception& failure) {
+        spdlog::error("a connection is closed: {}", failure.what());
+        session.close();
+    }
+}
+
 void http_server::state::start_session(tcp::socket socket, std::size_t thread)
 {
     if (context->closed) {
@@ -140,7 +155,7 @@
             session->close(); // without the wait for its caller, which would keep others out
         }
         else {
-            session->run();
+            run(*session);
         }
         self->sessions[thread].erase(session);
         --self->open;
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -4,6 +4,7 @@
 #include "cardamomstream/connection/io_deadline.h"
 #include "cardamomstream/connection/use_fiber.h"
 
+#include <exception>
 #include <tuple>
 #include <utility>
 
@@ -68,6 +69,13 @@
     return hosts == 1 || (hosts == 0 && message.version() < http_1_1);
 }
 
+/// HTTP forbids it, so that it can't be passed on.
+bool is_trace_with_body(const http::request_parser<http::string_body>& incoming)
+{
+    return incoming.get().method() == http::verb::trace &&
+           (incoming.chunked() || incoming.content_length().value_or(0) > 0);
+}
+
 /// After the last answer of a connection, for what its caller still sends: a close with unread bytes resets
 /// the connection, which destroys what the caller hasn't received yet.
 constexpr std::chrono::milliseconds lingering_time{300};
@@ -175,6 +183,9 @@
     if (!is_unambiguous(incoming.get())) {
         return http::error::bad_field;
     }
+    if (is_trace_with_body(incoming)) {
+        return http::error::bad_method;
+    }
     if (boost::beast::iequals(incoming.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
         m_stream.expires_after(m_context->limits.write_timeout);
@@ -216,13 +227,39 @@
     m_version = message.version();
     m_keep_alive = message.keep_alive();
     m_stream.expires_never();
-    m_context->handler(to_request(std::move(message)), m_thread, *this);
+    bool failed = false;
+    try {
+        m_context->handler(to_request(std::move(message)), m_thread, *this);
+    }
+    catch (const std::exception& failure) {
+        spdlog::error("a request's handler failed: {}", failure.what());
+        failed = true;
+    }
     if (m_watch) {
         m_watch->stop();
         m_watch.reset();
         boost::beast::error_code ignored; // the answer may have closed the socket
         m_stream.socket().cancel(ignored);
     }
+    if (failed) {
+        end_failed_answer();
+    }
+}
+
+/// The request may have run; its answer can't be completed.
+void http_session::end_failed_answer()
+{
+    m_keep_alive = false;
+    if (m_started) {
+        abort_stream();
+        return;
+    }
+    (void)refuse({error_kind::outcome_unknown, // fails only if the caller has left
+                  "the request's handler failed",
+                  "read the status before you submit again",
+                  run_outcome::unknown,
+                  {}},
+                 request_id{});
 }
 
 bool http_session::will_close() const
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -65,6 +65,7 @@
     boost::beast::error_code read_within(std::chrono::milliseconds limit, parser& incoming, read_part part);
     void refuse_malformed(boost::beast::error_code ec);
     void answer(parser& incoming);
+    void end_failed_answer();
     bool will_close() const;
     bool has_unread_bytes();
     void set_reset_on_close(bool reset);
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <thread>
 #include <vector>
@@ -521,3 +522,45 @@
     CHECK(caller.read_slowly(text));
     CHECK(text.size() > 512 * 1024);
 }
+
+// Beast throws for it when it is sent on, which ended the process.
+TEST_CASE("a TRACE request with a body is refused when it is read")
+{
+    running_server running(echo);
+    for (const auto* body :
+         {"Content-Length: 4\r\n\r\nbody", "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n"}) {
+        raw_caller caller(running.address);
+        caller.send(std::string("TRACE /a HTTP/1.1\r\nHost: h\r\n") + body);
+        CHECK(contains(caller.read_until("\r\n"), " 400 "));
+    }
+}
+
+// An exception of one request's fiber ended the process, and the requests of all other callers with it.
+TEST_CASE("the handler of a request throws")
+{
+    running_server running([](const http_request& request, std::size_t thread, response_writer& writer) {
+        if (request.target == "/begun") {
+            (void)writer.begin_stream({200, {}});
+        }
+        if (request.target != "/sound") {
+            throw std::runtime_error("a fault of this request");
+        }
+        echo(request, thread, writer);
+    });
+
+    SECTION("before an answer has begun: the caller gets one that promises nothing")
+    {
+        raw_caller caller(running.address);
+        caller.send("GET /early HTTP/1.1\r\nHost: h\r\n\r\n");
+        CHECK(contains(caller.read_until("\r\n"), " 502 "));
+    }
+    SECTION("in the middle of an answer: the caller's connection is closed without the answer's end")
+    {
+        raw_caller caller(running.address);
+        caller.send("GET /begun HTTP/1.1\r\nHost: h\r\n\r\n");
+        CHECK_FALSE(contains(caller.read_all(), "0\r\n\r\n"));
+    }
+    raw_caller other(running.address);
+    other.send("GET /sound HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(contains(other.read_until("\r\n"), " 200 "));
+}
