--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/fiber/operations.hpp>
 #include <spdlog/spdlog.h>
 
 namespace cardamomstream {
@@ -24,6 +25,9 @@
 
 constexpr int listen_backlog = 1024;
 
+/// After a connection could not be accepted, as when the process has no descriptor left.
+constexpr std::chrono::milliseconds accept_retry_pause{100};
+
 } // namespace
 
 struct http_server::state : std::enable_shared_from_this<http_server::state> {
@@ -91,6 +95,7 @@
 
 void http_server::state::accept_loop()
 {
+    bool failing = false;
     while (acceptor.is_open()) {
         const auto thread = take_thread();
         tcp::socket socket(threads[thread].io());
@@ -99,9 +104,15 @@
             return;
         }
         if (ec) {
-            spdlog::warn("accept failed: {}", ec.message());
+            if (!std::exchange(failing, true)) {
+                spdlog::warn("accept failed: {}; trying again until it succeeds", ec.message());
+            }
+            boost::this_fiber::sleep_for(accept_retry_pause);
             continue;
         }
+        if (std::exchange(failing, false)) {
+            spdlog::info("connections are accepted again");
+        }
         start_session(std::move(socket), thread);
     }
 }
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -2,6 +2,7 @@
 #include "cardamomstream/connection/traffic_group.h"
 
 #include <chrono>
+#include <ctime>
 #include <future>
 #include <memory>
 #include <stdexcept>
@@ -17,6 +18,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/fiber/operations.hpp>
 #include <catch2/catch.hpp>
+#include <sys/resource.h>
 
 using namespace cardamomstream;
 using namespace std::chrono_literals;
@@ -27,11 +29,19 @@
 /// A caller that sends raw bytes, whole or malformed.
 class raw_caller {
 public:
-    explicit raw_caller(const endpoint& server)
+    enum when { connect_now, connect_later };
+
+    explicit raw_caller(const endpoint& server, when connects = connect_now)
+        : m_server(boost::asio::ip::make_address(server.address), server.port)
     {
-        m_socket.connect({boost::asio::ip::make_address(server.address), server.port});
+        m_socket.open(m_server.protocol());
+        if (connects == connect_now) {
+            connect();
+        }
     }
 
+    void connect() { m_socket.connect(m_server); }
+
     void send(const std::string& bytes) { boost::asio::write(m_socket, boost::asio::buffer(bytes)); }
 
     /// Everything until the server closes.
@@ -70,6 +80,7 @@
     void close() { m_socket.close(); }
 
 private:
+    tcp::endpoint m_server;
     boost::asio::io_context m_io;
     tcp::socket m_socket{m_io};
     boost::system::error_code m_end;
@@ -113,6 +124,14 @@
     (void)writer.send({{200, {{"Content-Type", "text/plain"}}}, request.method + " " + request.body});
 }
 
+/// Of the whole process.
+std::chrono::nanoseconds processor_time()
+{
+    timespec used{};
+    ::clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &used);
+    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
 bool contains(const std::string& text, const std::string& part)
 {
     return text.find(part) != std::string::npos;
@@ -564,3 +583,26 @@
     other.send("GET /sound HTTP/1.1\r\nHost: h\r\n\r\n");
     CHECK(contains(other.read_until("\r\n"), " 200 "));
 }
+
+// Without a free descriptor the listener went round without a pause, with a log line each time.
+TEST_CASE("no connection can be accepted for lack of descriptors")
+{
+    running_server running(echo);
+    rlimit before{};
+    REQUIRE(::getrlimit(RLIMIT_NOFILE, &before) == 0);
+    raw_caller served(running.address);
+    served.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(contains(served.read_until("\r\n"), " 200 "));
+    raw_caller waiting(running.address, raw_caller::connect_later);
+    rlimit none = before;
+    none.rlim_cur = 3;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &none) == 0);
+    waiting.connect();
+    const auto used = processor_time();
+    std::this_thread::sleep_for(500ms);
+    const auto spent = processor_time() - used;
+    REQUIRE(::setrlimit(RLIMIT_NOFILE, &before) == 0);
+    CHECK(spent < 100ms);
+    waiting.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(contains(waiting.read_until("\r\n"), " 200 "));
+}
