--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -1,4 +1,5 @@
 #include "commands.h"
+#include "stop_signals.h"
 
 #include <algorithm>
 #include <array>
@@ -39,6 +40,22 @@
 
 } // namespace
 
+namespace {
+
+/// A signal that comes while the libraries are initialized waits too, until the command asks for it.
+void hold_early_signals(int argc, char** argv, char** /*environment*/)
+{
+    if (argc > 1 && cardamomstream::waits_for_signals(argv[1])) {
+        cardamomstream::block_signals({SIGTERM, SIGINT, SIGHUP});
+    }
+}
+
+// The loader calls it before any initializer.
+[[gnu::section(".preinit_array"), gnu::used]] void (*const run_first)(int, char**,
+                                                                      char**) = hold_early_signals;
+
+} // namespace
+
 int main(int argc, char** argv)
 {
     if (argc < 2) {
--- a/src/app/stop_signals.h
+++ b/src/app/stop_signals.h
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <initializer_list>
 #include <pthread.h>
+#include <string_view>
 
 namespace cardamomstream {
 
@@ -21,4 +22,10 @@
     return signals;
 }
 
+/// The commands that wait for signals; the others are ended by them.
+inline bool waits_for_signals(std::string_view command)
+{
+    return command == "node" || command == "serve";
+}
+
 } // namespace cardamomstream
