--- a/include/cardamomstream/connection/read_buffer.h
+++ b/include/cardamomstream/connection/read_buffer.h
@@ -69,7 +69,7 @@
 
 inline read_buffer make_read_buffer(std::shared_ptr<buffer_memory> memory)
 {
-    return read_buffer(max_read_buffer_bytes, limited_allocator<char>(std::move(memory)));
+    return {max_read_buffer_bytes, limited_allocator<char>(std::move(memory))};
 }
 
 } // namespace cardamomstream
--- a/include/cardamomstream/process/deployment/store_types.h
+++ b/include/cardamomstream/process/deployment/store_types.h
@@ -15,7 +15,8 @@
     std::uint64_t era = 0; ///< 0: the store states none
     std::uint64_t revision = 0;
 
-    friend auto operator<=>(const store_position&, const store_position&) = default;
+    friend auto operator<=>(const store_position&,
+                            const store_position&) = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// An entry of the store, or its removal.
--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -127,7 +127,7 @@
 bool store_follower::list()
 {
     cancellation cancel;
-    const auto all = m_store.list(m_prefix, cancel);
+    auto all = m_store.list(m_prefix, cancel);
     if (!all) {
         note_failure(all.error());
         return false;
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -208,12 +208,27 @@
     return changes;
 }
 
+void encode_positions(const vm_report& report, report_messages::Report& message)
+{
+    for (const auto& change : report.known_changes) {
+        message.add_known_changes(change.revision);
+        message.add_store_eras(change.era);
+    }
+    for (const auto& position : report.read_up_to) {
+        message.add_read_up_to(position.revision);
+    }
+    for (const auto& position : report.read_from) {
+        message.add_read_from(position.revision);
+    }
+}
+
 /// Positions of the store's parts, in the eras that the report names for them.
 std::vector<store_position>
 decode_positions(const report_messages::Report& message,
                  const google::protobuf::RepeatedField<google::protobuf::uint64>& revisions)
 {
     std::vector<store_position> positions;
+    positions.reserve(static_cast<std::size_t>(revisions.size()));
     for (int part = 0; part < revisions.size(); ++part) {
         positions.push_back(
             {part < message.store_eras_size() ? message.store_eras(part) : 0, revisions[part]});
@@ -348,17 +363,8 @@
     }
     encode_prompt_parts(report, message);
     encode_origins(report, message);
-    for (const auto& change : report.known_changes) {
-        message.add_known_changes(change.revision);
-        message.add_store_eras(change.era);
-    }
+    encode_positions(report, message);
     message.set_store_failing(report.store_failing);
-    for (const auto& position : report.read_up_to) {
-        message.add_read_up_to(position.revision);
-    }
-    for (const auto& position : report.read_from) {
-        message.add_read_from(position.revision);
-    }
     if (report.changes) {
         encode_changes(*report.changes, *message.mutable_store_changes());
     }
