--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -2,11 +2,11 @@
 
 #include "http_session.h"
 
+#include "cardamomstream/connection/contained_call.h"
 #include "cardamomstream/connection/error_response.h"
 #include "cardamomstream/connection/use_fiber.h"
 
 #include <chrono>
-#include <exception>
 #include <set>
 #include <utility>
 #include <vector>
@@ -47,7 +47,6 @@
     void accept_waiting();
     std::size_t take_thread() { return std::exchange(next_thread, (next_thread + 1) % threads.size()); }
     void start_session(tcp::socket socket, std::size_t thread);
-    static void run(http_session& session);
 
     /// Calls `visit` with each session, on the session's thread.
     template <class Visitor>
@@ -135,18 +134,6 @@
     }
 }
 
-/// A fault of one connection ends only that one.
-void http_server::state::run(http_session& session)
-{
-    try {
-        session.run();
-    }
-    catch (const std::exception& failure) {
-        spdlog::error("a connection is closed: {}", failure.what());
-        session.close();
-    }
-}
-
 void http_server::state::start_session(tcp::socket socket, std::size_t thread)
 {
     if (context->closed) {
@@ -165,8 +152,8 @@
                 request_id{}));
             session->close(); // without the wait for its caller, which would keep others out
         }
-        else {
-            run(*session);
+        else if (!run_contained("a connection is closed", [&] { session->run(); })) {
+            session->close();
         }
         self->sessions[thread].erase(session);
         --self->open;
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -1,10 +1,10 @@
 #include "http_session.h"
 
+#include "cardamomstream/connection/contained_call.h"
 #include "cardamomstream/connection/error_response.h"
 #include "cardamomstream/connection/io_deadline.h"
 #include "cardamomstream/connection/use_fiber.h"
 
-#include <exception>
 #include <tuple>
 #include <utility>
 
@@ -227,21 +227,16 @@
     m_version = message.version();
     m_keep_alive = message.keep_alive();
     m_stream.expires_never();
-    bool failed = false;
-    try {
+    const bool handled = run_contained("a request's handler failed", [&] {
         m_context->handler(to_request(std::move(message)), m_thread, *this);
-    }
-    catch (const std::exception& failure) {
-        spdlog::error("a request's handler failed: {}", failure.what());
-        failed = true;
-    }
+    });
     if (m_watch) {
         m_watch->stop();
         m_watch.reset();
         boost::beast::error_code ignored; // the answer may have closed the socket
         m_stream.socket().cancel(ignored);
     }
-    if (failed) {
+    if (!handled) {
         end_failed_answer();
     }
 }
--- a/src/connection/peer/peer_service.cpp
+++ b/src/connection/peer/peer_service.cpp
@@ -8,6 +8,8 @@
 #include "peer_response_writer.h"
 #include "reply_stream.h"
 
+#include "cardamomstream/connection/contained_call.h"
+
 #include <utility>
 
 #include <spdlog/spdlog.h>
@@ -54,7 +56,8 @@
     }
     m_traffic[index].spawn([this, stream, index, sender = sender.value(), value = std::move(value).value()] {
         peer_response_writer writer(stream);
-        m_handlers.forward(sender, value, index, writer);
+        (void)run_contained("the handler of a forwarded request failed", // the writer ends the call
+                            [&] { m_handlers.forward(sender, value, index, writer); });
         writer.close();
     });
     return stream.get();
--- a/src/connection/peer/tests/forward_test.cpp
+++ b/src/connection/peer/tests/forward_test.cpp
@@ -3,6 +3,7 @@
 #include <atomic>
 #include <chrono>
 #include <functional>
+#include <stdexcept>
 #include <thread>
 
 #include <boost/fiber/future.hpp>
@@ -165,6 +166,28 @@
         CHECK_FALSE(answer.ended);
         CHECK(answer.failure->outcome == run_outcome::unknown);
     }
+    SECTION("a handler that throws before it answers")
+    {
+        running_peer peer(handlers_with([](const forward_request&, response_writer&) {
+            throw std::runtime_error("a fault of this request");
+        }));
+        for (int call = 0; call < 2; ++call) {
+            const auto answer = forward(caller, peer, forwarded(""));
+            CHECK(answer.failure->kind == error_kind::internal);
+            CHECK(answer.failure->outcome == run_outcome::unknown);
+        }
+    }
+    SECTION("a handler that throws in the middle of its answer")
+    {
+        running_peer peer(handlers_with([](const forward_request&, response_writer& writer) {
+            (void)writer.begin_stream({200, {}});
+            (void)writer.write_chunk("half");
+            throw std::runtime_error("a fault of this request");
+        }));
+        const auto answer = forward(caller, peer, forwarded(""));
+        CHECK_FALSE(answer.ended);
+        CHECK(answer.failure->outcome == run_outcome::unknown);
+    }
     SECTION("a handler that does not answer")
     {
         running_peer peer(handlers_with([](const forward_request&, response_writer&) {}));
