--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -38,9 +38,10 @@
     /// Asked directly before the first byte leaves; its error ends the call with nothing sent.
     std::function<result<void>()> before_write;
 
-    /// Asked when the server has been silent for `first_byte` or `chunk_gap`. Returns for how long to wait
-    /// on; zero ends the call with upstream_timeout, as does the end of the time in `total`.
-    std::function<std::chrono::milliseconds()> on_silence;
+    /// Asked with the time of its silence when the server has been silent for `first_byte` or `chunk_gap`.
+    /// Returns for how long to wait on; zero ends the call with upstream_timeout, as does the end of the time
+    /// in `total`.
+    std::function<std::chrono::milliseconds(std::chrono::milliseconds silent)> on_silence;
 };
 
 /// The answer of one call, read piece by piece. Destroying it before the end closes the connection, which
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -229,7 +229,8 @@
                        std::chrono::milliseconds connect);
     std::chrono::milliseconds stall_timeout(const placement& where) const;
     std::chrono::milliseconds caller_patience() const;
-    std::chrono::milliseconds wait_on(const placement& where, const sent_request* sent, time_point since);
+    std::chrono::milliseconds wait_on(const placement& where, const sent_request* sent,
+                                      std::chrono::milliseconds silent);
     bool permit_replacement(const placement& where, time_point now);
     retry_decision decide_retry(send_result result, time_point now);
     upstream_call call_details(const placement& where) const;
@@ -286,7 +287,6 @@
     bool m_connection_broke = false; ///< the other side closed it before the answer's end
     bool m_silence_recorded = false;
     time_point m_replacement_sought_at;
-    time_point m_last_byte_at; ///< of its answer; when it was sent until the first one
     /// The budget's permission to send the request to another upstream, as this one is silent.
     std::optional<retry_decision> m_replacement;
     std::optional<std::chrono::milliseconds> m_final_refusal; ///< by the VM to which it was passed on
@@ -407,7 +407,6 @@
     m_answer_lasts = false;
     m_connection_broke = false;
     m_silence_recorded = false;
-    m_last_byte_at = boot_clock::now();
     m_replacement.reset();
     m_events.begin_run();
 }
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -15,7 +15,6 @@
         return send_result::may_have_run;
     }
     m_answer_began_at = boot_clock::now();
-    m_last_byte_at = *m_answer_began_at;
     const auto& head = exchange.head();
     if (sent != nullptr && proof != answer_proof::not_from_upstream && head.status != other_upstream) {
         record_statements(head, *sent);
@@ -161,7 +160,6 @@
         if (!part.value()) {
             break;
         }
-        m_last_byte_at = boot_clock::now();
         if (!held.add(part.value()->size())) {
             m_last_failure = "the answer exceeds the memory for buffered answers";
             return send_result::may_have_run;
@@ -289,7 +287,6 @@
                                const placement& where, answer_memory::reservation& held)
 {
     const auto now = boot_clock::now();
-    m_last_byte_at = now;
     const auto bytes = m_route->resumable ? m_events.feed(part) : m_events.pass_over(std::move(part));
     if (write_events(bytes, head) == send_result::caller_left) {
         return send_result::caller_left;
@@ -301,8 +298,9 @@
         m_last_failure = "an event exceeds the size limit or the memory for incomplete events";
         return send_result::may_have_run;
     }
-    if (bytes.empty() && now - m_last_event_at > stall_timeout(where) &&
-        wait_on(where, sent, m_last_event_at) <= std::chrono::milliseconds::zero()) {
+    const auto without_event = std::chrono::floor<std::chrono::milliseconds>(now - m_last_event_at);
+    if (bytes.empty() && without_event > stall_timeout(where) &&
+        wait_on(where, sent, without_event) <= std::chrono::milliseconds::zero()) {
         m_last_failure = "the stream sends bytes but completes no event";
         return send_result::may_have_run;
     }
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -16,7 +16,9 @@
     const auto silence = stall_timeout(where);
     call.limits = {connect, silence, silence, left};
     if (silence < left) {
-        call.on_silence = [this, where, sent] { return wait_on(where, sent, m_last_byte_at); };
+        call.on_silence = [this, where, sent](std::chrono::milliseconds silent) {
+            return wait_on(where, sent, silent);
+        };
     }
 }
 
@@ -44,16 +46,15 @@
                      m_route->event_gap_objective * patience_in_event_gaps});
 }
 
-/// For how much longer the running answer is waited for, of which nothing has come since `since`. Zero only
-/// if the request is sent elsewhere next, or the caller waits no longer: a sound upstream may be silent for a
+/// For how much longer the running answer is waited for, of which nothing has come for `silent`. Zero only if
+/// the request is sent elsewhere next, or the caller waits no longer: a sound upstream may be silent for a
 /// while.
 template <gateway_wire Wire>
 std::chrono::milliseconds request_flow<Wire>::wait_on(const placement& where, const sent_request* sent,
-                                                      time_point since)
+                                                      std::chrono::milliseconds silent)
 {
     using namespace std::chrono_literals;
     const auto now = boot_clock::now();
-    const auto silent = std::chrono::floor<std::chrono::milliseconds>(now - since);
     if (const auto preferred = stall_timeout(where); silent < preferred) {
         return preferred - silent;
     }
--- a/src/connection/client/pooled_exchange.cpp
+++ b/src/connection/client/pooled_exchange.cpp
@@ -65,6 +65,7 @@
 template <class Operation>
 result<void> pooled_exchange::run_within(std::chrono::milliseconds limit, Operation operation)
 {
+    const auto began = boot_clock::now();
     while (true) {
         io_deadline deadline(m_connection->socket(), limit);
         auto [ec, n] = operation();
@@ -77,7 +78,8 @@
             return failure(ec, deadline.expired());
         }
         // The operation goes on where the deadline has interrupted it.
-        limit = std::min(m_on_silence(), left);
+        const auto silent = std::chrono::floor<std::chrono::milliseconds>(boot_clock::now() - began);
+        limit = std::min(m_on_silence(silent), left);
         if (limit <= std::chrono::milliseconds::zero()) {
             return failure(ec, true);
         }
--- a/src/connection/client/pooled_exchange.h
+++ b/src/connection/client/pooled_exchange.h
@@ -57,7 +57,7 @@
     std::optional<parser> m_parser; ///< of one head and what follows it
     http_response_head m_head;
     call_limits m_limits;
-    std::function<std::chrono::milliseconds()> m_on_silence;
+    std::function<std::chrono::milliseconds(std::chrono::milliseconds)> m_on_silence;
     time_point m_started;
     bool m_first_on_connection = false;
     bool m_reusable = true;
--- a/src/connection/client/tests/raw_answer_test.cpp
+++ b/src/connection/client/tests/raw_answer_test.cpp
@@ -13,6 +13,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
 #include <catch2/catch.hpp>
 
 using namespace cardamomstream;
@@ -179,3 +180,45 @@
         CHECK(std::chrono::steady_clock::now() - began < 1s);
     }
 }
+
+// Time that a slow reader takes counted as silence of a sound server, which was then left early.
+TEST_CASE("a server falls silent after its answer was read slowly")
+{
+    raw_server server([](const byte_writer& write) {
+        write("HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nhalf");
+        std::this_thread::sleep_for(800ms);
+        write("half");
+    });
+    std::promise<std::vector<std::chrono::milliseconds>> done;
+    std::string body;
+    traffic_group threads{1};
+    http_client client(threads.front().io(), {});
+    threads.front().spawn([&] {
+        std::vector<std::chrono::milliseconds> silences;
+        http_call call;
+        call.address = server.address();
+        call.limits = {200ms, 100ms, 100ms, 5s};
+        call.on_silence = [&](std::chrono::milliseconds silent) {
+            silences.push_back(silent);
+            return 100ms;
+        };
+        cancellation cancel;
+        auto exchange = client.send(call, cancel);
+        while (exchange) {
+            const auto part = exchange.value()->next();
+            if (!part || !part.value()) {
+                break;
+            }
+            body += *part.value();
+            boost::this_fiber::sleep_for(300ms);
+        }
+        client.close_idle(call.address);
+        done.set_value(silences);
+    });
+    const auto silences = done.get_future().get();
+    CHECK(body == "halfhalf"); // each question was answered with more time
+    REQUIRE(silences.size() > 1);
+    CHECK(silences.front() >= 100ms);
+    CHECK(silences.front() < 300ms);
+    CHECK(silences.back() > silences.front());
+}
