Signals: one list for each command, also for what is held early

The list of signals stood at three places, and held SIGHUP for `serve` too, which doesn't wait for it: the signal was never delivered there.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -38,15 +38,12 @@
     out << "\n`cardamomstream COMMAND --help` shows the options of a command.\n";
 }
 
-} // namespace
-
-namespace {
-
 /// A signal that comes while the libraries are initialized waits too, until the command asks for it.
 void hold_early_signals(int argc, char** argv, char** /*environment*/)
 {
-    if (argc > 1 && cardamomstream::waits_for_signals(argv[1])) {
-        cardamomstream::block_signals({SIGTERM, SIGINT, SIGHUP});
+    const auto awaited = argc > 1 ? cardamomstream::signals_awaited_by(argv[1]) : std::span<const int>();
+    if (!awaited.empty()) {
+        cardamomstream::block_signals(awaited);
     }
 }
 
--- a/src/app/node/node_command.cpp
+++ b/src/app/node/node_command.cpp
@@ -23,7 +23,7 @@
 
 int run_node(const std::string& path, const node_settings& settings)
 {
-    const auto signals = block_signals({SIGTERM, SIGINT, SIGHUP});
+    const auto signals = block_signals(node_signals);
     set_up_node_log(settings.vm);
     node_process node(settings);
     if (const auto started = node.start(); !started) {
--- a/src/app/serve_command.cpp
+++ b/src/app/serve_command.cpp
@@ -19,7 +19,7 @@
 
 int serve(const settings& config)
 {
-    const auto signals = block_signals({SIGTERM, SIGINT});
+    const auto signals = block_signals(serve_signals);
     set_up_log(config);
     auto created = gateway_process::create(config);
     if (!created) {
--- a/src/app/stop_signals.h
+++ b/src/app/stop_signals.h
@@ -1,16 +1,29 @@
 /// Signals that one thread waits for.
 #pragma once
 
+#include <array>
 #include <csignal>
-#include <initializer_list>
 #include <pthread.h>
+#include <span>
 #include <string_view>
 
 namespace cardamomstream {
 
+inline constexpr std::array node_signals{SIGTERM, SIGINT, SIGHUP};
+inline constexpr std::array serve_signals{SIGTERM, SIGINT};
+
+/// Signals that the command waits for; none if it is ended by them.
+inline std::span<const int> signals_awaited_by(std::string_view command)
+{
+    if (command == "node") {
+        return node_signals;
+    }
+    return command == "serve" ? std::span<const int>(serve_signals) : std::span<const int>();
+}
+
 /// Blocks the signals in this thread and those it starts, so that one thread can wait for them, and ignores
 /// SIGPIPE.
-inline sigset_t block_signals(std::initializer_list<int> numbers)
+inline sigset_t block_signals(std::span<const int> numbers)
 {
     sigset_t signals;
     sigemptyset(&signals);
@@ -22,10 +35,4 @@
     return signals;
 }
 
-/// The commands that wait for signals; the others are ended by them.
-inline bool waits_for_signals(std::string_view command)
-{
-    return command == "node" || command == "serve";
-}
-
 } // namespace cardamomstream
