--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -1,7 +1,6 @@
 /// HTTP/1.1 client with a pool of connections, for upstreams and the platform. One per traffic thread.
 #pragma once
 
-#include "cardamomstream/connection/buffer_memory.h"
 #include "cardamomstream/connection/cancellation.h"
 #include "cardamomstream/connection/http_types.h"
 #include "cardamomstream/core/core_types.h"
@@ -85,7 +84,7 @@
     std::chrono::milliseconds user_timeout{10'000}; ///< unacknowledged bytes for longer end the connection
     /// Of all connections together, for heads, chunk headers and trailers that are not complete yet. A call
     /// that would need more ends with upstream_failed.
-    std::size_t max_buffered_bytes = buffer_memory::default_max_bytes;
+    std::size_t max_buffered_bytes = std::size_t{16} * 1024 * 1024;
 };
 
 /// Opens and keeps connections. All calls are made in fibers of the thread that owns `io`.
--- a/include/cardamomstream/connection/http_types.h
+++ b/include/cardamomstream/connection/http_types.h
@@ -56,6 +56,8 @@
     std::chrono::milliseconds idle_timeout{60'000};
     std::chrono::milliseconds write_timeout{30'000}; ///< for one write to a slow caller
     std::size_t max_connections = 4096;
+    /// Of all connections together, for heads, chunk headers and trailers that are not complete yet.
+    std::size_t max_buffered_bytes = std::size_t{16} * 1024 * 1024;
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/connection/read_buffer.h
+++ b/include/cardamomstream/connection/read_buffer.h
@@ -1,7 +1,7 @@
 /// Buffer for bytes of a connection that a parser has not consumed yet.
 #pragma once
 
-#include "cardamomstream/connection/buffer_memory.h"
+#include "cardamomstream/core/memory_limit.h"
 
 #include <cstddef>
 #include <memory>
@@ -12,7 +12,7 @@
 
 namespace cardamomstream {
 
-/// Takes blocks of more than `small_block` bytes from a `buffer_memory`. Smaller ones are always available,
+/// Takes blocks of more than `small_block` bytes from a `memory_limit`. Smaller ones are always available,
 /// so that connections with short messages work while others use up the memory.
 template <class Value>
 class limited_allocator {
@@ -23,7 +23,7 @@
 
     static constexpr std::size_t small_block = 4 * 1024;
 
-    explicit limited_allocator(std::shared_ptr<buffer_memory> memory)
+    explicit limited_allocator(std::shared_ptr<memory_limit> memory)
         : m_memory(std::move(memory))
     {
     }
@@ -51,14 +51,14 @@
         }
     }
 
-    const std::shared_ptr<buffer_memory>& memory() const noexcept { return m_memory; }
+    const std::shared_ptr<memory_limit>& memory() const noexcept { return m_memory; }
     friend bool operator==(const limited_allocator& left, const limited_allocator& right)
     {
         return left.m_memory == right.m_memory;
     }
 
 private:
-    std::shared_ptr<buffer_memory> m_memory;
+    std::shared_ptr<memory_limit> m_memory;
 };
 
 /// Holds a head, a chunk header or trailers until they are complete; bodies pass through it in parts.
@@ -67,7 +67,7 @@
 /// Largest size of one connection's buffer; above the limits of heads.
 inline constexpr std::size_t max_read_buffer_bytes = std::size_t{64} * 1024;
 
-inline read_buffer make_read_buffer(std::shared_ptr<buffer_memory> memory)
+inline read_buffer make_read_buffer(std::shared_ptr<memory_limit> memory)
 {
     return {max_read_buffer_bytes, limited_allocator<char>(std::move(memory))};
 }
--- a/include/cardamomstream/connection/buffer_memory.h
+++ b/include/cardamomstream/core/memory_limit.h
@@ -1,4 +1,4 @@
-/// Limit on the memory of the read buffers of many connections.
+/// Limit on memory that many owners share.
 #pragma once
 
 #include <atomic>
@@ -6,12 +6,10 @@
 
 namespace cardamomstream {
 
-/// Counts the bytes of the buffers that share it. Thread safe.
-class buffer_memory {
+/// Counts the bytes that its users have reserved. Thread safe.
+class memory_limit {
 public:
-    static constexpr std::size_t default_max_bytes = std::size_t{16} * 1024 * 1024;
-
-    explicit buffer_memory(std::size_t max_bytes = default_max_bytes)
+    explicit memory_limit(std::size_t max_bytes)
         : m_max_bytes(max_bytes)
     {
     }
--- a/include/cardamomstream/process/deployment/upstream_registry.h
+++ b/include/cardamomstream/process/deployment/upstream_registry.h
@@ -83,6 +83,7 @@
         time_point since;
     };
 
+    std::vector<data_centre_name> end_evacuations(std::vector<data_centre_name> data_centres, time_point now);
     void depart(std::map<upstream_name, upstream_entry>::iterator entry, time_point now);
     time_point cold_until(const upstream_entry& entry, const service_plan* plan) const;
 
--- a/include/cardamomstream/request/gateway/answer_memory.h
+++ b/include/cardamomstream/request/gateway/answer_memory.h
@@ -1,6 +1,8 @@
 /// Limit on the memory for answers that are buffered until they are complete.
 #pragma once
 
+#include "cardamomstream/core/memory_limit.h"
+
 #include <cstddef>
 
 namespace cardamomstream {
@@ -19,7 +21,7 @@
             : m_owner(owner)
         {
         }
-        ~reservation() { m_owner.m_bytes -= m_bytes; }
+        ~reservation() { m_owner.m_limit.release(m_bytes); }
         reservation(const reservation&) = delete;
         reservation& operator=(const reservation&) = delete;
         reservation(reservation&&) = delete;
@@ -31,11 +33,12 @@
         /// Reserves this many bytes in all. False when a limit would be exceeded.
         bool resize(std::size_t bytes)
         {
-            const auto others = m_owner.m_bytes - m_bytes;
-            if (bytes > m_bytes && (bytes > max_bytes_per_answer || others + bytes > max_bytes)) {
+            if (bytes <= m_bytes) {
+                m_owner.m_limit.release(m_bytes - bytes);
+            }
+            else if (bytes > max_bytes_per_answer || !m_owner.m_limit.reserve(bytes - m_bytes)) {
                 return false;
             }
-            m_owner.m_bytes = others + bytes;
             m_bytes = bytes;
             return true;
         }
@@ -49,7 +52,7 @@
     reservation reserve() { return reservation(*this); }
 
 private:
-    std::size_t m_bytes = 0;
+    memory_limit m_limit{max_bytes};
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -231,6 +231,15 @@
     std::chrono::milliseconds caller_patience() const;
     std::chrono::milliseconds wait_on(const placement& where, const sent_request* sent,
                                       std::chrono::milliseconds silent);
+    /// Keeps the request from being placed there again.
+    static void exclude(placing_request& request, const placement& where);
+    /// What the quarantines decide on the request now.
+    struct subject_decisions {
+        quarantine_decision of_part;
+        quarantine_decision of_request;
+        quarantine_verdict verdict() const { return std::max(of_part.verdict, of_request.verdict); }
+    };
+    subject_decisions quarantine_decisions() const;
     bool permit_replacement(const placement& where, time_point now);
     retry_decision decide_retry(send_result result, time_point now);
     upstream_call call_details(const placement& where) const;
@@ -287,8 +296,7 @@
     bool m_connection_broke = false; ///< the other side closed it before the answer's end
     bool m_silence_recorded = false;
     time_point m_replacement_sought_at;
-    /// The budget's permission to send the request to another upstream, as this one is silent.
-    std::optional<retry_decision> m_replacement;
+    bool m_replacement_permitted = false; ///< by the retry budget, as this upstream is silent
     std::optional<std::chrono::milliseconds> m_final_refusal; ///< by the VM to which it was passed on
     std::chrono::milliseconds m_predicted{0};
     std::uint32_t m_running_at_upstream = 0;
@@ -365,12 +373,7 @@
             m_may_have_run = true;
             m_runs += 1;
         }
-        if (here) {
-            m_placing_request.tried.push_back(where.upstream);
-        }
-        else {
-            m_placing_request.refused_by.push_back(where.region);
-        }
+        exclude(m_placing_request, where);
         if (!may_retry(result)) {
             give_up(result);
             return;
@@ -378,6 +381,26 @@
     }
 }
 
+template <gateway_wire Wire>
+void request_flow<Wire>::exclude(placing_request& request, const placement& where)
+{
+    if (where.verdict == placing_verdict::here) {
+        request.tried.push_back(where.upstream);
+    }
+    else {
+        request.refused_by.push_back(where.region);
+    }
+}
+
+template <gateway_wire Wire>
+typename request_flow<Wire>::subject_decisions request_flow<Wire>::quarantine_decisions() const
+{
+    const bool passed_on = m_placing_request.own_region_only;
+    const auto now = boot_clock::now();
+    return {m_state.quarantine.check(m_shared_parts, passed_on, now),
+            m_state.request_quarantine.check(m_request_digest, passed_on, now)};
+}
+
 /// Empty unless the stream has begun and no other upstream can go on with it.
 template <gateway_wire Wire>
 std::string_view request_flow<Wire>::why_stream_ends() const
@@ -407,7 +430,7 @@
     m_answer_lasts = false;
     m_connection_broke = false;
     m_silence_recorded = false;
-    m_replacement.reset();
+    m_replacement_permitted = false;
     m_events.begin_run();
 }
 
@@ -418,7 +441,7 @@
         m_no_retry = m_final_refusal ? "final_refusal" : "runs_used";
         return false;
     }
-    if (m_replacement) { // at once, while the upstream that was found for it is free
+    if (m_replacement_permitted) { // at once, while the upstream that was found for it is free
         m_state.counters.repeats.increment(m_placing_request.service);
         return !m_cancel.cancelled();
     }
@@ -541,15 +564,13 @@
 template <gateway_wire Wire>
 std::optional<error> request_flow<Wire>::check_quarantine(std::optional<trials>& trial)
 {
-    const bool passed_on = m_placing_request.own_region_only;
-    const auto part = m_state.quarantine.check(m_shared_parts, passed_on, boot_clock::now());
-    const auto request = m_state.request_quarantine.check(m_request_digest, passed_on, boot_clock::now());
+    const auto decisions = quarantine_decisions();
+    const auto& [part, request] = decisions;
     const auto reason = request.verdict == quarantine_verdict::refused ? ends_under_request : ends_under_part;
-    const auto verdict = std::max(part.verdict, request.verdict);
-    if (verdict == quarantine_verdict::refused) {
+    if (decisions.verdict() == quarantine_verdict::refused) {
         return quarantined(reason, std::max(part.retry_after, request.retry_after));
     }
-    if (verdict == quarantine_verdict::trial) {
+    if (decisions.verdict() == quarantine_verdict::trial) {
         if (time_left() <= 2 * prompt_quarantine::trial_notice) {
             return quarantined(reason, prompt_quarantine::trial_notice);
         }
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -87,29 +87,18 @@
     if (!why_stream_ends().empty() || !m_state.answers_before_end(m_route->name, time_left(), now)) {
         return false;
     }
-    const bool passed_on = m_placing_request.own_region_only;
-    if (m_state.quarantine.check(m_shared_parts, passed_on, now).verdict != quarantine_verdict::allowed ||
-        m_state.request_quarantine.check(m_request_digest, passed_on, now).verdict !=
-            quarantine_verdict::allowed) {
+    if (quarantine_decisions().verdict() != quarantine_verdict::allowed) {
         return false;
     }
     auto request = m_placing_request;
     request.time_left = time_left();
-    if (where.verdict == placing_verdict::here) {
-        request.tried.push_back(where.upstream);
-    }
-    else {
-        request.refused_by.push_back(where.region);
-    }
+    exclude(request, where);
     if (!m_state.placing.has_alternative(request, *m_plan, m_state.load, now)) {
         return false;
     }
     const auto decision = decide_retry(send_result::may_have_run, now);
-    if (decision.verdict != retry_verdict::allowed) {
-        return false;
-    }
-    m_replacement = decision;
-    return true;
+    m_replacement_permitted = decision.verdict == retry_verdict::allowed;
+    return m_replacement_permitted;
 }
 
 template <gateway_wire Wire>
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -339,15 +339,13 @@
         }
         return;
     }
-    if (condition.restored) {
-        if (!m_upstreams.apply_restored(record.value(), now)) {
-            m_log.write(log_weight::state, "upstream_entry_outdated", {{"upstream", id.str()}});
-            return;
-        }
-    }
-    else {
+    if (!condition.restored) {
         m_upstreams.apply(record.value(), !m_upstreams_listed, now);
     }
+    else if (!m_upstreams.apply_restored(record.value(), now)) {
+        m_log.write(log_weight::state, "upstream_entry_outdated", {{"upstream", id.str()}});
+        return;
+    }
     m_log.write(log_weight::state, "upstream",
                 {{"upstream", id.str()},
                  {"service", record.value().service.str()},
--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -26,6 +26,16 @@
 constexpr std::chrono::milliseconds first_retry{100};
 constexpr std::chrono::milliseconds longest_retry{1'000};
 
+/// Revision 0 when there are no items.
+store_position newest_of(std::uint64_t era, const std::vector<store_item>& items)
+{
+    store_position newest{era, 0};
+    for (const auto& item : items) {
+        newest.revision = std::max(newest.revision, item.revision);
+    }
+    return newest;
+}
+
 } // namespace
 
 store_follower::store_follower(store_part part, std::string prefix, platform::store_client& store,
@@ -99,10 +109,7 @@
         want_watch();
         return false;
     }
-    store_position newest{missing.value().position.era, 0};
-    for (const auto& item : missing.value().items) {
-        newest.revision = std::max(newest.revision, item.revision);
-    }
+    const auto newest = newest_of(missing.value().position.era, missing.value().items);
     // The watch brings these changes: applied here as well, an older one might follow a newer one.
     while (m_lag.known() < newest && boot_clock::now() < until) {
         want_watch();
@@ -119,7 +126,7 @@
     }
     m_confirmed_at = boot_clock::now();
     if (!changes.items.empty()) {
-        note_changes(changes.up_to.era, changes.items);
+        m_newest_change = std::max(m_newest_change, newest_of(changes.up_to.era, changes.items));
         m_on_changes(changes);
     }
 }
@@ -144,7 +151,8 @@
 void store_follower::apply_listing(store_batch all)
 {
     const auto before = m_lag.known();
-    all.restored = m_ever_listed && all.position.era > before.era;
+    const bool listed_before = before.revision > 0; // the store's revisions start above 0
+    all.restored = listed_before && all.position.era > before.era;
     m_newest_era = all.position.era;
     if (all.restored) {
         m_log.write(log_weight::state, "store_restored",
@@ -157,20 +165,11 @@
     }
     m_lag.record_known(all.position);
     m_listed_at = all.position;
-    m_newest_change = std::max(m_newest_change, store_position{all.position.era, 0});
-    note_changes(all.position.era, all.items);
+    m_newest_change = std::max(m_newest_change, newest_of(all.position.era, all.items));
     m_listed = true;
-    m_ever_listed = true;
     m_on_listing(all);
 }
 
-void store_follower::note_changes(std::uint64_t era, const std::vector<store_item>& items)
-{
-    for (const auto& item : items) {
-        m_newest_change = std::max(m_newest_change, store_position{era, item.revision});
-    }
-}
-
 /// False for an answer of another era than the one that is followed: of a newer one a listing is due, and an
 /// older one is passed over.
 bool store_follower::check_era(const store_position& answer)
@@ -240,7 +239,7 @@
         return true;
     }
     store_changes read{m_part, after, position, false, std::move(changes.value().items)};
-    note_changes(position.era, read.items);
+    m_newest_change = std::max(m_newest_change, newest_of(position.era, read.items));
     if (m_reads) {
         m_on_read(read);
     }
--- a/src/app/node/store_follower.h
+++ b/src/app/node/store_follower.h
@@ -10,7 +10,6 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <vector>
 
 #include <boost/fiber/condition_variable.hpp>
 #include <boost/fiber/mutex.hpp>
@@ -95,7 +94,6 @@
     bool behind_era() const noexcept { return m_newest_era > m_lag.known().era; }
     void note_era(std::uint64_t era);
     void apply_listing(store_batch all);
-    void note_changes(std::uint64_t era, const std::vector<store_item>& items);
     void want_watch();
     void await_question();
     void note_failure(const error& reason);
@@ -118,7 +116,6 @@
     std::uint64_t m_newest_era = 0; ///< of which this VM has learnt, also from others
     time_point m_confirmed_at;
     bool m_listed = false;
-    bool m_ever_listed = false;
     bool m_reads = true;
     bool m_answered = false; ///< the last call
     bool m_asked = false;    ///< one watch is wanted though others read
--- a/src/connection/client/client_connection.h
+++ b/src/connection/client/client_connection.h
@@ -17,7 +17,7 @@
 
 class client_connection {
 public:
-    client_connection(boost::asio::io_context& io, std::shared_ptr<buffer_memory> memory)
+    client_connection(boost::asio::io_context& io, std::shared_ptr<memory_limit> memory)
         : m_socket(io)
         , m_buffer(make_read_buffer(std::move(memory)))
     {
--- a/src/connection/client/http_client.cpp
+++ b/src/connection/client/http_client.cpp
@@ -22,7 +22,7 @@
     pool(boost::asio::io_context& io, http_client_settings settings)
         : m_io(io)
         , m_settings(settings)
-        , m_buffer_memory(std::make_shared<buffer_memory>(settings.max_buffered_bytes))
+        , m_read_memory(std::make_shared<memory_limit>(settings.max_buffered_bytes))
     {
     }
 
@@ -33,7 +33,7 @@
                 return pooled;
             }
         }
-        auto connection = std::make_shared<client_connection>(m_io, m_buffer_memory);
+        auto connection = std::make_shared<client_connection>(m_io, m_read_memory);
         cancel.set_action([connection] { connection->close(); });
         auto connected = connection->connect(call.address, call.limits.connect, m_settings.user_timeout);
         cancel.clear_action();
@@ -45,7 +45,7 @@
 
     result<void> open_spare(const endpoint& address, std::chrono::milliseconds limit)
     {
-        auto connection = std::make_shared<client_connection>(m_io, m_buffer_memory);
+        auto connection = std::make_shared<client_connection>(m_io, m_read_memory);
         BOOST_OUTCOME_TRY(connection->connect(address, limit, m_settings.user_timeout));
         // The system may still accept for a process that is ending, and reset the connection then.
         boost::this_fiber::sleep_for(spare_settle_time);
@@ -94,7 +94,7 @@
 
     boost::asio::io_context& m_io;
     http_client_settings m_settings;
-    std::shared_ptr<buffer_memory> m_buffer_memory;
+    std::shared_ptr<memory_limit> m_read_memory;
     std::unordered_map<endpoint, std::deque<std::shared_ptr<client_connection>>> m_idle;
 };
 
--- a/src/connection/client/tests/read_buffer_test.cpp
+++ b/src/connection/client/tests/read_buffer_test.cpp
@@ -12,7 +12,7 @@
 TEST_CASE("the read buffers of many connections share a limit")
 {
     constexpr std::size_t limit = 256 * 1024;
-    const auto memory = std::make_shared<buffer_memory>(limit);
+    const auto memory = std::make_shared<memory_limit>(limit);
     std::vector<read_buffer> buffers;
     constexpr std::size_t connections = 100;
     buffers.reserve(connections);
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -39,6 +39,7 @@
         , acceptor(threads.front().io())
     {
         context->limits = limits;
+        context->read_memory = std::make_shared<memory_limit>(limits.max_buffered_bytes);
         context->handler = std::move(handler);
     }
 
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -97,7 +97,7 @@
     : m_stream(std::move(socket))
     , m_thread(thread)
     , m_context(std::move(context))
-    , m_buffer(make_read_buffer(m_context->memory))
+    , m_buffer(make_read_buffer(m_context->read_memory))
 {
 }
 
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -22,11 +22,11 @@
 struct session_context {
     http_limits limits;
     request_handler handler;
-    std::shared_ptr<buffer_memory> memory = std::make_shared<buffer_memory>();
-    std::atomic<bool> closing = false;  ///< answers carry `Connection: close`
-    std::atomic<bool> stopping = false; ///< no further connection is accepted
-    std::atomic<bool> ending = false;   ///< no connection waits for a further request
-    std::atomic<bool> closed = false;   ///< no connection is served
+    std::shared_ptr<memory_limit> read_memory; ///< of all sessions
+    std::atomic<bool> closing = false;         ///< answers carry `Connection: close`
+    std::atomic<bool> stopping = false;        ///< no further connection is accepted
+    std::atomic<bool> ending = false;          ///< no connection waits for a further request
+    std::atomic<bool> closed = false;          ///< no connection is served
 };
 
 /// Reads requests from one connection and has them answered, one after the other. Keeps itself alive through
--- a/src/process/deployment/upstream_registry.cpp
+++ b/src/process/deployment/upstream_registry.cpp
@@ -132,6 +132,15 @@
     return true;
 }
 
+std::vector<data_centre_name> upstream_registry::end_evacuations(std::vector<data_centre_name> data_centres,
+                                                                 time_point now)
+{
+    for (const auto& data_centre : data_centres) {
+        end_evacuation(data_centre, now);
+    }
+    return data_centres;
+}
+
 std::vector<data_centre_name> upstream_registry::retain_evacuations(const std::set<data_centre_name>& listed,
                                                                     bool after_outage, time_point now)
 {
@@ -147,10 +156,7 @@
             opened.push_back(data_centre);
         }
     }
-    for (const auto& data_centre : opened) {
-        end_evacuation(data_centre, now);
-    }
-    return opened;
+    return end_evacuations(std::move(opened), now);
 }
 
 std::vector<data_centre_name> upstream_registry::expire_evacuations(time_point now)
@@ -161,10 +167,7 @@
             opened.push_back(data_centre);
         }
     }
-    for (const auto& data_centre : opened) {
-        end_evacuation(data_centre, now);
-    }
-    return opened;
+    return end_evacuations(std::move(opened), now);
 }
 
 bool upstream_registry::expire(time_point now)
