--- a/include/cardamomstream/request/gateway/answer_proof.h
+++ b/include/cardamomstream/request/gateway/answer_proof.h
@@ -33,4 +33,7 @@
 /// to this request only as the first on its connection, and only if it is a VM's own or the request has none.
 answer_proof assess_answer(const answer_facts& answer);
 
+/// What shows that an answer assessed as `not_run` refuses this request; for the log.
+std::string_view refusal_evidence(const answer_facts& answer);
+
 } // namespace cardamomstream
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -223,6 +223,11 @@
     void note_success(time_point now);
     void note_completion(time_point now);
     void check_upstream_end(const placement& where, const sent_request& sent);
+    send_result note_failed_send(const error& failure);
+    send_outcome outcome_of(const error& failure) const;
+    send_outcome outcome_of(send_result result) const;
+    void log_failed_send(const placement& where, send_outcome outcome);
+    void log_left_run(const placement& where, std::chrono::milliseconds silent);
     void log_end(std::string_view end, std::string_view reason);
 
     void limit_silence(http_call& call, const placement& where, const sent_request* sent,
@@ -291,6 +296,9 @@
     std::optional<std::chrono::milliseconds> m_last_pause; ///< asked for by the last send's upstream
     // Of the last send:
     std::optional<time_point> m_answer_began_at; ///< when the head of its answer came
+    unsigned m_answer_status = 0;                ///< 0 without an answer to this request
+    std::string_view m_connection = "none";      ///< new, kept or none; for the log
+    std::string_view m_not_run_evidence;         ///< empty if it may have run; for the log
     bool m_unframed = false;                     ///< its answer has neither a length nor chunks
     bool m_answer_lasts = false;     ///< the answer has gone on for `lasting_answer`, or is complete
     bool m_connection_broke = false; ///< the other side closed it before the answer's end
@@ -426,6 +434,9 @@
     m_last_upstream = where.upstream.str();
     m_sent_version = where.version;
     m_answer_began_at.reset();
+    m_answer_status = 0;
+    m_connection = "none";
+    m_not_run_evidence = {};
     m_unframed = false;
     m_answer_lasts = false;
     m_connection_broke = false;
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -10,6 +10,7 @@
 request_flow<Wire>::handle_answer(http_exchange& exchange, sent_request* sent, const placement& where)
 {
     const bool by_vm = sent == nullptr;
+    m_connection = exchange.first_on_connection() ? "new" : "kept";
     const auto proof = await_own_answer(exchange, by_vm, where);
     if (!proof) {
         return send_result::may_have_run;
@@ -40,10 +41,18 @@
                                                                  const placement& where)
 {
     for (int foreign = 0; foreign <= max_foreign_answers; ++foreign) {
-        const auto proof =
-            assess_answer({exchange.head().status, Wire::origin_of(exchange.head()), m_caller_request.id,
-                           exchange.first_on_connection(), by_vm, m_route->repeatable()});
+        const answer_facts facts{exchange.head().status,
+                                 Wire::origin_of(exchange.head()),
+                                 m_caller_request.id,
+                                 exchange.first_on_connection(),
+                                 by_vm,
+                                 m_route->repeatable()};
+        const auto proof = assess_answer(facts);
         if (proof != answer_proof::foreign) {
+            m_answer_status = facts.status;
+            if (proof == answer_proof::not_run) {
+                m_not_run_evidence = refusal_evidence(facts);
+            }
             return proof;
         }
         note_foreign_answer(exchange.head(), by_vm, where);
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -64,6 +64,7 @@
     if (now - m_replacement_sought_at >= replacement_poll) {
         m_replacement_sought_at = now;
         if (permit_replacement(where, now)) {
+            log_left_run(where, silent);
             return 0ms;
         }
     }
@@ -142,19 +143,12 @@
     auto outcome = send_outcome::answered;
     auto result = send_result::answered;
     if (!exchange) {
-        const auto& failure = exchange.error();
-        note_failure(failure);
-        result = failure.outcome == run_outcome::not_run ? send_result::not_run : send_result::may_have_run;
-        outcome = result == send_result::not_run                 ? send_outcome::unreachable
-                  : failure.kind == error_kind::upstream_timeout ? send_outcome::silent
-                                                                 : send_outcome::broken;
+        result = note_failed_send(exchange.error());
+        outcome = outcome_of(exchange.error());
     }
     else {
         result = handle_answer(*exchange.value(), &sent, where);
-        outcome = result == send_result::not_run ? send_outcome::rejected
-                  : result == send_result::may_have_run
-                      ? (m_held_failure ? send_outcome::failed : send_outcome::broken)
-                      : send_outcome::answered;
+        outcome = outcome_of(result);
     }
     if (m_cancel.cancelled()) {
         result = send_result::caller_left;
@@ -165,24 +159,84 @@
         check_upstream_end(where, sent);
     }
     m_state.counters.sends.increment(m_placing_request.service, std::string(to_text(outcome)));
-    if (outcome != send_outcome::answered && outcome != send_outcome::abandoned) {
-        const auto answer_age =
-            m_answer_began_at
-                ? std::chrono::floor<std::chrono::milliseconds>(boot_clock::now() - *m_answer_began_at)
-                : std::chrono::milliseconds{-1};
-        m_state.log.write(log_weight::failure, "send_failed",
-                          {{"request", m_caller_request.id.str()},
-                           {"upstream", where.upstream.str()},
-                           {"outcome", to_text(outcome)},
-                           {"reason", m_last_failure},
-                           {"pause_ms", std::int64_t{m_last_pause.value_or(0ms).count()}},
-                           {"answer_age_ms", std::int64_t{answer_age.count()}},
-                           {"parts", shared_parts_text()},
-                           {"send", std::int64_t{m_sends}}});
-    }
+    log_failed_send(where, outcome);
     return result;
 }
 
+/// Records that no answer has come. Returns whether the request may have run.
+template <gateway_wire Wire>
+typename request_flow<Wire>::send_result request_flow<Wire>::note_failed_send(const error& failure)
+{
+    note_failure(failure);
+    if (failure.outcome != run_outcome::not_run) {
+        return send_result::may_have_run;
+    }
+    m_not_run_evidence = "nothing_sent";
+    return send_result::not_run;
+}
+
+template <gateway_wire Wire>
+send_outcome request_flow<Wire>::outcome_of(const error& failure) const
+{
+    return failure.outcome == run_outcome::not_run        ? send_outcome::unreachable
+           : failure.kind == error_kind::upstream_timeout ? send_outcome::silent
+                                                          : send_outcome::broken;
+}
+
+/// Of a send on which an answer has come.
+template <gateway_wire Wire>
+send_outcome request_flow<Wire>::outcome_of(send_result result) const
+{
+    return result == send_result::not_run ? send_outcome::rejected
+           : result == send_result::may_have_run
+               ? (m_held_failure ? send_outcome::failed : send_outcome::broken)
+               : send_outcome::answered;
+}
+
+template <gateway_wire Wire>
+void request_flow<Wire>::log_failed_send(const placement& where, send_outcome outcome)
+{
+    using namespace std::chrono_literals;
+    if (outcome == send_outcome::answered || outcome == send_outcome::abandoned) {
+        return;
+    }
+    const auto answer_age =
+        m_answer_began_at
+            ? std::chrono::floor<std::chrono::milliseconds>(boot_clock::now() - *m_answer_began_at)
+            : std::chrono::milliseconds{-1};
+    const bool here = where.verdict == placing_verdict::here;
+    m_state.log.write(log_weight::failure, "send_failed",
+                      {{"request", m_caller_request.id.str()},
+                       {"upstream", here ? std::string_view(where.upstream.str()) : std::string_view{}},
+                       {"address", where.address.str()},
+                       {"hop", std::int64_t{here ? 0 : 1}},
+                       {"outcome", to_text(outcome)},
+                       {"not_run", m_not_run_evidence},
+                       {"status", std::int64_t{m_answer_status}},
+                       {"connection", m_connection},
+                       {"reason", m_last_failure},
+                       {"pause_ms", std::int64_t{m_last_pause.value_or(0ms).count()}},
+                       {"answer_age_ms", std::int64_t{answer_age.count()}},
+                       {"parts", shared_parts_text()},
+                       {"send", std::int64_t{m_sends}}});
+}
+
+/// Logs that the connection of a running answer is closed, and the request sent elsewhere.
+template <gateway_wire Wire>
+void request_flow<Wire>::log_left_run(const placement& where, std::chrono::milliseconds silent)
+{
+    m_state.counters.runs_left.increment(m_placing_request.service,
+                                         std::string(m_stream_started ? "begun" : "not_begun"));
+    m_state.log.write(log_weight::failure, "run_left",
+                      {{"request", m_caller_request.id.str()},
+                       {"upstream", where.upstream.str()},
+                       {"address", where.address.str()},
+                       {"silent_ms", std::int64_t{silent.count()}},
+                       {"begun", std::int64_t{m_stream_started ? 1 : 0}},
+                       {"after", m_events.last_id()},
+                       {"send", std::int64_t{m_sends}}});
+}
+
 /// Suspects the request when its connection broke, and the parts of its prompt when the upstream's process
 /// has ended under an answer that had just begun.
 template <gateway_wire Wire>
@@ -238,12 +292,16 @@
         return send_result::caller_left;
     }
     if (!exchange) {
-        note_failure(exchange.error());
-        return exchange.error().outcome == run_outcome::not_run ? send_result::not_run
-                                                                : send_result::may_have_run;
+        const auto result = note_failed_send(exchange.error());
+        log_failed_send(where, outcome_of(exchange.error()));
+        return result;
     }
     const auto result = handle_answer(*exchange.value(), nullptr, where);
-    return m_cancel.cancelled() ? send_result::caller_left : result;
+    if (m_cancel.cancelled()) {
+        return send_result::caller_left;
+    }
+    log_failed_send(where, outcome_of(result));
+    return result;
 }
 
 } // namespace cardamomstream
--- a/src/request/gateway/answer_proof.cpp
+++ b/src/request/gateway/answer_proof.cpp
@@ -43,4 +43,12 @@
     return promises && !answer.repeatable ? answer_proof::false_promise : answer_proof::answered;
 }
 
+std::string_view refusal_evidence(const answer_facts& answer)
+{
+    if (answer.origin.not_run) {
+        return answer.origin.id.empty() ? "statement_without_id" : "statement";
+    }
+    return answer.origin.id.empty() ? "vm_before_reading" : "vm_refusal";
+}
+
 } // namespace cardamomstream
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -36,6 +36,9 @@
     , upstream_ends(m_registry, {"cardamomstream_gateway_upstream_ends_total",
                                  "Sends under which the process of an upstream ended.",
                                  {"service"}})
+    , runs_left(m_registry, {"cardamomstream_gateway_runs_left_total",
+                             "Silent answers given up to send the request elsewhere.",
+                             {"service", "begun"}})
     , store_restorations(m_registry, {"cardamomstream_gateway_store_restorations_total",
                                       "Times that the store was found restored from an older copy, by part.",
                                       {"part"}})
--- a/src/request/gateway/tests/answer_proof_test.cpp
+++ b/src/request/gateway/tests/answer_proof_test.cpp
@@ -61,6 +61,14 @@
     }
 }
 
+TEST_CASE("the log names what shows that a request was refused")
+{
+    CHECK(refusal_evidence(rejection(503, own)) == "statement");
+    CHECK(refusal_evidence(rejection(503, none)) == "statement_without_id");
+    CHECK(refusal_evidence(vm_refusal(503, own)) == "vm_refusal");
+    CHECK(refusal_evidence(vm_refusal(429, none)) == "vm_before_reading");
+}
+
 TEST_CASE("an answer without an id proves something only as the first of its connection")
 {
     for (const auto& facts : {answer(200, none), rejection(503, none), vm_refusal(503, none)}) {
