--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -17,6 +17,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <boost/fiber/operations.hpp>
 #include <fmt/format.h>
@@ -223,6 +224,7 @@
     void note_success(time_point now);
     void note_completion(time_point now);
     void check_upstream_end(const placement& where, const sent_request& sent);
+    bool needs_new_connection(const endpoint& address);
     send_result note_failed_send(const error& failure);
     send_outcome outcome_of(const error& failure) const;
     send_outcome outcome_of(send_result result) const;
@@ -285,11 +287,12 @@
     bool m_stream_started = false; ///< the head of a stream was sent to the caller
     /// The end of the caller's stream states that it is complete. Unset before the stream has started.
     bool m_stream_has_chunks = false;
-    bool m_may_have_run = false; ///< the request has run, or may have
-    std::uint32_t m_sends = 0;   ///< to upstreams and other VMs
-    std::uint32_t m_runs = 0;    ///< sends that ran, or may have, without a usable answer
-    std::string m_last_failure;  ///< why the last send failed; for the log
-    std::string_view m_no_retry; ///< why it wasn't sent again; for the log
+    bool m_may_have_run = false;     ///< the request has run, or may have
+    std::uint32_t m_sends = 0;       ///< to upstreams and other VMs
+    std::vector<endpoint> m_sent_to; ///< addresses of these
+    std::uint32_t m_runs = 0;        ///< sends that ran, or may have, without a usable answer
+    std::string m_last_failure;      ///< why the last send failed; for the log
+    std::string_view m_no_retry;     ///< why it wasn't sent again; for the log
     std::string m_last_upstream;
     /// Software version of the last send's upstream; empty if it isn't certain.
     std::optional<std::string> m_sent_version;
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -129,7 +129,7 @@
     call.headers = Wire::upstream_headers(m_request, call_details(where));
     remove_hop_headers(call.headers);
     call.body = m_request.body;
-    call.fresh_connection = m_caller_request.id.empty(); // nothing else shows that an answer belongs to it
+    call.fresh_connection = needs_new_connection(where.address);
     load_mark load(m_state.load, m_state.load.begin_request(where.upstream, m_placing_request,
                                                             where.predicted, boot_clock::now()));
     auto& sent = load.sent;
@@ -163,6 +163,17 @@
     return result;
 }
 
+/// True when nothing but a new connection shows that an answer belongs to this send: the request has no id,
+/// or a copy of an earlier answer with its id may follow on the connection to the same process. Records the
+/// send.
+template <gateway_wire Wire>
+bool request_flow<Wire>::needs_new_connection(const endpoint& address)
+{
+    const bool sent_before = std::find(m_sent_to.begin(), m_sent_to.end(), address) != m_sent_to.end();
+    m_sent_to.push_back(address);
+    return sent_before || m_caller_request.id.empty();
+}
+
 /// Records that no answer has come. Returns whether the request may have run.
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result request_flow<Wire>::note_failed_send(const error& failure)
@@ -283,7 +294,7 @@
                       {m_route->name, m_placing_request.service, details.customer, m_placing_request.urgency,
                        m_placing_request.waited + m_state.placing.region_delay(), m_placing_request.version});
     call.body = m_request.body;
-    call.fresh_connection = m_caller_request.id.empty(); // nothing else shows that an answer belongs to it
+    call.fresh_connection = needs_new_connection(where.address);
     limit_silence(call, where, nullptr, hop_connect_timeout);
     m_state.load.record_hop(where.upstream, m_placing_request, boot_clock::now());
     m_state.counters.hops.increment(where.region);
