--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -87,6 +87,13 @@
     std::size_t max_buffered_bytes = std::size_t{16} * 1024 * 1024;
 };
 
+/// What comes of a new connection to a server.
+enum class reachability {
+    accepts,   ///< it is made; the process may stand still all the same
+    refuses,   ///< the machine answers that no process listens
+    no_answer, ///< nothing comes back in time
+};
+
 /// Opens and keeps connections. All calls are made in fibers of the thread that owns `io`.
 class http_client {
 public:
@@ -107,6 +114,9 @@
     /// Opens a connection for the next call to this server. Errors: upstream_unavailable.
     result<void> open_spare(const endpoint& address, std::chrono::milliseconds limit);
 
+    /// Tries a new connection, which is kept for the next call to this server.
+    reachability probe(const endpoint& address, std::chrono::milliseconds limit);
+
     /// Closes the idle connections to servers that are no longer in use.
     void close_idle(const endpoint& address);
 
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -147,6 +147,10 @@
     static constexpr std::chrono::milliseconds stream_event_timeout{1'000};
     /// While an upstream is silent, until another one is looked for again.
     static constexpr std::chrono::milliseconds replacement_poll{150};
+    /// For bytes that came while it was found out that the run is lost.
+    static constexpr std::chrono::milliseconds last_read_time{5};
+    /// Connections in a row that are neither made nor refused.
+    static constexpr int probes_until_unreachable = 2;
     /// Callers abandon a stream after the longest of this time and multiples of the route's objectives.
     static constexpr std::chrono::milliseconds min_caller_patience{2'000};
     static constexpr int patience_in_objectives = 4;
@@ -247,7 +251,12 @@
         quarantine_verdict verdict() const { return std::max(of_part.verdict, of_request.verdict); }
     };
     subject_decisions quarantine_decisions() const;
-    bool permit_replacement(const placement& where, time_point now);
+    bool gives_up_stalled(const placement& where, const sent_request* sent,
+                          std::chrono::milliseconds without_event);
+    void note_silence(const placement& where, const sent_request* sent, std::chrono::milliseconds silent);
+    bool seeks_replacement(const placement& where);
+    bool is_run_lost(const placement& where, const sent_request* sent);
+    bool take_retry();
     retry_decision decide_retry(send_result result, time_point now);
     upstream_call call_details(const placement& where) const;
     std::chrono::milliseconds time_left() const
@@ -306,6 +315,8 @@
     bool m_answer_lasts = false;     ///< the answer has gone on for `lasting_answer`, or is complete
     bool m_connection_broke = false; ///< the other side closed it before the answer's end
     bool m_silence_recorded = false;
+    bool m_run_lost = false;     ///< as far as is known, and nothing has come since
+    int m_unanswered_probes = 0; ///< in a row
     time_point m_replacement_sought_at;
     bool m_replacement_permitted = false; ///< by the retry budget, as this upstream is silent
     std::optional<std::chrono::milliseconds> m_final_refusal; ///< by the VM to which it was passed on
@@ -444,6 +455,8 @@
     m_answer_lasts = false;
     m_connection_broke = false;
     m_silence_recorded = false;
+    m_run_lost = false;
+    m_unanswered_probes = 0;
     m_replacement_permitted = false;
     m_events.begin_run();
 }
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -296,6 +296,7 @@
                                const placement& where, answer_memory::reservation& held)
 {
     const auto now = boot_clock::now();
+    m_run_lost = false;
     const auto bytes = m_route->resumable ? m_events.feed(part) : m_events.pass_over(std::move(part));
     if (write_events(bytes, head) == send_result::caller_left) {
         return send_result::caller_left;
@@ -308,8 +309,7 @@
         return send_result::may_have_run;
     }
     const auto without_event = std::chrono::floor<std::chrono::milliseconds>(now - m_last_event_at);
-    if (bytes.empty() && without_event > stall_timeout(where) &&
-        wait_on(where, sent, without_event) <= std::chrono::milliseconds::zero()) {
+    if (bytes.empty() && gives_up_stalled(where, sent, without_event)) {
         m_last_failure = "the stream sends bytes but completes no event";
         return send_result::may_have_run;
     }
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -48,43 +48,82 @@
 
 /// For how much longer the running answer is waited for, of which nothing has come for `silent`. Zero only if
 /// the request is sent elsewhere next, or the caller waits no longer: a sound upstream may be silent for a
-/// while.
+/// while. How long a caller waits for the next event of a begun stream is left to the caller.
 template <gateway_wire Wire>
 std::chrono::milliseconds request_flow<Wire>::wait_on(const placement& where, const sent_request* sent,
                                                       std::chrono::milliseconds silent)
 {
     using namespace std::chrono_literals;
-    const auto now = boot_clock::now();
     if (const auto preferred = stall_timeout(where); silent < preferred) {
         return preferred - silent;
     }
-    if (silent >= caller_patience()) {
+    if (!m_stream_started && silent >= caller_patience()) {
         return 0ms;
     }
-    if (now - m_replacement_sought_at >= replacement_poll) {
-        m_replacement_sought_at = now;
-        if (permit_replacement(where, now)) {
+    if (seeks_replacement(where)) {
+        if (m_stream_started && !std::exchange(m_run_lost, false)) {
+            m_run_lost = is_run_lost(where, sent);
+            if (m_run_lost) {
+                m_replacement_sought_at = {};
+                return last_read_time;
+            }
+        }
+        else if (take_retry()) {
             log_left_run(where, silent);
             return 0ms;
         }
     }
-    if (sent != nullptr && !std::exchange(m_silence_recorded, true)) {
-        m_state.load.record_silence(*sent, now);
-        m_state.log.write(log_weight::failure, "upstream_silent",
-                          {{"request", m_caller_request.id.str()},
-                           {"upstream", where.upstream.str()},
-                           {"silent_ms", std::int64_t{silent.count()}},
-                           {"begun", std::int64_t{m_stream_started ? 1 : 0}},
-                           {"send", std::int64_t{m_sends}}});
+    note_silence(where, sent, silent);
+    return m_stream_started ? replacement_poll : std::min(replacement_poll, caller_patience() - silent);
+}
+
+/// True when a stream that sends bytes but has completed no event for so long is given up. Its upstream runs,
+/// so it notices that the connection is closed.
+template <gateway_wire Wire>
+bool request_flow<Wire>::gives_up_stalled(const placement& where, const sent_request* sent,
+                                          std::chrono::milliseconds without_event)
+{
+    if (without_event <= stall_timeout(where)) {
+        return false;
+    }
+    if (without_event >= caller_patience()) {
+        return true;
     }
-    return std::min(replacement_poll, caller_patience() - silent);
+    if (seeks_replacement(where) && take_retry()) {
+        log_left_run(where, without_event);
+        return true;
+    }
+    note_silence(where, sent, without_event);
+    return false;
+}
+
+/// Records once for each send that the upstream is silent.
+template <gateway_wire Wire>
+void request_flow<Wire>::note_silence(const placement& where, const sent_request* sent,
+                                      std::chrono::milliseconds silent)
+{
+    if (sent == nullptr || std::exchange(m_silence_recorded, true)) {
+        return;
+    }
+    m_state.load.record_silence(*sent, boot_clock::now());
+    m_state.log.write(log_weight::failure, "upstream_silent",
+                      {{"request", m_caller_request.id.str()},
+                       {"upstream", where.upstream.str()},
+                       {"silent_ms", std::int64_t{silent.count()}},
+                       {"begun", std::int64_t{m_stream_started ? 1 : 0}},
+                       {"send", std::int64_t{m_sends}}});
 }
 
-/// True when the request may be sent elsewhere now and some upstream could take it; then one retry of the
-/// budget is taken.
+/// True when it is time to ask again and the request may be sent elsewhere now, where some upstream could
+/// take it.
 template <gateway_wire Wire>
-bool request_flow<Wire>::permit_replacement(const placement& where, time_point now)
+bool request_flow<Wire>::seeks_replacement(const placement& where)
 {
+    const auto now = boot_clock::now();
+    if (now - m_replacement_sought_at < replacement_poll) {
+        return false;
+    }
+    m_replacement_sought_at = now;
     if (!why_stream_ends().empty() || !m_state.answers_before_end(m_route->name, time_left(), now)) {
         return false;
     }
@@ -94,10 +133,34 @@
     auto request = m_placing_request;
     request.time_left = time_left();
     exclude(request, where);
-    if (!m_state.placing.has_alternative(request, *m_plan, m_state.load, now)) {
+    return m_state.placing.has_alternative(request, *m_plan, m_state.load, now);
+}
+
+/// True when the run has ended with its process, or the upstream can't be reached. A closed connection ends
+/// no run at an upstream that only stands still.
+template <gateway_wire Wire>
+bool request_flow<Wire>::is_run_lost(const placement& where, const sent_request* sent)
+{
+    if (sent != nullptr && m_state.load.has_restarted(*sent)) {
+        return true;
+    }
+    switch (m_state.probe.reach(where.address)) {
+    case reachability::accepts:
+        m_unanswered_probes = 0;
         return false;
+    case reachability::refuses:
+        return true;
+    case reachability::no_answer:
+        break;
     }
-    const auto decision = decide_retry(send_result::may_have_run, now);
+    return ++m_unanswered_probes >= probes_until_unreachable;
+}
+
+/// Takes one retry of the budget for a request that is sent elsewhere before its answer has ended.
+template <gateway_wire Wire>
+bool request_flow<Wire>::take_retry()
+{
+    const auto decision = decide_retry(send_result::may_have_run, boot_clock::now());
     m_replacement_permitted = decision.verdict == retry_verdict::allowed;
     return m_replacement_permitted;
 }
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -83,6 +83,9 @@
     /// Records that bytes came from the upstream.
     void record_activity(const upstream_name& upstream, time_point now);
 
+    /// True when the upstream has restarted since the request was sent.
+    bool has_restarted(const sent_request& sent) const;
+
     // Statements count also while the upstream is not listed, unless it has restarted since the send.
 
     /// Records the limit that an answer states. Returns true when the upstream's limit changed.
@@ -153,8 +156,6 @@
                                            time_point now) const;
 
 private:
-    /// True when the upstream has restarted since the request was sent.
-    bool has_restarted(const sent_request& sent) const;
     static void count_outcome(upstream_state& state, bool failure);
     void record_failure(upstream_state& state, time_point now, bool unreachable);
     static void mark_active(upstream_state& state, time_point now);
--- a/src/connection/client/client_connection.cpp
+++ b/src/connection/client/client_connection.cpp
@@ -35,6 +35,7 @@
     }
     io_deadline deadline(m_socket, limit);
     ec = m_socket.async_connect(tcp::endpoint{ip, address.port}, use_fiber);
+    m_connect_error = ec;
     if (ec) {
         close();
         return unavailable(address, deadline.expired() ? "no answer in time" : ec.message());
--- a/src/connection/client/client_connection.h
+++ b/src/connection/client/client_connection.h
@@ -27,6 +27,9 @@
     result<void> connect(const endpoint& address, std::chrono::milliseconds limit,
                          std::chrono::milliseconds user_timeout);
 
+    /// Why the last `connect` failed.
+    boost::system::error_code connect_error() const noexcept { return m_connect_error; }
+
     /// False when the server has closed it or has sent bytes that nobody asked for.
     bool usable();
     void close();
@@ -40,6 +43,7 @@
 private:
     boost::asio::ip::tcp::socket m_socket;
     read_buffer m_buffer;
+    boost::system::error_code m_connect_error;
 };
 
 } // namespace cardamomstream
--- a/src/connection/client/http_client.cpp
+++ b/src/connection/client/http_client.cpp
@@ -60,6 +60,18 @@
         return boost::outcome_v2::success();
     }
 
+    reachability probe(const endpoint& address, std::chrono::milliseconds limit)
+    {
+        auto connection = std::make_shared<client_connection>(m_io, m_read_memory);
+        if (!connection->connect(address, limit, m_settings.user_timeout)) {
+            return connection->connect_error() == boost::asio::error::connection_refused
+                       ? reachability::refuses
+                       : reachability::no_answer;
+        }
+        give_back(address, std::move(connection));
+        return reachability::accepts;
+    }
+
     void give_back(const endpoint& address, std::shared_ptr<client_connection> connection)
     {
         auto& idle = m_idle[address];
@@ -152,6 +164,11 @@
     return m_pool->open_spare(address, limit);
 }
 
+reachability http_client::probe(const endpoint& address, std::chrono::milliseconds limit)
+{
+    return m_pool->probe(address, limit);
+}
+
 void http_client::close_idle(const endpoint& address)
 {
     m_pool->close_idle(address);
