--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -65,6 +65,10 @@
 
     void set_deployment(const deployment_view& deployment);
 
+    /// Since when every change of the list of upstreams is known at once; empty while the store can't be
+    /// read.
+    void set_list_known_since(std::optional<time_point> since) { m_list_known_since = since; }
+
     /// Replaces the reports of the other VMs.
     void set_reports(const known_vms& vms);
 
@@ -110,7 +114,7 @@
     void record_process_end(const upstream_name& upstream, time_point now);
 
     /// Version of the upstream's software. Empty while its process may have started again without its new
-    /// entry being known.
+    /// entry being known, as long as the list isn't known either.
     std::optional<std::string> version_of(const upstream_state& state, time_point now) const;
 
     /// True when requests run at the upstream and it has sent nothing for longer than `limit`.
@@ -173,6 +177,7 @@
     lateness_table m_lateness;
     upstream_statements m_statements;
     double m_prediction_scale = 1;
+    std::optional<time_point> m_list_known_since = time_point{};
     std::uint64_t m_last_number = 0;
     std::chrono::milliseconds m_unreported_prefill{0}; ///< prefill time sent since the last report
 };
--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -23,6 +23,9 @@
 /// The VMs that take what others read list a restored store within this time, not all at once.
 constexpr std::chrono::milliseconds restored_listing_spread{800};
 
+/// Without a word of a VM that reads the store, it may have lost it.
+constexpr std::chrono::milliseconds peer_silence_limit{1'500};
+
 constexpr std::chrono::milliseconds first_retry{100};
 constexpr std::chrono::milliseconds longest_retry{1'000};
 
@@ -88,6 +91,9 @@
     m_log.write(log_weight::state, reads ? "store_reading_began" : "store_reading_ended",
                 {{"prefix", m_prefix}});
     if (reads) {
+        if (boot_clock::now() - m_confirmed_at >= peer_silence_limit) {
+            m_known_since.reset();
+        }
         m_wanted.notify_all();
     }
 }
@@ -124,7 +130,7 @@
     if (!m_listed || behind_era() || !m_lag.accept_changes(changes)) {
         return; // a listing brings it, or the store is asked when it stays missing
     }
-    m_confirmed_at = boot_clock::now();
+    note_confirmed(boot_clock::now());
     if (!changes.items.empty()) {
         m_newest_change = std::max(m_newest_change, newest_of(changes.up_to.era, changes.items));
         m_on_changes(changes);
@@ -259,7 +265,7 @@
     const auto needed = reading ? std::max(change, reading->from) : change;
     if (reading && needed <= m_lag.known()) {
         m_lag.record_known(reading->up_to); // no change lies between
-        m_confirmed_at = now;
+        note_confirmed(now);
     }
     if (!m_lag.record_peer_change(needed, now)) {
         return;
@@ -289,10 +295,26 @@
     return std::chrono::milliseconds(pick(m_random));
 }
 
+std::optional<time_point> store_follower::known_since(time_point now) const
+{
+    const bool current = m_reads ? m_answered : now - m_confirmed_at < peer_silence_limit;
+    return m_listed && current ? m_known_since : std::nullopt;
+}
+
+/// What is known was compared with what another VM has read.
+void store_follower::note_confirmed(time_point now)
+{
+    if (!m_known_since || now - m_confirmed_at >= peer_silence_limit) {
+        m_known_since = now;
+    }
+    m_confirmed_at = now;
+}
+
 void store_follower::note_failure(const error& reason)
 {
     m_contact.failed_at = boot_clock::now();
     m_answered = false;
+    m_known_since.reset();
     if (!std::exchange(m_contact.lost, true)) {
         m_log.write(log_weight::state, "store_lost", {{"prefix", m_prefix}, {"reason", reason.message}});
     }
@@ -300,8 +322,10 @@
 
 void store_follower::note_answer(const store_batch& answer)
 {
+    const auto now = boot_clock::now();
+    m_known_since = m_answered && m_known_since ? m_known_since : now;
     m_answered = true;
-    m_confirmed_at = boot_clock::now();
+    m_confirmed_at = now;
     if (std::exchange(m_contact.lost, false)) {
         m_log.write(log_weight::state, "store_regained", {{"prefix", m_prefix}});
     }
--- a/src/app/node/store_follower.h
+++ b/src/app/node/store_follower.h
@@ -86,6 +86,10 @@
     /// When this part was last known to be up to date; epoch: never.
     time_point confirmed_at() const noexcept { return m_confirmed_at; }
 
+    /// Since when changes are known as they are made, as far as this VM can tell. Empty while the store isn't
+    /// read, by this VM or by the one that reads for it.
+    std::optional<time_point> known_since(time_point now) const;
+
 private:
     bool list();
     bool watch();
@@ -96,6 +100,7 @@
     void apply_listing(store_batch all);
     void want_watch();
     void await_question();
+    void note_confirmed(time_point now);
     void note_failure(const error& reason);
     void note_answer(const store_batch& answer);
     std::chrono::milliseconds next_wait();
@@ -115,6 +120,7 @@
     store_position m_listed_at;
     std::uint64_t m_newest_era = 0; ///< of which this VM has learnt, also from others
     time_point m_confirmed_at;
+    std::optional<time_point> m_known_since;
     bool m_listed = false;
     bool m_reads = true;
     bool m_answered = false; ///< the last call
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -29,7 +29,8 @@
 /// its running requests end.
 constexpr std::chrono::milliseconds full_backoff{150};
 
-/// From the last refused connection until the entry of a process that has started again is known.
+/// From the last refused connection, and from when the list is known again, until the entry of a process that
+/// has started again is known.
 constexpr std::chrono::milliseconds version_uncertainty{3'000};
 
 /// A report is sent early when the prefill time sent since the last report exceeds this.
@@ -335,8 +336,11 @@
 
 std::optional<std::string> fleet_load::version_of(const upstream_state& state, time_point now) const
 {
-    if (state.refused_connection_at != time_point{} &&
-        now - state.refused_connection_at < version_uncertainty) {
+    if (state.refused_connection_at == time_point{}) {
+        return state.view.record.version;
+    }
+    if (!m_list_known_since ||
+        now - std::max(state.refused_connection_at, *m_list_known_since) < version_uncertainty) {
         return std::nullopt;
     }
     return state.view.record.version;
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -725,3 +725,39 @@
         CHECK(fixture.place(fixture.request(500)).verdict == placing_verdict::here);
     }
 }
+
+// The entry of a process that has started again can't be written while the store is down.
+TEST_CASE("an upstream's version is not trusted after a refused connection until the list is known")
+{
+    placing_fixture fixture;
+    auto& load = fixture.load;
+    const auto refused_at = fixture.now;
+    load.record_process_end(upstream_name("a"), refused_at);
+    const auto certain = [&](std::chrono::milliseconds later) {
+        return load.version_of(*load.find(upstream_name("a")), refused_at + later).has_value();
+    };
+
+    SECTION("the store answers all the while")
+    {
+        load.set_list_known_since(refused_at - 1h);
+        CHECK_FALSE(certain(2'900ms));
+        CHECK(certain(3s));
+    }
+    SECTION("the store is down, and comes back")
+    {
+        load.set_list_known_since({});
+        CHECK_FALSE(certain(3s));
+        CHECK_FALSE(certain(1h));
+        load.set_list_known_since(refused_at + 4'500ms);
+        CHECK_FALSE(certain(4'600ms));
+        CHECK_FALSE(certain(7'400ms));
+        CHECK(certain(7'500ms));
+    }
+    SECTION("the list shows that the process has started again")
+    {
+        load.set_list_known_since({});
+        fixture.view.upstreams[0].record.started_unix_ms += 1;
+        load.set_deployment(fixture.view);
+        CHECK(certain(100ms));
+    }
+}
