--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -48,7 +48,8 @@
 
 /// For how much longer the running answer is waited for, of which nothing has come for `silent`. Zero only if
 /// the request is sent elsewhere next, or the caller waits no longer: a sound upstream may be silent for a
-/// while. How long a caller waits for the next event of a begun stream is left to the caller.
+/// while. A stream that may go on is left only when its run is lost; how long its caller waits is left to the
+/// caller.
 template <gateway_wire Wire>
 std::chrono::milliseconds request_flow<Wire>::wait_on(const placement& where, const sent_request* sent,
                                                       std::chrono::milliseconds silent)
@@ -57,11 +58,11 @@
     if (const auto preferred = stall_timeout(where); silent < preferred) {
         return preferred - silent;
     }
-    if (!m_stream_started && silent >= caller_patience()) {
+    if (!m_route->resumable && silent >= caller_patience()) {
         return 0ms;
     }
     if (seeks_replacement(where)) {
-        if (m_stream_started && !std::exchange(m_run_lost, false)) {
+        if (m_route->resumable && !std::exchange(m_run_lost, false)) {
             m_run_lost = is_run_lost(where, sent);
             if (m_run_lost) {
                 m_replacement_sought_at = {};
@@ -74,7 +75,7 @@
         }
     }
     note_silence(where, sent, silent);
-    return m_stream_started ? replacement_poll : std::min(replacement_poll, caller_patience() - silent);
+    return m_route->resumable ? replacement_poll : std::min(replacement_poll, caller_patience() - silent);
 }
 
 /// True when a stream that sends bytes but has completed no event for so long is given up. Its upstream runs,
