--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -23,7 +23,7 @@
 /// The VMs that take what others read list a restored store within this time, not all at once.
 constexpr std::chrono::milliseconds restored_listing_spread{800};
 
-/// Without a word of a VM that reads the store, it may have lost it.
+/// A VM that reads the store and has not reported for longer may have lost it.
 constexpr std::chrono::milliseconds peer_silence_limit{1'500};
 
 constexpr std::chrono::milliseconds first_retry{100};
