Tests: a frozen process stands still before its caller goes on

integration.an issuer that was frozen past the run-by time starts nothing failed beside load: the call ran. SIGSTOP was sent and not awaited; on a busy machine some threads run on until the one that takes the signal gets a core, and the call was served before the freeze. child_process::freeze waits until all threads are stopped. Check and bound are unchanged; the precondition is certain now.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -85,6 +85,18 @@
     }
 }
 
+void child_process::freeze()
+{
+    if (!running()) {
+        return;
+    }
+    ::kill(m_pid, SIGSTOP);
+    siginfo_t stopped{};
+    while (::waitid(P_PID, static_cast<id_t>(m_pid), &stopped, WSTOPPED | WEXITED | WNOWAIT) != 0 &&
+           errno == EINTR) {
+    }
+}
+
 std::optional<int> child_process::wait(std::chrono::milliseconds limit)
 {
     const auto deadline = std::chrono::steady_clock::now() + limit;
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -26,6 +26,8 @@
     pid_t pid() const noexcept { return m_pid; }
     /// Sends a signal to this one process, unless it has ended.
     void signal(int number);
+    /// Stops it and waits until all of its threads stand still: on a busy machine some run on for a while.
+    void freeze();
     /// Waits for the end. The exit status, 128 plus the number of a signal that ended it, or empty.
     std::optional<int> wait(std::chrono::milliseconds limit);
     bool running();
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -258,7 +258,7 @@
 
 void fleet::freeze(const std::string& name)
 {
-    process(name).signal(SIGSTOP);
+    process(name).freeze();
 }
 
 void fleet::thaw(const std::string& name)
