One way to try a connection to an upstream

http_client::probe and open_spare were twins, and upstream_probe shared attempts under way in two copies. probe takes the time after which it looks whether the connection is still open, and tells the four things that can come of it; has_ended waits 30 ms as before, reach not at all. open_spare had no other caller. One case is told apart only in type: a connection that is closed at once counts as reached, as before.

--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -90,6 +90,7 @@
 /// What comes of a new connection to a server.
 enum class reachability {
     accepts,   ///< it is made; the process may stand still all the same
+    closes,    ///< it is made, and closed at once
     refuses,   ///< the machine answers that no process listens
     no_answer, ///< nothing comes back in time
 };
@@ -111,11 +112,10 @@
     /// Sends the request and reads the whole answer, at most `max_body_bytes` of it.
     result<http_response> fetch(const http_call& call, cancellation& cancel, std::size_t max_body_bytes);
 
-    /// Opens a connection for the next call to this server. Errors: upstream_unavailable.
-    result<void> open_spare(const endpoint& address, std::chrono::milliseconds limit);
-
-    /// Tries a new connection, which is kept for the next call to this server.
-    reachability probe(const endpoint& address, std::chrono::milliseconds limit);
+    /// Tries a new connection, and looks after `settle_time` whether it is still open. It is kept for the
+    /// next call to this server.
+    reachability probe(const endpoint& address, std::chrono::milliseconds limit,
+                       std::chrono::milliseconds settle_time);
 
     /// Closes the idle connections to servers that are no longer in use.
     void close_idle(const endpoint& address);
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -147,6 +147,7 @@
     }
     switch (m_state.probe.reach(where.address)) {
     case reachability::accepts:
+    case reachability::closes:
         m_unanswered_probes = 0;
         return false;
     case reachability::refuses:
--- a/include/cardamomstream/request/gateway/upstream_probe.h
+++ b/include/cardamomstream/request/gateway/upstream_probe.h
@@ -19,18 +19,24 @@
     {
     }
 
-    /// True when no connection can be made. Calls for the same upstream at the same time share one attempt.
+    // Calls of one kind for the same upstream at the same time share one attempt.
+
+    /// True when no connection can be made, or it is closed at once.
     bool has_ended(const endpoint& address);
 
-    /// What comes of a new connection. One that was made is not tried anew for a second, and calls for the
-    /// same address at the same time share one attempt.
+    /// What comes of a new connection. One that was made isn't tried anew for a second.
     reachability reach(const endpoint& address);
 
 private:
+    using attempts = std::unordered_map<endpoint, boost::fibers::shared_future<reachability>>;
+
+    /// Takes part in the attempt that is under way, or makes one.
+    reachability attempt(attempts& running, const endpoint& address, std::chrono::milliseconds settle_time);
+
     http_client& m_client;
-    std::unordered_map<endpoint, boost::fibers::shared_future<bool>> m_attempts;
-    std::unordered_map<endpoint, boost::fibers::shared_future<reachability>> m_reaching;
-    std::unordered_map<endpoint, time_point> m_accepted_at; ///< within `acceptance_ttl`
+    attempts m_ended_attempts;
+    attempts m_reach_attempts;
+    std::unordered_map<endpoint, time_point> m_made_at; ///< within `made_ttl`
 };
 
 } // namespace cardamomstream
--- a/src/connection/client/http_client.cpp
+++ b/src/connection/client/http_client.cpp
@@ -11,12 +11,6 @@
 
 namespace cardamomstream {
 
-namespace {
-
-constexpr std::chrono::milliseconds spare_settle_time{30};
-
-} // namespace
-
 class http_client::pool : public std::enable_shared_from_this<http_client::pool> {
 public:
     pool(boost::asio::io_context& io, http_client_settings settings)
@@ -43,24 +37,8 @@
         return connection;
     }
 
-    result<void> open_spare(const endpoint& address, std::chrono::milliseconds limit)
-    {
-        auto connection = std::make_shared<client_connection>(m_io, m_read_memory);
-        BOOST_OUTCOME_TRY(connection->connect(address, limit, m_settings.user_timeout));
-        // The system may still accept for a process that is ending, and reset the connection then.
-        boost::this_fiber::sleep_for(spare_settle_time);
-        if (!connection->usable()) {
-            return error{error_kind::upstream_unavailable,
-                         "a new connection to " + address.str() + " was closed at once",
-                         "try again; nothing was sent",
-                         run_outcome::not_run,
-                         {}};
-        }
-        give_back(address, std::move(connection));
-        return boost::outcome_v2::success();
-    }
-
-    reachability probe(const endpoint& address, std::chrono::milliseconds limit)
+    reachability probe(const endpoint& address, std::chrono::milliseconds limit,
+                       std::chrono::milliseconds settle_time)
     {
         auto connection = std::make_shared<client_connection>(m_io, m_read_memory);
         if (!connection->connect(address, limit, m_settings.user_timeout)) {
@@ -68,6 +46,10 @@
                        ? reachability::refuses
                        : reachability::no_answer;
         }
+        boost::this_fiber::sleep_for(settle_time);
+        if (!connection->usable()) {
+            return reachability::closes;
+        }
         give_back(address, std::move(connection));
         return reachability::accepts;
     }
@@ -159,14 +141,10 @@
     return http_response{exchange->head(), std::move(*body)};
 }
 
-result<void> http_client::open_spare(const endpoint& address, std::chrono::milliseconds limit)
-{
-    return m_pool->open_spare(address, limit);
-}
-
-reachability http_client::probe(const endpoint& address, std::chrono::milliseconds limit)
+reachability http_client::probe(const endpoint& address, std::chrono::milliseconds limit,
+                                std::chrono::milliseconds settle_time)
 {
-    return m_pool->probe(address, limit);
+    return m_pool->probe(address, limit, settle_time);
 }
 
 void http_client::close_idle(const endpoint& address)
--- a/src/request/gateway/upstream_probe.cpp
+++ b/src/request/gateway/upstream_probe.cpp
@@ -5,42 +5,44 @@
 namespace {
 
 constexpr std::chrono::milliseconds connect_timeout{300};
-constexpr std::chrono::milliseconds acceptance_ttl{1'000};
+constexpr std::chrono::milliseconds made_ttl{1'000};
+
+/// The system may still accept for a process that is ending, and reset the connection then.
+constexpr std::chrono::milliseconds ending_settle_time{30};
 
 } // namespace
 
 bool upstream_probe::has_ended(const endpoint& address)
 {
-    if (const auto running = m_attempts.find(address); running != m_attempts.end()) {
-        return boost::fibers::shared_future<bool>(running->second).get();
-    }
-    boost::fibers::promise<bool> done;
-    m_attempts.emplace(address, done.get_future().share());
-    const bool ended = !m_client.open_spare(address, connect_timeout);
-    m_attempts.erase(address);
-    done.set_value(ended);
-    return ended;
+    return attempt(m_ended_attempts, address, ending_settle_time) != reachability::accepts;
 }
 
 reachability upstream_probe::reach(const endpoint& address)
 {
-    if (const auto running = m_reaching.find(address); running != m_reaching.end()) {
-        return boost::fibers::shared_future<reachability>(running->second).get();
-    }
     const auto now = boot_clock::now();
-    std::erase_if(m_accepted_at, [&](const auto& one) { return now - one.second > acceptance_ttl; });
-    if (m_accepted_at.contains(address)) {
+    std::erase_if(m_made_at, [&](const auto& one) { return now - one.second > made_ttl; });
+    if (m_made_at.contains(address)) {
         return reachability::accepts;
     }
-    boost::fibers::promise<reachability> done;
-    m_reaching.emplace(address, done.get_future().share());
-    const auto found = m_client.probe(address, connect_timeout);
-    if (found == reachability::accepts) {
-        m_accepted_at.emplace(address, boot_clock::now());
+    const auto found = attempt(m_reach_attempts, address, std::chrono::milliseconds{0});
+    if (found == reachability::accepts || found == reachability::closes) {
+        m_made_at.insert_or_assign(address, boot_clock::now());
     }
-    m_reaching.erase(address);
-    done.set_value(found);
     return found;
 }
 
+reachability upstream_probe::attempt(attempts& running, const endpoint& address,
+                                     std::chrono::milliseconds settle_time)
+{
+    if (const auto found = running.find(address); found != running.end()) {
+        return boost::fibers::shared_future<reachability>(found->second).get();
+    }
+    boost::fibers::promise<reachability> done;
+    running.emplace(address, done.get_future().share());
+    const auto reached = m_client.probe(address, connect_timeout, settle_time);
+    running.erase(address);
+    done.set_value(reached);
+    return reached;
+}
+
 } // namespace cardamomstream
