Sends to an upstream and to another region end in one place

Both ends of a send had the same steps in two copies, with two overloads for its outcome. exchange_with makes the call, relays the answer and says how it ended for the request and for the load. A caller that leaves during a hop is logged with the reason 'the caller has left', as one that leaves during a send in the region.

Addresses are kept of sends without a usable answer only: nothing is copied for a request that is answered at once, and needs_new_connection changes nothing.

--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -67,6 +67,12 @@
         caller_left,  ///< the caller has disconnected
     };
 
+    /// The same, and as the load on the receiver's upstreams is judged.
+    struct send_end {
+        send_result result;
+        send_outcome outcome;
+    };
+
     /// Counts the request as one that is being served, whatever ends it.
     class serving_mark {
     public:
@@ -228,10 +234,10 @@
     void note_success(time_point now);
     void note_completion(time_point now);
     void check_upstream_end(const placement& where, const sent_request& sent);
-    bool needs_new_connection(const endpoint& address);
-    send_result note_failed_send(const error& failure);
-    send_outcome outcome_of(const error& failure) const;
-    send_outcome outcome_of(send_result result) const;
+    bool needs_new_connection(const endpoint& address) const;
+    send_end exchange_with(const http_call& call, const placement& where, sent_request* sent);
+    send_end answered_end(send_result result) const;
+    send_end unanswered_end(const error& failure);
     void log_failed_send(const placement& where, send_outcome outcome);
     void log_left_run(const placement& where, std::chrono::milliseconds silent);
     void log_end(std::string_view end, std::string_view reason);
@@ -298,7 +304,7 @@
     bool m_stream_has_chunks = false;
     bool m_may_have_run = false;     ///< the request has run, or may have
     std::uint32_t m_sends = 0;       ///< to upstreams and other VMs
-    std::vector<endpoint> m_sent_to; ///< addresses of these
+    std::vector<endpoint> m_sent_to; ///< addresses of those that brought no usable answer
     std::uint32_t m_runs = 0;        ///< sends that ran, or may have, without a usable answer
     std::string m_last_failure;      ///< why the last send failed; for the log
     std::string_view m_no_retry;     ///< why it wasn't sent again; for the log
@@ -396,6 +402,7 @@
             m_runs += 1;
         }
         exclude(m_placing_request, where);
+        m_sent_to.push_back(where.address);
         if (!may_retry(result)) {
             give_up(result);
             return;
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -204,21 +204,7 @@
         m_state.request_early_report();
     }
     m_last_pause.reset();
-    auto exchange = m_state.client.send(call, m_cancel);
-    auto outcome = send_outcome::answered;
-    auto result = send_result::answered;
-    if (!exchange) {
-        result = note_failed_send(exchange.error());
-        outcome = outcome_of(exchange.error());
-    }
-    else {
-        result = handle_answer(*exchange.value(), &sent, where);
-        outcome = outcome_of(result);
-    }
-    if (m_cancel.cancelled()) {
-        result = send_result::caller_left;
-        outcome = send_outcome::abandoned;
-    }
+    const auto [result, outcome] = exchange_with(call, where, &sent);
     load.end(outcome);
     if (m_connection_broke && !m_cancel.cancelled()) {
         check_upstream_end(where, sent);
@@ -229,44 +215,53 @@
 }
 
 /// True when nothing but a new connection shows that an answer belongs to this send: the request has no id,
-/// or a copy of an earlier answer with its id may follow on the connection to the same process. Records the
-/// send.
+/// or a copy of an earlier answer with its id may follow on the connection to the same process.
 template <gateway_wire Wire>
-bool request_flow<Wire>::needs_new_connection(const endpoint& address)
+bool request_flow<Wire>::needs_new_connection(const endpoint& address) const
 {
-    const bool sent_before = std::find(m_sent_to.begin(), m_sent_to.end(), address) != m_sent_to.end();
-    m_sent_to.push_back(address);
-    return sent_before || m_caller_request.id.empty();
+    return m_caller_request.id.empty() ||
+           std::find(m_sent_to.begin(), m_sent_to.end(), address) != m_sent_to.end();
 }
 
-/// Records that no answer has come. Returns whether the request may have run.
+/// Makes the call and relays its answer.
 template <gateway_wire Wire>
-typename request_flow<Wire>::send_result request_flow<Wire>::note_failed_send(const error& failure)
+typename request_flow<Wire>::send_end
+request_flow<Wire>::exchange_with(const http_call& call, const placement& where, sent_request* sent)
 {
-    note_failure(failure);
-    if (failure.outcome != run_outcome::not_run) {
-        return send_result::may_have_run;
+    auto exchange = m_state.client.send(call, m_cancel);
+    auto end = exchange ? answered_end(handle_answer(*exchange.value(), sent, where))
+                        : unanswered_end(exchange.error());
+    if (m_cancel.cancelled()) {
+        return {send_result::caller_left, send_outcome::abandoned};
     }
-    m_not_run_evidence = "nothing_sent";
-    return send_result::not_run;
+    return end;
 }
 
 template <gateway_wire Wire>
-send_outcome request_flow<Wire>::outcome_of(const error& failure) const
+typename request_flow<Wire>::send_end request_flow<Wire>::answered_end(send_result result) const
 {
-    return failure.outcome == run_outcome::not_run        ? send_outcome::unreachable
-           : failure.kind == error_kind::upstream_timeout ? send_outcome::silent
-                                                          : send_outcome::broken;
+    switch (result) {
+    case send_result::not_run:
+        return {result, send_outcome::rejected};
+    case send_result::may_have_run:
+        return {result, m_held_failure ? send_outcome::failed : send_outcome::broken};
+    case send_result::answered:
+    case send_result::caller_left:
+        break;
+    }
+    return {result, send_outcome::answered};
 }
 
-/// Of a send on which an answer has come.
 template <gateway_wire Wire>
-send_outcome request_flow<Wire>::outcome_of(send_result result) const
+typename request_flow<Wire>::send_end request_flow<Wire>::unanswered_end(const error& failure)
 {
-    return result == send_result::not_run ? send_outcome::rejected
-           : result == send_result::may_have_run
-               ? (m_held_failure ? send_outcome::failed : send_outcome::broken)
-               : send_outcome::answered;
+    note_failure(failure);
+    if (failure.outcome == run_outcome::not_run) {
+        m_not_run_evidence = "nothing_sent";
+        return {send_result::not_run, send_outcome::unreachable};
+    }
+    const bool silent = failure.kind == error_kind::upstream_timeout;
+    return {send_result::may_have_run, silent ? send_outcome::silent : send_outcome::broken};
 }
 
 template <gateway_wire Wire>
@@ -363,20 +358,8 @@
     limit_silence(call, where, nullptr, hop_connect_timeout);
     m_state.load.record_hop(where.upstream, m_placing_request, boot_clock::now());
     m_state.counters.hops.increment(where.region);
-    auto exchange = m_state.client.send(call, m_cancel);
-    if (m_cancel.cancelled()) {
-        return send_result::caller_left;
-    }
-    if (!exchange) {
-        const auto result = note_failed_send(exchange.error());
-        log_failed_send(where, outcome_of(exchange.error()));
-        return result;
-    }
-    const auto result = handle_answer(*exchange.value(), nullptr, where);
-    if (m_cancel.cancelled()) {
-        return send_result::caller_left;
-    }
-    log_failed_send(where, outcome_of(result));
+    const auto [result, outcome] = exchange_with(call, where, nullptr);
+    log_failed_send(where, outcome);
     return result;
 }
 
