--- a/include/cardamomstream/connection/traffic_thread.h
+++ b/include/cardamomstream/connection/traffic_thread.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/fiber/fiber.hpp>
 #include <boost/fiber/future.hpp>
 
 namespace cardamomstream {
@@ -26,6 +27,9 @@
     /// Starts a fiber on this thread; may be called from any thread.
     void spawn(std::function<void()> body);
 
+    /// Starts a fiber on the calling thread, which is a traffic thread.
+    static boost::fibers::fiber start_here(std::function<void()> body);
+
     /// Ends the thread once its fibers have returned; later calls do nothing.
     void stop();
 
--- a/include/cardamomstream/request/gateway/gateway_metrics.h
+++ b/include/cardamomstream/request/gateway/gateway_metrics.h
@@ -34,6 +34,7 @@
     counter_family<pool_name> upstream_ends;    ///< processes that ended while they answered
     /// Answers given up while their connection was open, by whether the caller had a part of them.
     counter_family<pool_name, std::string> runs_left;
+    counter_family<pool_name> hedges; ///< second runs of idempotent calls whose upstream is silent
     counter_family<std::string> store_restorations; ///< eras of the store that began, by part
     duration_family<pool_name> first_byte; ///< from a request's arrival to the first byte of its answer
     duration_family<pool_name> predicted_first_byte; ///< as predicted when the request was placed
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "cardamomstream/connection/cancellation.h"
+#include "cardamomstream/connection/contained_call.h"
 #include "cardamomstream/connection/response_writer.h"
+#include "cardamomstream/connection/traffic_thread.h"
 #include "cardamomstream/request/gateway/answer_proof.h"
 #include "cardamomstream/request/gateway/answer_use.h"
 #include "cardamomstream/request/gateway/event_splitter.h"
@@ -13,6 +15,7 @@
 
 #include <algorithm>
 #include <list>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -141,6 +144,11 @@
         prompt_quarantine::trial of_request;
     };
 
+    class hedge;
+
+    /// One further run of `first`, beside the one that is silent at `where`.
+    request_flow(const request_flow& first, const placement& where);
+
     /// Used if neither the caller nor the route sets one.
     static constexpr std::chrono::milliseconds default_timeout{15'000};
     static constexpr std::chrono::milliseconds connect_timeout{300};     ///< inside a region
@@ -153,6 +161,8 @@
     static constexpr std::chrono::milliseconds stream_event_timeout{1'000};
     /// While an upstream is silent, until another one is looked for again.
     static constexpr std::chrono::milliseconds replacement_poll{150};
+    /// While a hedge runs, until its end is looked for again.
+    static constexpr std::chrono::milliseconds hedge_poll{10};
     /// For bytes that came while it was found out that the run is lost.
     static constexpr std::chrono::milliseconds last_read_time{5};
     /// Connections in a row that are neither made nor refused.
@@ -195,6 +205,12 @@
     void init_placing_request(const pool_name& service, int urgency);
     void serve();
     void run_attempts();
+    placement place_next();
+    send_result send(const placement& where);
+    void run_hedge();
+    std::chrono::milliseconds wait_for_hedge(const placement& where, std::chrono::milliseconds silent);
+    send_result end_hedge(send_result result);
+    void merge_hedge();
     void begin_send(const placement& where);
     send_result send_to_upstream(const placement& where);
     send_result send_to_region(const placement& where);
@@ -205,6 +221,7 @@
     static void drain_rejection(http_exchange& exchange);
     send_result relay_buffered(http_exchange& exchange, sent_request* sent, const placement& where,
                                bool repeatable_failure);
+    send_result deliver(const http_response& answer);
     send_result relay_stream(http_exchange& exchange, sent_request* sent, const placement& where);
     send_result relay_answer(http_exchange& exchange, sent_request* sent, const placement& where);
     send_result use_answer(http_exchange& exchange, sent_request* sent, const placement& where);
@@ -263,6 +280,7 @@
     bool seeks_replacement(const placement& where);
     bool is_run_lost(const placement& where, const sent_request* sent);
     bool take_retry();
+    bool start_hedge(const placement& where, std::chrono::milliseconds silent);
     retry_decision decide_retry(send_result result, time_point now);
     upstream_call call_details(const placement& where) const;
     std::chrono::milliseconds time_left() const
@@ -329,8 +347,74 @@
     std::chrono::milliseconds m_predicted{0};
     std::uint32_t m_running_at_upstream = 0;
     std::chrono::milliseconds m_first_byte{0}; ///< from the request's arrival to the first byte of the answer
+    std::chrono::milliseconds m_waited_before{0}; ///< at the VM that passed the request on
+    bool m_is_hedge = false;
+    std::optional<http_response> m_hedge_answer; ///< of a flow that is a hedge
+    std::unique_ptr<hedge> m_hedge;              ///< beside the running send; ends before the other members
+};
+
+/// A second run of an idempotent call whose upstream is silent, in a fiber of its own. Its end cancels the
+/// run.
+template <gateway_wire Wire>
+class request_flow<Wire>::hedge {
+public:
+    hedge(const request_flow& first, const placement& where)
+        : flow(first, where)
+        , m_fiber(traffic_thread::start_here([this] {
+            run_contained("a hedge failed", [this] { flow.run_hedge(); });
+            m_ended = true;
+        }))
+    {
+    }
+    ~hedge()
+    {
+        cancel();
+        wait();
+    }
+    hedge(const hedge&) = delete;
+    hedge& operator=(const hedge&) = delete;
+    hedge(hedge&&) = delete;
+    hedge& operator=(hedge&&) = delete;
+
+    bool ended() const { return m_ended; }
+    void cancel() { flow.m_cancel.cancel(); }
+    void wait()
+    {
+        if (m_fiber.joinable()) {
+            m_fiber.join();
+        }
+    }
+
+    request_flow flow;
+
+private:
+    bool m_ended = false;
+    boost::fibers::fiber m_fiber;
 };
 
+template <gateway_wire Wire>
+request_flow<Wire>::request_flow(const request_flow& first, const placement& where)
+    : m_state(first.m_state)
+    , m_request(first.m_request)
+    , m_writer(first.m_writer)
+    , m_caller_request(first.m_caller_request)
+    , m_started(first.m_started)
+    , m_deadline(first.m_deadline)
+    , m_plan(first.m_plan)
+    , m_route(first.m_route)
+    , m_customer(first.m_customer)
+    , m_placing_request(first.m_placing_request)
+    , m_shared_parts(first.m_shared_parts)
+    , m_request_digest(first.m_request_digest)
+    , m_sends(first.m_sends)
+    , m_sent_to(first.m_sent_to)
+    , m_waited_before(first.m_waited_before)
+    , m_is_hedge(true)
+{
+    exclude(m_placing_request, where);
+    m_sent_to.push_back(where.address);
+}
+
 template <gateway_wire Wire>
 void request_flow<Wire>::serve()
 {
@@ -354,7 +438,7 @@
 template <gateway_wire Wire>
 void request_flow<Wire>::run_attempts()
 {
-    const auto initial_wait = m_placing_request.waited;
+    m_waited_before = m_placing_request.waited;
     while (true) {
         std::optional<trials> trial;
         if (const auto refused = check_quarantine(trial)) {
@@ -374,12 +458,8 @@
             give_up(send_result::may_have_run);
             return;
         }
-        m_placing_request.waited = initial_wait + elapsed();
-        m_placing_request.time_left = time_left();
-        m_placing_request.sent_before = m_sends > 0;
-        const auto where = m_state.placing.place(m_placing_request, *m_plan, m_state.load, boot_clock::now());
-        const bool here = where.verdict == placing_verdict::here;
-        if (!here && where.verdict != placing_verdict::other_region) {
+        const auto where = place_next();
+        if (where.verdict != placing_verdict::here && where.verdict != placing_verdict::other_region) {
             m_no_retry = to_text(where.verdict);
             if (m_may_have_run || m_stream_started || m_held_failure) {
                 give_up(send_result::may_have_run);
@@ -388,8 +468,7 @@
             refuse_placing(where);
             return;
         }
-        begin_send(where);
-        const auto result = here ? send_to_upstream(where) : send_to_region(where);
+        const auto result = end_hedge(send(where));
         if (result == send_result::answered || result == send_result::caller_left) {
             if (result == send_result::caller_left) {
                 m_may_have_run = true; // not refunded: it is unknown whether it ran
@@ -410,6 +489,22 @@
     }
 }
 
+template <gateway_wire Wire>
+placement request_flow<Wire>::place_next()
+{
+    m_placing_request.waited = m_waited_before + elapsed();
+    m_placing_request.time_left = time_left();
+    m_placing_request.sent_before = m_sends > 0;
+    return m_state.placing.place(m_placing_request, *m_plan, m_state.load, boot_clock::now());
+}
+
+template <gateway_wire Wire>
+typename request_flow<Wire>::send_result request_flow<Wire>::send(const placement& where)
+{
+    begin_send(where);
+    return where.verdict == placing_verdict::here ? send_to_upstream(where) : send_to_region(where);
+}
+
 template <gateway_wire Wire>
 void request_flow<Wire>::exclude(placing_request& request, const placement& where)
 {
@@ -674,4 +769,5 @@
 // Definitions of the other member functions.
 #include "cardamomstream/request/gateway/request_flow/admission.h"
 #include "cardamomstream/request/gateway/request_flow/answering.h"
+#include "cardamomstream/request/gateway/request_flow/hedging.h"
 #include "cardamomstream/request/gateway/request_flow/sending.h"
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -185,6 +185,17 @@
         m_held_failure = std::move(answer);
         return send_result::may_have_run;
     }
+    if (m_is_hedge) {
+        m_hedge_answer = std::move(answer);
+        return send_result::answered;
+    }
+    return deliver(answer);
+}
+
+/// Gives the caller a complete answer.
+template <gateway_wire Wire>
+typename request_flow<Wire>::send_result request_flow<Wire>::deliver(const http_response& answer)
+{
     m_may_have_run = true;
     m_first_byte = elapsed();
     m_state.counters.first_byte.observe(m_first_byte, m_placing_request.service);
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -29,7 +29,7 @@
 {
     const auto left = time_left();
     // Timing out early is useless for a request that can't be sent again.
-    if (!m_route->repeatable() || m_runs + 1 >= max_runs()) {
+    if (m_is_hedge || !m_route->repeatable() || m_runs + 1 >= max_runs()) {
         return left;
     }
     if (!is_stream()) {
@@ -46,23 +46,31 @@
                      m_route->event_gap_objective * patience_in_event_gaps});
 }
 
-/// For how much longer the running answer is waited for, of which nothing has come for `silent`. Zero only if
-/// the request is sent elsewhere next, or the caller waits no longer: a sound upstream may be silent for a
-/// while. A stream that may go on is left only when its run is lost; how long its caller waits is left to the
-/// caller.
+/// For how much longer the running answer is waited for, of which nothing has come for `silent`: a sound
+/// upstream may be silent for a while. Zero only if a hedge has the answer of a call, if a stream is sent
+/// elsewhere next, whose run is lost, or if the caller waits no longer; how long the caller of a stream waits
+/// is left to the caller.
 template <gateway_wire Wire>
 std::chrono::milliseconds request_flow<Wire>::wait_on(const placement& where, const sent_request* sent,
                                                       std::chrono::milliseconds silent)
 {
     using namespace std::chrono_literals;
+    if (m_hedge) {
+        return wait_for_hedge(where, silent);
+    }
     if (const auto preferred = stall_timeout(where); silent < preferred) {
         return preferred - silent;
     }
     if (!m_route->resumable && silent >= caller_patience()) {
         return 0ms;
     }
-    if (seeks_replacement(where)) {
-        if (m_route->resumable && !std::exchange(m_run_lost, false)) {
+    if (!m_route->resumable) {
+        if (start_hedge(where, silent)) {
+            return hedge_poll;
+        }
+    }
+    else if (seeks_replacement(where)) {
+        if (!std::exchange(m_run_lost, false)) {
             m_run_lost = is_run_lost(where, sent);
             if (m_run_lost) {
                 m_replacement_sought_at = {};
--- a/src/connection/fiber/traffic_thread.cpp
+++ b/src/connection/fiber/traffic_thread.cpp
@@ -34,11 +34,13 @@
 
 void traffic_thread::spawn(std::function<void()> body)
 {
-    boost::asio::post(m_io, [body = std::move(body)]() mutable {
-        boost::fibers::fiber(boost::fibers::launch::post, std::allocator_arg,
-                             boost::fibers::protected_fixedsize_stack(fiber_stack_bytes), std::move(body))
-            .detach();
-    });
+    boost::asio::post(m_io, [body = std::move(body)]() mutable { start_here(std::move(body)).detach(); });
+}
+
+boost::fibers::fiber traffic_thread::start_here(std::function<void()> body)
+{
+    return {boost::fibers::launch::post, std::allocator_arg,
+            boost::fibers::protected_fixedsize_stack(fiber_stack_bytes), std::move(body)};
 }
 
 void traffic_thread::stop()
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -39,6 +39,9 @@
     , runs_left(m_registry, {"cardamomstream_gateway_runs_left_total",
                              "Silent answers given up to send the request elsewhere.",
                              {"service", "begun"}})
+    , hedges(m_registry, {"cardamomstream_gateway_hedges_total",
+                          "Second runs of idempotent calls whose upstream is silent.",
+                          {"service"}})
     , store_restorations(m_registry, {"cardamomstream_gateway_store_restorations_total",
                                       "Times that the store was found restored from an older copy, by part.",
                                       {"part"}})
