--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -161,6 +161,8 @@
     static constexpr std::chrono::milliseconds stream_event_timeout{1'000};
     /// While an upstream is silent, until another one is looked for again.
     static constexpr std::chrono::milliseconds replacement_poll{150};
+    /// Of a call whose upstream has been silent for long, until its run is checked again.
+    static constexpr std::chrono::milliseconds lost_run_poll{500};
     /// While a hedge runs, until its end is looked for again.
     static constexpr std::chrono::milliseconds hedge_poll{10};
     /// For bytes that came while it was found out that the run is lost.
@@ -265,6 +267,8 @@
     std::chrono::milliseconds caller_patience() const;
     std::chrono::milliseconds wait_on(const placement& where, const sent_request* sent,
                                       std::chrono::milliseconds silent);
+    std::chrono::milliseconds wait_on_stream(const placement& where, const sent_request* sent,
+                                             std::chrono::milliseconds silent);
     /// Keeps the request from being placed there again.
     static void exclude(placing_request& request, const placement& where);
     /// What the quarantines decide on the request now.
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -38,7 +38,7 @@
     return std::min(left, m_stream_started ? stream_event_timeout : where.predicted * 2 + first_byte_margin);
 }
 
-/// Silence after which the caller abandons the request, or has little time left for another attempt.
+/// Silence after which the caller abandons a stream.
 template <gateway_wire Wire>
 std::chrono::milliseconds request_flow<Wire>::caller_patience() const
 {
@@ -47,9 +47,7 @@
 }
 
 /// For how much longer the running answer is waited for, of which nothing has come for `silent`: a sound
-/// upstream may be silent for a while. Zero only if a hedge has the answer of a call, if a stream is sent
-/// elsewhere next, whose run is lost, or if the caller waits no longer; how long the caller of a stream waits
-/// is left to the caller.
+/// upstream may be silent for a while. Zero only if a hedge has the answer of a call, or the run is lost.
 template <gateway_wire Wire>
 std::chrono::milliseconds request_flow<Wire>::wait_on(const placement& where, const sent_request* sent,
                                                       std::chrono::milliseconds silent)
@@ -61,15 +59,27 @@
     if (const auto preferred = stall_timeout(where); silent < preferred) {
         return preferred - silent;
     }
-    if (!m_route->resumable && silent >= caller_patience()) {
-        return 0ms;
+    if (m_route->resumable) {
+        return wait_on_stream(where, sent, silent);
     }
-    if (!m_route->resumable) {
-        if (start_hedge(where, silent)) {
-            return hedge_poll;
-        }
+    if (start_hedge(where, silent)) {
+        return hedge_poll;
+    }
+    note_silence(where, sent, silent);
+    if (silent < caller_patience()) {
+        return replacement_poll;
     }
-    else if (seeks_replacement(where)) {
+    return is_run_lost(where, sent) ? 0ms : lost_run_poll;
+}
+
+/// The same for a stream that may go on elsewhere: it is left for another upstream once its run is lost. For
+/// how long its caller waits is left to the caller.
+template <gateway_wire Wire>
+std::chrono::milliseconds request_flow<Wire>::wait_on_stream(const placement& where, const sent_request* sent,
+                                                             std::chrono::milliseconds silent)
+{
+    using namespace std::chrono_literals;
+    if (seeks_replacement(where)) {
         if (!std::exchange(m_run_lost, false)) {
             m_run_lost = is_run_lost(where, sent);
             if (m_run_lost) {
@@ -83,7 +93,7 @@
         }
     }
     note_silence(where, sent, silent);
-    return m_route->resumable ? replacement_poll : std::min(replacement_poll, caller_patience() - silent);
+    return replacement_poll;
 }
 
 /// True when a stream that sends bytes but has completed no event for so long is given up. Its upstream runs,
