--- a/include/cardamomstream/core/error.h
+++ b/include/cardamomstream/core/error.h
@@ -18,6 +18,7 @@
     invalid_rules,
     invalid_request,
     request_too_large,
+    header_too_large,
     request_timeout,
     too_many_connections,
     unauthenticated,
--- a/src/connection/http/error_response.cpp
+++ b/src/connection/http/error_response.cpp
@@ -26,6 +26,8 @@
         return 409;
     case error_kind::request_too_large:
         return 413;
+    case error_kind::header_too_large:
+        return 431;
     case error_kind::ticket_required:
         return 428;
     case error_kind::allowance_exhausted:
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -32,7 +32,7 @@
 error read_error(boost::beast::error_code ec)
 {
     if (ec == http::error::header_limit) {
-        return {error_kind::request_too_large,
+        return {error_kind::header_too_large,
                 "the request's headers are too large",
                 "send fewer or shorter headers",
                 {},
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -182,7 +182,7 @@
     SECTION("headers above the limit")
     {
         caller.send("POST /a HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(2000, 'x') + "\r\n\r\n");
-        CHECK(contains(caller.read_all(), "413"));
+        CHECK(contains(caller.read_all(), "HTTP/1.1 431 "));
     }
     SECTION("a transfer coding that is not understood: its body must not be read as a next request")
     {
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -15,6 +15,8 @@
         return "invalid_request";
     case error_kind::request_too_large:
         return "request_too_large";
+    case error_kind::header_too_large:
+        return "header_too_large";
     case error_kind::request_timeout:
         return "request_timeout";
     case error_kind::too_many_connections:
