--- a/include/cardamomstream/connection/http_types.h
+++ b/include/cardamomstream/connection/http_types.h
@@ -47,6 +47,9 @@
     std::string body;
 };
 
+/// Larger heads are refused, whatever the limits: Beast throws on a field of 64 KiB.
+inline constexpr std::uint32_t longest_header_bytes = 64'000;
+
 /// What a listener accepts from its callers.
 struct http_limits {
     std::uint32_t max_header_bytes = 16 * 1024;
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -5,6 +5,7 @@
 #include "cardamomstream/connection/io_deadline.h"
 #include "cardamomstream/connection/use_fiber.h"
 
+#include <algorithm>
 #include <tuple>
 #include <utility>
 
@@ -132,7 +133,7 @@
 bool http_session::serve_one()
 {
     parser incoming;
-    incoming.header_limit(m_context->limits.max_header_bytes);
+    incoming.header_limit(std::min(m_context->limits.max_header_bytes, longest_header_bytes));
     incoming.body_limit(m_context->limits.max_body_bytes);
     m_started = false;
     m_ended = false;
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -606,3 +606,26 @@
     waiting.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
     CHECK(contains(waiting.read_until("\r\n"), " 200 "));
 }
+
+// A field of 64 KiB threw outside of every handler, which ended the process.
+TEST_CASE("a long head ends no process, whatever the limits")
+{
+    http_limits limits;
+    limits.max_header_bytes = 200'000;
+    running_server running(echo, limits);
+    raw_caller caller(running.address);
+    const auto head_with = [](std::size_t bytes) {
+        return "POST / HTTP/1.1\r\nHost: h\r\nX-Long: " + std::string(bytes, 'x') +
+               "\r\nContent-Length: 4\r\n\r\nbody";
+    };
+    SECTION("the longest ones are read")
+    {
+        caller.send(head_with(longest_header_bytes - 200));
+        CHECK(contains(caller.read_until("POST body"), "200 OK"));
+    }
+    SECTION("longer ones are refused")
+    {
+        caller.send(head_with(100'000));
+        CHECK(contains(caller.read_all(), "HTTP/1.1 431 "));
+    }
+}
