--- a/include/cardamomstream/connection/http_server.h
+++ b/include/cardamomstream/connection/http_server.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <string_view>
 
 namespace cardamomstream {
 
@@ -26,6 +27,15 @@
     http_server(http_server&&) = delete;
     http_server& operator=(http_server&&) = delete;
 
+    /// Replaces the limits of requests and idle times, of open connections too. A request that is being read
+    /// keeps the limits that were in force as it began, and a connection its idle time if the new one is
+    /// shorter. `max_connections` and `max_buffered_bytes` stay. May be called on any thread.
+    void set_limits(const http_limits& limits);
+
+    /// Called on the connection's thread with the reason why a connection ends without an answer by the
+    /// handler: "idle", or the code of the refusal. Set before `listen`.
+    void on_unserved(std::function<void(std::string_view reason)> notify);
+
     /// Binds and begins to accept. Errors: error_kind::invalid_settings when the address cannot be bound.
     result<endpoint> listen(const endpoint& address);
 
--- a/include/cardamomstream/request/gateway/gateway_metrics.h
+++ b/include/cardamomstream/request/gateway/gateway_metrics.h
@@ -24,9 +24,11 @@
 public:
     counter_family<pool_name, std::string> requests; ///< by service and how they ended
     counter_family<std::string> refusals;            ///< by reason
-    counter_family<pool_name, std::string> sends;    ///< to upstreams, by outcome
-    counter_family<region_name> hops;                ///< requests passed on to a VM of the region
-    counter_family<pool_name> repeats;               ///< sends of a request after the first
+    /// Callers' connections that ended before a request was read, by reason.
+    counter_family<std::string> unserved_connections;
+    counter_family<pool_name, std::string> sends; ///< to upstreams, by outcome
+    counter_family<region_name> hops;             ///< requests passed on to a VM of the region
+    counter_family<pool_name> repeats;            ///< sends of a request after the first
     /// Answers to the resumption of a begun stream, by what came of them.
     counter_family<pool_name, std::string> resumptions;
     counter_family<pool_name> limit_statements; ///< changes of a limit that an upstream states
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -87,7 +87,8 @@
     std::atomic<std::size_t> in_flight = 0;     ///< requests being served; awaited when the process stops
     std::function<void()> request_early_report; ///< sends a report to the other VMs before the next is due
     std::function<void()> request_list_read;    ///< reads the list of upstreams anew; see `origins`
-    time_point list_read_failed_at;             ///< the last such read without an answer
+    std::function<void(const service_plan&)> on_plan; ///< called with each plan that comes into force
+    time_point list_read_failed_at;                   ///< the last such read without an answer
 
 private:
     struct service_retries {
--- a/include/cardamomstream/version/service_plan/service_plan_types.h
+++ b/include/cardamomstream/version/service_plan/service_plan_types.h
@@ -77,8 +77,17 @@
     std::vector<region_name> home_regions; ///< empty: any region
 };
 
+/// What callers may send, and how long they may take. Empty where the plan states no limit.
+struct caller_limits {
+    std::optional<std::uint32_t> max_header_bytes;
+    std::optional<std::uint64_t> max_body_bytes;
+    std::optional<std::chrono::milliseconds> header_timeout;
+    std::optional<std::chrono::milliseconds> idle_timeout; ///< between two requests of one connection
+};
+
 struct service_plan_document {
     version_number version = 0;
+    caller_limits limits;
     std::vector<plan_route> routes;
     std::vector<plan_service> services;
     std::vector<plan_customer> customers;
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -5,6 +5,7 @@
 #include "platform/message_format.h"
 
 #include "cardamomstream/connection/http_server.h"
+#include "cardamomstream/request/gateway/entry_limits.h"
 #include "cardamomstream/request/gateway/request_flow.h"
 
 #include <algorithm>
@@ -13,6 +14,7 @@
 #include <utility>
 
 #include <boost/asio/post.hpp>
+#include <boost/fiber/operations.hpp>
 #include <openssl/rand.h>
 
 namespace cardamomstream {
@@ -31,6 +33,8 @@
 constexpr std::chrono::milliseconds last_close_time{400};
 constexpr std::chrono::milliseconds cut_log_time{100}; ///< longest wait for the traffic thread
 
+constexpr std::chrono::milliseconds hop_header_timeout{10'000};
+
 constexpr std::uint32_t descriptors_for_files = 200;
 constexpr std::uint16_t metrics_port = 9'464; ///< the usual port of a Prometheus exporter
 
@@ -41,7 +45,8 @@
     return value;
 }
 
-http_limits caller_limits_of(const node_settings& settings)
+/// Where no plan states others.
+http_limits default_limits(const node_settings& settings)
 {
     http_limits limits;
     limits.max_header_bytes = 16 * 1024;
@@ -55,6 +60,16 @@
     return limits;
 }
 
+/// Of requests that another VM has admitted, whose plan may be newer than this VM's.
+http_limits hop_limits(const node_settings& settings)
+{
+    auto limits = default_limits(settings);
+    limits.max_header_bytes = longest_header_bytes;
+    limits.max_body_bytes = entry_limits::max_body_bytes;
+    limits.header_timeout = hop_header_timeout;
+    return limits;
+}
+
 http_client_settings upstream_connections()
 {
     http_client_settings settings;
@@ -84,15 +99,20 @@
         , client(traffic.front().io(), upstream_connections())
         , state(settings, client, log, counters, random_number())
         , control(settings, control_thread, traffic.front(), state, log, incarnation{random_number()})
-        , entry(traffic, caller_limits_of(settings),
+        , limits(default_limits(settings))
+        , entry(traffic, limits.at(started_at),
                 [this](const http_request& request, std::size_t /*thread*/, response_writer& writer) {
                     request_flow<platform::message_format>(state, request, writer).serve_caller();
                 })
-        , inner(traffic, caller_limits_of(settings),
+        , inner(traffic, hop_limits(settings),
                 [this](const http_request& request, std::size_t /*thread*/, response_writer& writer) {
                     serve_inner(request, writer);
                 })
     {
+        state.on_plan = [this](const service_plan& plan) { apply_limits(plan); };
+        entry.on_unserved([this](std::string_view reason) {
+            counters.unserved_connections.increment(std::string(reason));
+        });
     }
 
     result<void> start();
@@ -107,6 +127,7 @@
     http_client client;
     gateway_state state;
     node_control control;
+    entry_limits limits; ///< used on the traffic thread
     http_server entry;
     http_server inner;
     std::vector<std::unique_ptr<http_server>> questions; ///< readiness, entry answers and metrics
@@ -116,12 +137,31 @@
     {
         return static_cast<std::int64_t>(entry.open_connections() + inner.open_connections());
     }
+    void apply_limits(const service_plan& plan);
     void log_cut_requests(time_point stop_began);
     result<void> listen_for_questions(const endpoint& address);
     void serve_inner(const http_request& request, response_writer& writer);
     void serve_question(const http_request& request, response_writer& writer);
 };
 
+void node_process::impl::apply_limits(const service_plan& plan)
+{
+    limits.apply(plan.document().limits, boot_clock::now());
+    const auto in_force = limits.at(boot_clock::now());
+    entry.set_limits(in_force);
+    log.write(log_weight::state, "caller_limits",
+              {{"plan", static_cast<std::int64_t>(plan.version())},
+               {"header_bytes", std::int64_t{in_force.max_header_bytes}},
+               {"body_bytes", static_cast<std::int64_t>(in_force.max_body_bytes)},
+               {"header_ms", std::int64_t{in_force.header_timeout.count()}},
+               {"idle_ms", std::int64_t{in_force.idle_timeout.count()}}});
+    // Then a limit that has fallen is in force.
+    traffic.front().spawn([this] {
+        boost::this_fiber::sleep_for(entry_limits::notice_time);
+        entry.set_limits(limits.at(boot_clock::now()));
+    });
+}
+
 void node_process::impl::serve_inner(const http_request& request, response_writer& writer)
 {
     const auto hop = read_hop_headers(request.headers);
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -38,7 +38,8 @@
         , sessions(threads.size())
         , acceptor(threads.front().io())
     {
-        context->limits = limits;
+        context->limits = std::make_shared<const http_limits>(limits);
+        context->max_connections = limits.max_connections;
         context->read_memory = std::make_shared<memory_limit>(limits.max_buffered_bytes);
         context->handler = std::move(handler);
     }
@@ -146,7 +147,7 @@
         self->sessions[thread].insert(session);
     });
     threads[thread].spawn([self = shared_from_this(), session, thread, count] {
-        if (count > self->context->limits.max_connections) {
+        if (count > self->context->max_connections) {
             (void)session->send(error_response(
                 {error_kind::too_many_connections, "this VM has too many open connections",
                  "try again, or another VM of GET /v1/entry", run_outcome::not_run, std::chrono::seconds{1}},
@@ -196,6 +197,16 @@
     return bound;
 }
 
+void http_server::set_limits(const http_limits& limits)
+{
+    m_state->context->limits = std::make_shared<const http_limits>(limits);
+}
+
+void http_server::on_unserved(std::function<void(std::string_view reason)> notify)
+{
+    m_state->context->on_unserved = std::move(notify);
+}
+
 void http_server::announce_close()
 {
     m_state->context->closing = true;
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -4,8 +4,10 @@
 #include "cardamomstream/connection/error_response.h"
 #include "cardamomstream/connection/io_deadline.h"
 #include "cardamomstream/connection/use_fiber.h"
+#include "cardamomstream/core/boot_clock.h"
 
 #include <algorithm>
+#include <string>
 #include <tuple>
 #include <utility>
 
@@ -30,32 +32,10 @@
     return request;
 }
 
-error read_error(boost::beast::error_code ec)
-{
-    if (ec == http::error::header_limit) {
-        return {error_kind::header_too_large,
-                "the request's headers are too large",
-                "send fewer or shorter headers",
-                {},
-                {}};
-    }
-    if (ec == http::error::body_limit) {
-        return {
-            error_kind::request_too_large, "the request's body is too large", "send a smaller body", {}, {}};
-    }
-    if (ec == boost::beast::error::timeout) {
-        return {error_kind::request_timeout,
-                "the request was not received in time",
-                "send the whole request at once",
-                {},
-                {}};
-    }
-    return {error_kind::invalid_request,
-            "malformed HTTP request: " + ec.message(),
-            "send a well-formed HTTP/1.1 request",
-            {},
-            {}};
-}
+/// A caller may send its next request as the stated time ends.
+constexpr std::chrono::milliseconds idle_slack{1'000};
+
+constexpr std::chrono::milliseconds provisional_retry_delay{500};
 
 constexpr unsigned http_1_1 = 11;
 
@@ -98,6 +78,7 @@
     : m_stream(std::move(socket))
     , m_thread(thread)
     , m_context(std::move(context))
+    , m_limits(m_context->limits.load())
     , m_buffer(make_read_buffer(m_context->read_memory))
 {
 }
@@ -132,11 +113,19 @@
 
 bool http_session::serve_one()
 {
-    parser incoming;
-    incoming.header_limit(std::min(m_context->limits.max_header_bytes, longest_header_bytes));
-    incoming.body_limit(m_context->limits.max_body_bytes);
     m_started = false;
     m_ended = false;
+    // Without a parser, so that an idle connection that ends is no malformed request.
+    const auto idle = await_request();
+    if (idle != idle_end::request) {
+        if (idle == idle_end::idle_timeout) {
+            note_unserved("idle");
+        }
+        return false;
+    }
+    m_limits = m_context->limits.load();
+    parser incoming;
+    set_size_limits(incoming);
     if (auto ec = read_request(incoming)) {
         refuse_malformed(ec);
         return false;
@@ -146,24 +135,41 @@
     return m_ended && m_keep_alive && m_stream.socket().is_open();
 }
 
-/// Waits without a parser, so that an idle connection that ends is no malformed request.
-boost::beast::error_code http_session::await_request()
+void http_session::set_size_limits(parser& incoming)
 {
+    incoming.header_limit(std::min(m_limits->max_header_bytes, longest_header_bytes));
+    incoming.body_limit(m_limits->max_body_bytes);
+}
+
+/// Waits for the first bytes of a request, for the time that is in force when it ends, or that the last
+/// answer stated if that is longer.
+http_session::idle_end http_session::await_request()
+{
+    const auto idle_since = boot_clock::now();
+    auto idle_time = std::max(m_stated_idle_time, m_context->limits.load()->idle_timeout);
     while (m_buffer.size() == 0) {
         if (m_context->ending && !has_unread_bytes()) {
-            return http::error::end_of_stream;
+            return idle_end::closed;
+        }
+        idle_time = std::max(idle_time, m_context->limits.load()->idle_timeout);
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(idle_since + idle_time + idle_slack -
+                                                                       boot_clock::now());
+        if (left <= std::chrono::milliseconds::zero() && !has_unread_bytes()) {
+            return idle_end::idle_timeout;
         }
-        m_stream.expires_after(m_context->limits.idle_timeout);
+        m_stream.expires_never();
+        const io_deadline deadline(m_stream.socket(), std::max(left, std::chrono::milliseconds{1}));
         m_idle = true;
         auto [ec, length] = m_stream.async_read_some(m_buffer.prepare(1024), use_fiber);
         m_idle = false;
         m_buffer.commit(length);
         // A request may have come before the wait was ended.
-        if (ec && !(ec == boost::asio::error::operation_aborted && has_unread_bytes())) {
-            return http::error::end_of_stream;
+        if (ec && !deadline.expired() &&
+            !(ec == boost::asio::error::operation_aborted && has_unread_bytes())) {
+            return idle_end::closed;
         }
     }
-    return {};
+    return idle_end::request;
 }
 
 bool http_session::has_unread_bytes()
@@ -175,10 +181,7 @@
 
 boost::beast::error_code http_session::read_request(parser& incoming)
 {
-    if (auto ec = await_request()) {
-        return ec;
-    }
-    if (auto ec = read_within(m_context->limits.header_timeout, incoming, read_part::header)) {
+    if (auto ec = read_within(m_limits->header_timeout, incoming, read_part::header)) {
         return ec;
     }
     if (!is_unambiguous(incoming.get())) {
@@ -189,13 +192,13 @@
     }
     if (boost::beast::iequals(incoming.get()[http::field::expect], "100-continue")) {
         static constexpr std::string_view go_on = "HTTP/1.1 100 Continue\r\n\r\n";
-        m_stream.expires_after(m_context->limits.write_timeout);
+        m_stream.expires_after(m_limits->write_timeout);
         auto [ec, n] = boost::asio::async_write(m_stream, boost::asio::buffer(go_on), use_fiber);
         if (ec) {
             return ec;
         }
     }
-    return read_within(m_context->limits.body_timeout, incoming, read_part::body);
+    return read_within(m_limits->body_timeout, incoming, read_part::body);
 }
 
 boost::beast::error_code http_session::read_within(std::chrono::milliseconds limit, parser& incoming,
@@ -219,7 +222,47 @@
         return;
     }
     m_keep_alive = false;
-    (void)refuse(read_error(ec), request_id{});
+    const auto reason = read_error(ec);
+    note_unserved(code_of(reason.kind));
+    (void)refuse(reason, request_id{});
+}
+
+void http_session::note_unserved(std::string_view reason)
+{
+    if (m_context->on_unserved) {
+        m_context->on_unserved(reason);
+    }
+}
+
+error http_session::read_error(boost::beast::error_code ec) const
+{
+    if (m_limits->provisional && (ec == http::error::header_limit || ec == http::error::body_limit)) {
+        return {error_kind::platform_unavailable, "the limits of requests aren't known yet",
+                "try again shortly", run_outcome::not_run, provisional_retry_delay};
+    }
+    if (ec == http::error::header_limit) {
+        return {error_kind::header_too_large,
+                "the request's headers are too large",
+                "send fewer or shorter headers",
+                {},
+                {}};
+    }
+    if (ec == http::error::body_limit) {
+        return {
+            error_kind::request_too_large, "the request's body is too large", "send a smaller body", {}, {}};
+    }
+    if (ec == boost::beast::error::timeout) {
+        return {error_kind::request_timeout,
+                "the request was not received in time",
+                "send the whole request at once",
+                {},
+                {}};
+    }
+    return {error_kind::invalid_request,
+            "malformed HTTP request: " + ec.message(),
+            "send a well-formed HTTP/1.1 request",
+            {},
+            {}};
 }
 
 void http_session::answer(parser& incoming)
@@ -263,7 +306,7 @@
     return !m_keep_alive || m_context->closing || m_context->stopping || m_context->ending;
 }
 
-http::response<http::empty_body> http_session::make_head(const http_response_head& head) const
+http::response<http::empty_body> http_session::make_head(const http_response_head& head)
 {
     http::response<http::empty_body> message;
     message.version(m_version);
@@ -272,9 +315,22 @@
         message.insert(header.name, header.value);
     }
     message.keep_alive(m_keep_alive);
+    if (m_keep_alive) {
+        state_idle_time(message);
+    }
     return message;
 }
 
+/// The connection is kept for this time after the answer, also if the limit falls meanwhile.
+void http_session::state_idle_time(http::response<http::empty_body>& message)
+{
+    m_stated_idle_time = m_context->limits.load()->idle_timeout;
+    const auto seconds = std::chrono::floor<std::chrono::seconds>(m_stated_idle_time);
+    if (seconds.count() > 0) {
+        message.set(http::field::keep_alive, "timeout=" + std::to_string(seconds.count()));
+    }
+}
+
 result<void> http_session::finish_write(boost::beast::error_code ec)
 {
     if (!ec) {
@@ -297,7 +353,7 @@
     message.prepare_payload();
     m_started = true;
     m_ended = true;
-    m_stream.expires_after(m_context->limits.write_timeout);
+    m_stream.expires_after(m_limits->write_timeout);
     auto [ec, n] = http::async_write(m_stream, message, use_fiber);
     return finish_write(ec);
 }
@@ -326,7 +382,7 @@
     }
     http::response_serializer<http::empty_body> serializer{message};
     m_started = true;
-    m_stream.expires_after(m_context->limits.write_timeout);
+    m_stream.expires_after(m_limits->write_timeout);
     auto [ec, n] = http::async_write_header(m_stream, serializer, use_fiber);
     return finish_write(ec);
 }
@@ -336,7 +392,7 @@
     if (data.empty()) {
         return boost::outcome_v2::success(); // an empty chunk would end the stream
     }
-    m_stream.expires_after(m_context->limits.write_timeout);
+    m_stream.expires_after(m_limits->write_timeout);
     const auto bytes = boost::asio::buffer(data);
     auto [ec, n] = m_chunked ? boost::asio::async_write(m_stream, http::make_chunk(bytes), use_fiber)
                              : boost::asio::async_write(m_stream, bytes, use_fiber);
@@ -350,7 +406,7 @@
         set_reset_on_close(false);
         return boost::outcome_v2::success();
     }
-    m_stream.expires_after(m_context->limits.write_timeout);
+    m_stream.expires_after(m_limits->write_timeout);
     auto [ec, n] = boost::asio::async_write(m_stream, http::make_chunk_last(), use_fiber);
     return finish_write(ec);
 }
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -20,13 +20,15 @@
 
 /// What all sessions of one listener share.
 struct session_context {
-    http_limits limits;
+    std::atomic<std::shared_ptr<const http_limits>> limits;
+    std::size_t max_connections = 0;
     request_handler handler;
-    std::shared_ptr<memory_limit> read_memory; ///< of all sessions
-    std::atomic<bool> closing = false;         ///< answers carry `Connection: close`
-    std::atomic<bool> stopping = false;        ///< no further connection is accepted
-    std::atomic<bool> ending = false;          ///< no connection waits for a further request
-    std::atomic<bool> closed = false;          ///< no connection is served
+    std::function<void(std::string_view reason)> on_unserved; ///< may be empty
+    std::shared_ptr<memory_limit> read_memory;                ///< of all sessions
+    std::atomic<bool> closing = false;                        ///< answers carry `Connection: close`
+    std::atomic<bool> stopping = false;                       ///< no further connection is accepted
+    std::atomic<bool> ending = false;                         ///< no connection waits for a further request
+    std::atomic<bool> closed = false;                         ///< no connection is served
 };
 
 /// Reads requests from one connection and has them answered, one after the other. Keeps itself alive through
@@ -60,22 +62,29 @@
     enum class read_part { header, body };
 
     bool serve_one();
-    boost::beast::error_code await_request();
+    /// How an idle connection goes on.
+    enum class idle_end { request, closed, idle_timeout };
+    idle_end await_request();
+    void set_size_limits(parser& incoming);
     boost::beast::error_code read_request(parser& incoming);
     boost::beast::error_code read_within(std::chrono::milliseconds limit, parser& incoming, read_part part);
     void refuse_malformed(boost::beast::error_code ec);
+    error read_error(boost::beast::error_code ec) const;
+    void note_unserved(std::string_view reason);
     void answer(parser& incoming);
     void end_failed_answer();
     bool will_close() const;
     bool has_unread_bytes();
     void set_reset_on_close(bool reset);
     result<void> finish_write(boost::beast::error_code ec);
-    boost::beast::http::response<boost::beast::http::empty_body>
-    make_head(const http_response_head& head) const;
+    boost::beast::http::response<boost::beast::http::empty_body> make_head(const http_response_head& head);
+    void state_idle_time(boost::beast::http::response<boost::beast::http::empty_body>& message);
 
     boost::beast::tcp_stream m_stream;
     std::size_t m_thread;
     std::shared_ptr<session_context> m_context;
+    std::shared_ptr<const http_limits> m_limits;     ///< of the request that is read or answered
+    std::chrono::milliseconds m_stated_idle_time{0}; ///< in the last answer; 0: none
     read_buffer m_buffer;
     std::shared_ptr<caller_watch> m_watch;
     unsigned m_version = 11;
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -629,3 +629,82 @@
         CHECK(contains(caller.read_all(), "HTTP/1.1 431 "));
     }
 }
+
+// A listener closed connections within the idle time that was in force, and read requests by old limits.
+TEST_CASE("limits that change while a connection is open")
+{
+    const std::string request = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody";
+    const std::string answer_end = "POST body";
+    constexpr auto slack = 1s; ///< beyond the stated idle time
+    http_limits limits;
+    limits.idle_timeout = 1s;
+    limits.header_timeout = 300ms;
+    limits.max_body_bytes = 64;
+    limits.max_header_bytes = 512;
+    running_server running(echo, limits);
+    raw_caller kept(running.address);
+    const auto serves = [&](raw_caller& caller) {
+        caller.send(request);
+        return contains(caller.read_until(answer_end), "200 OK");
+    };
+    REQUIRE(serves(kept));
+
+    SECTION("an idle time that rises holds for a connection that is idle already")
+    {
+        limits.idle_timeout = 10s;
+        running.server.set_limits(limits);
+        std::this_thread::sleep_for(1s + slack + 300ms);
+        CHECK(serves(kept));
+    }
+    SECTION("an idle time that falls cuts no connection that was answered before")
+    {
+        limits.idle_timeout = 3s;
+        running.server.set_limits(limits);
+        raw_caller another(running.address);
+        another.send(request);
+        const auto answer = another.read_until(answer_end);
+        CHECK(contains(answer, "Keep-Alive: timeout=3"));
+        limits.idle_timeout = 100ms;
+        running.server.set_limits(limits);
+        std::this_thread::sleep_for(2'500ms);
+        CHECK(serves(another));
+        CHECK(another.read_all().empty());
+        CHECK(another.closed_in_order());
+    }
+    SECTION("a request that comes as the idle time ends is answered")
+    {
+        running.occupy(1s + slack + 200ms);
+        std::this_thread::sleep_for(1s + slack + 100ms);
+        CHECK(serves(kept));
+    }
+    SECTION("sizes and times that rise hold for the next request of an idle connection")
+    {
+        limits.max_body_bytes = 4'096;
+        limits.max_header_bytes = 4'096;
+        limits.header_timeout = 2s;
+        running.server.set_limits(limits);
+        const std::string body(2'000, 'x');
+        kept.send("POST / HTTP/1.1\r\nHost: h\r\nX-Long: " + body);
+        std::this_thread::sleep_for(600ms);
+        kept.send("\r\nContent-Length: 2000\r\n\r\n" + body);
+        CHECK(contains(kept.read_until(body), "200 OK"));
+    }
+    SECTION("limits that fall cut no request that is being read")
+    {
+        kept.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50\r\n\r\n");
+        std::this_thread::sleep_for(100ms);
+        limits.max_body_bytes = 10;
+        running.server.set_limits(limits);
+        kept.send(std::string(50, 'x'));
+        CHECK(contains(kept.read_until(std::string(50, 'x')), "200 OK"));
+    }
+    SECTION("without known limits, a request that is too large is asked to come back")
+    {
+        limits.provisional = true;
+        running.server.set_limits(limits);
+        kept.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n");
+        const auto answer = kept.read_all();
+        CHECK(contains(answer, "HTTP/1.1 503 "));
+        CHECK(contains(answer, "Retry-After"));
+    }
+}
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -21,6 +21,9 @@
 gateway_metrics::gateway_metrics()
     : requests(m_registry, {"cardamomstream_gateway_requests_total", "Requests by end.", {"service", "end"}})
     , refusals(m_registry, {"cardamomstream_gateway_refusals_total", "Refusals by reason.", {"reason"}})
+    , unserved_connections(m_registry, {"cardamomstream_gateway_unserved_connections_total",
+                                        "Connections that ended before a request was read, by reason.",
+                                        {"reason"}})
     , sends(m_registry, {"cardamomstream_gateway_sends_total", "Sends by outcome.", {"service", "outcome"}})
     , hops(m_registry, {"cardamomstream_gateway_hops_total", "Requests passed on, by region.", {"region"}})
     , repeats(m_registry, {"cardamomstream_gateway_repeats_total", "Further sends.", {"service"}})
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -64,6 +64,9 @@
                 origins.set_stream_life(route.timeout);
             }
         }
+        if (on_plan) {
+            on_plan(*next->plan);
+        }
     }
     counters.upstreams_usable.set(static_cast<double>(next->upstreams.size()));
     deployment = std::move(next);
