--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -317,7 +317,8 @@
     shared_part_ids m_request_digest; ///< the single id under which the request itself may be suspected
     cancellation m_cancel;
     event_splitter m_events;
-    time_point m_last_event_at; ///< when the last complete event of the stream came
+    time_point m_last_event_at;                           ///< when the last complete event of the stream came
+    std::optional<answer_memory::reservation> m_buffered; ///< for the last buffered answer
     /// An upstream's failure, sent to the caller unless a retry succeeds.
     std::optional<http_response> m_held_failure;
     double m_charged_amount = 0;   ///< taken from the customer's allowance
@@ -365,7 +366,9 @@
     hedge(const request_flow& first, const placement& where)
         : flow(first, where)
         , m_fiber(traffic_thread::start_here([this] {
-            run_contained("a hedge failed", [this] { flow.run_hedge(); });
+            if (!run_contained("a hedge failed", [this] { flow.run_hedge(); })) {
+                flow.m_runs += 1;
+            }
             m_ended = true;
         }))
     {
@@ -381,6 +384,7 @@
     hedge& operator=(hedge&&) = delete;
 
     bool ended() const { return m_ended; }
+    bool has_answer() const { return m_ended && flow.m_hedge_answer.has_value(); }
     void cancel() { flow.m_cancel.cancel(); }
     void wait()
     {
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -159,17 +159,22 @@
     http_response answer;
     answer.head = {exchange.head().status, end_to_end_headers(exchange.head().headers)};
     set_framing(answer.head);
-    auto held = m_state.held_answers.reserve();
+    m_buffered.emplace(m_state.held_answers);
     while (true) {
         auto part = exchange.next();
         if (!part) {
             note_failure(part.error());
             return send_result::may_have_run;
         }
+        if (part.value() && m_hedge && m_hedge->has_answer()) {
+            log_left_run(where, std::chrono::milliseconds{0});
+            m_last_failure = "another upstream has answered before its end";
+            return send_result::may_have_run;
+        }
         if (!part.value()) {
             break;
         }
-        if (!held.add(part.value()->size())) {
+        if (!m_buffered->add(part.value()->size())) {
             m_last_failure = "the answer exceeds the memory for buffered answers";
             return send_result::may_have_run;
         }
--- a/include/cardamomstream/request/gateway/request_flow/hedging.h
+++ b/include/cardamomstream/request/gateway/request_flow/hedging.h
@@ -9,7 +9,7 @@
 template <gateway_wire Wire>
 bool request_flow<Wire>::start_hedge(const placement& where, std::chrono::milliseconds silent)
 {
-    if (!seeks_replacement(where) ||
+    if (m_runs + 1 >= max_runs() || !seeks_replacement(where) ||
         decide_retry(send_result::may_have_run, boot_clock::now()).verdict != retry_verdict::allowed) {
         return false;
     }
@@ -52,7 +52,7 @@
     if (!m_hedge->ended()) {
         return hedge_poll;
     }
-    if (m_hedge->flow.m_hedge_answer) {
+    if (m_hedge->has_answer()) {
         log_left_run(where, silent);
         return 0ms;
     }
@@ -72,7 +72,9 @@
     m_placing_request.refused_by = std::move(second.m_placing_request.refused_by);
     m_sent_to = std::move(second.m_sent_to);
     m_last_failure = std::move(second.m_last_failure);
-    m_final_refusal = second.m_final_refusal;
+    if (second.m_final_refusal) {
+        m_final_refusal = second.m_final_refusal;
+    }
     if (second.m_held_failure) {
         m_held_failure = std::move(second.m_held_failure);
     }
@@ -99,7 +101,7 @@
         return send_result::caller_left;
     }
     auto& second = m_hedge->flow;
-    if (!second.m_hedge_answer) {
+    if (!m_hedge->has_answer()) {
         merge_hedge();
         return result;
     }
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -62,14 +62,18 @@
     if (m_route->resumable) {
         return wait_on_stream(where, sent, silent);
     }
+    note_silence(where, sent, silent);
     if (start_hedge(where, silent)) {
         return hedge_poll;
     }
-    note_silence(where, sent, silent);
     if (silent < caller_patience()) {
         return replacement_poll;
     }
-    return is_run_lost(where, sent) ? 0ms : lost_run_poll;
+    if (std::exchange(m_run_lost, false)) {
+        return 0ms;
+    }
+    m_run_lost = is_run_lost(where, sent);
+    return m_run_lost ? last_read_time : lost_run_poll;
 }
 
 /// The same for a stream that may go on elsewhere: it is left for another upstream once its run is lost. For
