One record of a send without a usable answer, for requests and hedges

The flow of a hedge repeated what run_attempts does after a send (count the run, exclude the receiver, keep its address) and the check whether a placement names a receiver; both call record_send and is_placed now.

--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -208,7 +208,9 @@
     void serve();
     void run_attempts();
     placement place_next();
+    static bool is_placed(const placement& where);
     send_result send(const placement& where);
+    void record_send(const placement& where, send_result result);
     void run_hedge();
     std::chrono::milliseconds wait_for_hedge(const placement& where, std::chrono::milliseconds silent);
     send_result end_hedge(send_result result);
@@ -467,7 +469,7 @@
             return;
         }
         const auto where = place_next();
-        if (where.verdict != placing_verdict::here && where.verdict != placing_verdict::other_region) {
+        if (!is_placed(where)) {
             m_no_retry = to_text(where.verdict);
             if (m_may_have_run || m_stream_started || m_held_failure) {
                 give_up(send_result::may_have_run);
@@ -484,12 +486,7 @@
             }
             return;
         }
-        if (result == send_result::may_have_run) {
-            m_may_have_run = true;
-            m_runs += 1;
-        }
-        exclude(m_placing_request, where);
-        m_sent_to.push_back(where.address);
+        record_send(where, result);
         if (!may_retry(result)) {
             give_up(result);
             return;
@@ -506,6 +503,12 @@
     return m_state.placing.place(m_placing_request, *m_plan, m_state.load, boot_clock::now());
 }
 
+template <gateway_wire Wire>
+bool request_flow<Wire>::is_placed(const placement& where)
+{
+    return where.verdict == placing_verdict::here || where.verdict == placing_verdict::other_region;
+}
+
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result request_flow<Wire>::send(const placement& where)
 {
@@ -513,6 +516,18 @@
     return where.verdict == placing_verdict::here ? send_to_upstream(where) : send_to_region(where);
 }
 
+/// Records a send that brought no usable answer. The request isn't placed there again.
+template <gateway_wire Wire>
+void request_flow<Wire>::record_send(const placement& where, send_result result)
+{
+    if (result == send_result::may_have_run) {
+        m_may_have_run = true;
+        m_runs += 1;
+    }
+    exclude(m_placing_request, where);
+    m_sent_to.push_back(where.address);
+}
+
 template <gateway_wire Wire>
 void request_flow<Wire>::exclude(placing_request& request, const placement& where)
 {
--- a/include/cardamomstream/request/gateway/request_flow/hedging.h
+++ b/include/cardamomstream/request/gateway/request_flow/hedging.h
@@ -30,15 +30,13 @@
 void request_flow<Wire>::run_hedge()
 {
     const auto where = place_next();
-    if (where.verdict != placing_verdict::here && where.verdict != placing_verdict::other_region) {
+    if (!is_placed(where)) {
         m_last_failure = to_text(where.verdict);
         return;
     }
     const auto result = send(where);
-    exclude(m_placing_request, where);
-    m_sent_to.push_back(where.address);
-    if (result == send_result::may_have_run) {
-        m_runs += 1;
+    if (!m_hedge_answer) {
+        record_send(where, result);
     }
 }
 
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -38,7 +38,8 @@
     return std::min(left, m_stream_started ? stream_event_timeout : where.predicted * 2 + first_byte_margin);
 }
 
-/// Silence after which the caller abandons a stream.
+/// Silence after which the caller abandons a stream, and after which it is checked whether a call's run is
+/// lost.
 template <gateway_wire Wire>
 std::chrono::milliseconds request_flow<Wire>::caller_patience() const
 {
