Listener limits: less state, and no timer where no limit falls

- read_error is a function of its arguments again; the size limits are set where the parser is made.
- The idle wait takes the limit in force once a round, not once before and once in the first round.

--- a/include/cardamomstream/connection/http_types.h
+++ b/include/cardamomstream/connection/http_types.h
@@ -63,6 +63,8 @@
     std::size_t max_buffered_bytes = std::size_t{16} * 1024 * 1024;
     /// The sizes may be larger in fact: a request over one of them is asked to come back.
     bool provisional = false;
+
+    friend bool operator==(const http_limits&, const http_limits&) = default;
 };
 
 } // namespace cardamomstream
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -146,8 +146,9 @@
 
 void node_process::impl::apply_limits(const service_plan& plan)
 {
-    limits.apply(plan.document().limits, boot_clock::now());
-    const auto in_force = limits.at(boot_clock::now());
+    const auto now = boot_clock::now();
+    limits.apply(plan.document().limits, now);
+    const auto in_force = limits.at(now);
     entry.set_limits(in_force);
     log.write(log_weight::state, "caller_limits",
               {{"plan", static_cast<std::int64_t>(plan.version())},
@@ -155,6 +156,9 @@
                {"body_bytes", static_cast<std::int64_t>(in_force.max_body_bytes)},
                {"header_ms", std::int64_t{in_force.header_timeout.count()}},
                {"idle_ms", std::int64_t{in_force.idle_timeout.count()}}});
+    if (limits.at(now + entry_limits::notice_time) == in_force) {
+        return;
+    }
     // Then a limit that has fallen is in force.
     traffic.front().spawn([this] {
         boost::this_fiber::sleep_for(entry_limits::notice_time);
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -37,6 +37,38 @@
 
 constexpr std::chrono::milliseconds provisional_retry_delay{500};
 
+/// `provisional`: the limits of sizes may be larger in fact.
+error read_error(boost::beast::error_code ec, bool provisional)
+{
+    if (provisional && (ec == http::error::header_limit || ec == http::error::body_limit)) {
+        return {error_kind::platform_unavailable, "the limits of requests aren't known yet",
+                "try again shortly", run_outcome::not_run, provisional_retry_delay};
+    }
+    if (ec == http::error::header_limit) {
+        return {error_kind::header_too_large,
+                "the request's headers are too large",
+                "send fewer or shorter headers",
+                {},
+                {}};
+    }
+    if (ec == http::error::body_limit) {
+        return {
+            error_kind::request_too_large, "the request's body is too large", "send a smaller body", {}, {}};
+    }
+    if (ec == boost::beast::error::timeout) {
+        return {error_kind::request_timeout,
+                "the request was not received in time",
+                "send the whole request at once",
+                {},
+                {}};
+    }
+    return {error_kind::invalid_request,
+            "malformed HTTP request: " + ec.message(),
+            "send a well-formed HTTP/1.1 request",
+            {},
+            {}};
+}
+
 constexpr unsigned http_1_1 = 11;
 
 /// True when the headers leave no doubt where the request ends and which host it is for.
@@ -125,7 +157,8 @@
     }
     m_limits = m_context->limits.load();
     parser incoming;
-    set_size_limits(incoming);
+    incoming.header_limit(std::min(m_limits->max_header_bytes, longest_header_bytes));
+    incoming.body_limit(m_limits->max_body_bytes);
     if (auto ec = read_request(incoming)) {
         refuse_malformed(ec);
         return false;
@@ -135,18 +168,12 @@
     return m_ended && m_keep_alive && m_stream.socket().is_open();
 }
 
-void http_session::set_size_limits(parser& incoming)
-{
-    incoming.header_limit(std::min(m_limits->max_header_bytes, longest_header_bytes));
-    incoming.body_limit(m_limits->max_body_bytes);
-}
-
 /// Waits for the first bytes of a request, for the time that is in force when it ends, or that the last
 /// answer stated if that is longer.
 http_session::idle_end http_session::await_request()
 {
     const auto idle_since = boot_clock::now();
-    auto idle_time = std::max(m_stated_idle_time, m_context->limits.load()->idle_timeout);
+    auto idle_time = m_stated_idle_time;
     while (m_buffer.size() == 0) {
         if (m_context->ending && !has_unread_bytes()) {
             return idle_end::closed;
@@ -222,7 +249,7 @@
         return;
     }
     m_keep_alive = false;
-    const auto reason = read_error(ec);
+    const auto reason = read_error(ec, m_limits->provisional);
     note_unserved(code_of(reason.kind));
     (void)refuse(reason, request_id{});
 }
@@ -234,37 +261,6 @@
     }
 }
 
-error http_session::read_error(boost::beast::error_code ec) const
-{
-    if (m_limits->provisional && (ec == http::error::header_limit || ec == http::error::body_limit)) {
-        return {error_kind::platform_unavailable, "the limits of requests aren't known yet",
-                "try again shortly", run_outcome::not_run, provisional_retry_delay};
-    }
-    if (ec == http::error::header_limit) {
-        return {error_kind::header_too_large,
-                "the request's headers are too large",
-                "send fewer or shorter headers",
-                {},
-                {}};
-    }
-    if (ec == http::error::body_limit) {
-        return {
-            error_kind::request_too_large, "the request's body is too large", "send a smaller body", {}, {}};
-    }
-    if (ec == boost::beast::error::timeout) {
-        return {error_kind::request_timeout,
-                "the request was not received in time",
-                "send the whole request at once",
-                {},
-                {}};
-    }
-    return {error_kind::invalid_request,
-            "malformed HTTP request: " + ec.message(),
-            "send a well-formed HTTP/1.1 request",
-            {},
-            {}};
-}
-
 void http_session::answer(parser& incoming)
 {
     auto message = incoming.release();
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -65,11 +65,9 @@
     /// How an idle connection goes on.
     enum class idle_end { request, closed, idle_timeout };
     idle_end await_request();
-    void set_size_limits(parser& incoming);
     boost::beast::error_code read_request(parser& incoming);
     boost::beast::error_code read_within(std::chrono::milliseconds limit, parser& incoming, read_part part);
     void refuse_malformed(boost::beast::error_code ec);
-    error read_error(boost::beast::error_code ec) const;
     void note_unserved(std::string_view reason);
     void answer(parser& incoming);
     void end_failed_answer();
