A refusal reaches a caller that sends all of its request before it reads

Callers with a body over the limit got a reset in place of 413 (the users' measurement: 4 of 4; 6 MB sent in 3 s over 4 MiB). Cause: the answer was written at once and the connection closed 0.3 s later with bytes still coming; the system then sends a reset, which discards the answer at the caller. The rest of a request that is too large is now discarded, within the time that a body may take, 2 s of silence and 64 MiB; others, such as late heads, linger for 0.3 s as before.

Test http."a refusal reaches a caller that sends all of its request before it reads", http."a caller that goes on sending after a refusal is cut". Ruled out: answers to requests that were read in full, which arrive as before (the users' 92 uploads).

--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -92,7 +92,12 @@
 /// After the last answer of a connection, for what its caller still sends: a close with unread bytes resets
 /// the connection, which destroys what the caller hasn't received yet.
 constexpr std::chrono::milliseconds lingering_time{300};
-constexpr std::size_t lingering_read_bytes = 4 * 1024;
+constexpr std::size_t lingering_read_bytes = 16 * 1024;
+
+/// The rest of a request that is too large is discarded within the time that a body may
+/// take, up to these limits: many callers read no answer before they have sent everything.
+constexpr std::chrono::milliseconds max_discard_silence{2'000};
+constexpr std::uint64_t max_discarded_bytes = std::uint64_t{64} * 1024 * 1024;
 
 error write_error()
 {
@@ -135,10 +140,18 @@
     boost::beast::error_code ec;
     socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
     m_stream.expires_never();
-    const io_deadline deadline(socket, lingering_time);
     m_buffer.clear();
-    while (!ec && !deadline.expired()) {
-        std::tie(ec, std::ignore) = socket.async_read_some(m_buffer.prepare(lingering_read_bytes), use_fiber);
+    const auto until = boot_clock::now() + (m_partly_read ? m_limits->body_timeout : lingering_time);
+    std::uint64_t discarded = 0;
+    while (!ec && discarded < max_discarded_bytes) {
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(until - boot_clock::now());
+        if (left <= std::chrono::milliseconds::zero()) {
+            break;
+        }
+        const io_deadline deadline(socket, std::min(left, max_discard_silence));
+        std::size_t length = 0;
+        std::tie(ec, length) = socket.async_read_some(m_buffer.prepare(lingering_read_bytes), use_fiber);
+        discarded += length;
     }
     close();
 }
@@ -160,6 +173,7 @@
     incoming.header_limit(std::min(m_limits->max_header_bytes, longest_header_bytes));
     incoming.body_limit(m_limits->max_body_bytes);
     if (auto ec = read_request(incoming)) {
+        m_partly_read = ec == http::error::body_limit || ec == http::error::header_limit;
         refuse_malformed(ec);
         return false;
     }
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -44,7 +44,7 @@
     /// Ends the connection if it waits for a request of which nothing has come; call on the socket's thread.
     void close_if_idle();
     void close();
-    /// Ends the connection once its caller has received the last answer and closes, or after a short time.
+    /// Ends the connection once its caller has received the last answer and closes, or after a limited time.
     void close_after_answer();
 
     result<void> send(const http_response& response) override;
@@ -90,7 +90,8 @@
     bool m_chunked = true; ///< the stream that began last
     bool m_started = false;
     bool m_ended = false;
-    bool m_idle = false; ///< waits for a request of which nothing has come
+    bool m_partly_read = false; ///< the last request was refused as too large
+    bool m_idle = false;        ///< waits for a request of which nothing has come
 };
 
 } // namespace cardamomstream
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -475,6 +475,81 @@
     CHECK(answer.size() > answer_bytes);
 }
 
+// The connection was reset while they sent, which discarded the answer.
+TEST_CASE("a refusal reaches a caller that sends all of its request before it reads")
+{
+    constexpr std::size_t limit = 1024 * 1024;
+    constexpr std::size_t part = 64 * 1024;
+    constexpr std::size_t parts = 32;
+    http_limits limits;
+    limits.max_body_bytes = limit;
+    limits.body_timeout = 3s;
+    running_server running(echo, limits);
+    raw_caller caller(running.address);
+    const auto send_parts = [&](std::chrono::milliseconds pause, const std::string& bytes) {
+        for (std::size_t sent = 0; sent < parts; ++sent) {
+            caller.send(bytes);
+            std::this_thread::sleep_for(pause);
+        }
+    };
+
+    SECTION("a body over the limit, with a length")
+    {
+        caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(part * parts) +
+                    "\r\n\r\n");
+        send_parts(50ms, std::string(part, 'x'));
+    }
+    SECTION("a body over the limit, in chunks")
+    {
+        caller.send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
+        send_parts(50ms, "10000\r\n" + std::string(part, 'x') + "\r\n");
+        caller.send("0\r\n\r\n");
+    }
+    const auto answer = caller.read_all();
+    CHECK(contains(answer, "HTTP/1.1 413 "));
+    CHECK(caller.closed_in_order());
+}
+
+TEST_CASE("a caller that goes on sending after a refusal is cut")
+{
+    http_limits limits;
+    limits.max_body_bytes = 1024;
+    limits.body_timeout = 500ms;
+    running_server running(echo, limits);
+    raw_caller caller(running.address);
+    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000000\r\n\r\n");
+    const auto sends_until_cut = [&](std::size_t bytes, std::chrono::milliseconds pause) {
+        const std::string part(bytes, 'x');
+        const auto began = std::chrono::steady_clock::now();
+        try {
+            while (std::chrono::steady_clock::now() - began < 5s) {
+                caller.send(part);
+                std::this_thread::sleep_for(pause);
+            }
+        }
+        catch (const boost::system::system_error&) {
+            return true;
+        }
+        return false;
+    };
+
+    SECTION("slowly, for longer than a body may take")
+    {
+        CHECK(sends_until_cut(100, 20ms));
+    }
+    SECTION("without a pause")
+    {
+        CHECK(sends_until_cut(64 * 1024, 0ms));
+    }
+    SECTION("nothing for longer than a caller may pause")
+    {
+        CHECK(contains(caller.read_all(), "HTTP/1.1 413 "));
+        CHECK(running.server.open_connections() <= 1);
+        std::this_thread::sleep_for(600ms);
+        CHECK(running.server.open_connections() == 0);
+    }
+}
+
 TEST_CASE("an address is held by one listener at a time")
 {
     running_server first(echo);
