Each request without an answer gets one as a stop ends

Now such requests are ended 0.8 s before the kill and answered: 503 "not run" if nothing was sent, else 502 outcome_unknown, with Retry-After and "send it to another VM" where the request may run again, and "read the status" where it may not. 0.4 s are left for writing; answers that have begun go on until the process ends. Over a hop the first VM gets the 502; that it sends again what may run twice is by reading.

Why 502 and not 503: 503 promises that the request hasn't run. Why 0.8 s: a small VM has 0.12 cores, and needs time to write some dozens of answers; the process ended 0.6 s before the kill until now, and ends 0.4 s before it at the latest.

From the review: an answer that arrived just as the stop ended was delivered, and a 502 written after it.

--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -30,6 +30,8 @@
     route_name route;
     time_point read_at;
     bool hop = false; ///< another VM has passed it on
+    /// Ends the upstream's run and answers the request, unless its answer has begun.
+    std::function<void()> end_unanswered;
 };
 
 /// Used on its traffic thread only, except for the atomics.
@@ -67,6 +69,9 @@
     bool answers_before_end(const route_name& route, std::chrono::milliseconds time_left,
                             time_point now) const;
 
+    /// Answers each request of which no byte of an answer has been sent. Called as a stop ends.
+    void end_unanswered() const;
+
     const node_settings& settings;
     http_client& client;
     decision_log& log;
@@ -99,6 +104,7 @@
 
     service_retries& find_or_add_retries(const pool_name& service);
     double retry_burst(double recent_requests) const;
+    bool another_vm_ready() const; ///< of the own region
 
     std::atomic<time_point> m_stop_strict_from = time_point::max();
     std::atomic<time_point> m_stop_deadline = time_point::max();
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -182,6 +182,8 @@
     static constexpr std::chrono::milliseconds list_read_poll{5};
     /// With less time left, a failure is reported as a timeout.
     static constexpr std::chrono::milliseconds timeout_margin{60};
+    /// Until another VM is asked, after this one has stopped.
+    static constexpr std::chrono::milliseconds other_vm_delay{100};
 
     static constexpr std::string_view ends_under_part =
         "upstreams have ended while they answered prompts with the same part";
@@ -245,6 +247,8 @@
     send_result write_events(std::string_view bytes, const http_response_head& head);
     bool may_retry(send_result result);
     void give_up(send_result result);
+    void end_at_stop();
+    error stopped_unanswered(send_result result) const;
     void refuse(const error& reason);
     void refuse_placing(const placement& where);
     std::string permitted_regions() const;
@@ -318,6 +322,7 @@
     shared_part_ids m_shared_parts;   ///< of the prompt
     shared_part_ids m_request_digest; ///< the single id under which the request itself may be suspected
     cancellation m_cancel;
+    bool m_ended_by_stop = false; ///< and cancelled; the caller awaits an answer
     event_splitter m_events;
     time_point m_last_event_at;                           ///< when the last complete event of the stream came
     std::optional<answer_memory::reservation> m_buffered; ///< for the last buffered answer
@@ -429,8 +434,8 @@
 void request_flow<Wire>::serve()
 {
     m_writer.on_caller_gone([this] { m_cancel.cancel(); });
-    const serving_mark served(
-        m_state, {m_caller_request.id, m_route->name, m_started, m_placing_request.own_region_only});
+    const serving_mark served(m_state, {m_caller_request.id, m_route->name, m_started,
+                                        m_placing_request.own_region_only, [this] { end_at_stop(); }});
     if (m_route->resumable) {
         m_events.continue_after(m_caller_request.last_event);
     }
@@ -482,7 +487,12 @@
         if (result == send_result::answered || result == send_result::caller_left) {
             if (result == send_result::caller_left) {
                 m_may_have_run = true; // not refunded: it is unknown whether it ran
-                log_end("caller_gone", m_last_failure);
+                if (m_ended_by_stop && !m_writer.started()) {
+                    give_up(send_result::may_have_run);
+                }
+                else {
+                    log_end("caller_gone", m_last_failure);
+                }
             }
             return;
         }
@@ -633,6 +643,10 @@
         log_end("upstream_failed", m_last_failure);
         return;
     }
+    if (m_ended_by_stop) {
+        refuse(stopped_unanswered(result));
+        return;
+    }
     if (result == send_result::not_run && !m_may_have_run) {
         using namespace std::chrono_literals;
         if (m_final_refusal) {
@@ -650,6 +664,35 @@
             {}});
 }
 
+/// Answers the request before the process ends. A stream that has begun is left as it is.
+template <gateway_wire Wire>
+void request_flow<Wire>::end_at_stop()
+{
+    if (!m_writer.started()) {
+        m_ended_by_stop = true;
+        m_cancel.cancel();
+    }
+}
+
+template <gateway_wire Wire>
+error request_flow<Wire>::stopped_unanswered(send_result result) const
+{
+    if (result == send_result::not_run && !m_may_have_run) {
+        return {error_kind::stopping, "this VM stopped before an upstream took the request",
+                "send it to another VM", run_outcome::not_run, other_vm_delay};
+    }
+    error unknown{error_kind::outcome_unknown,
+                  "this VM stopped before the upstream had answered",
+                  "read the status before you submit again",
+                  run_outcome::unknown,
+                  {}};
+    if (m_route->repeatable()) {
+        unknown.remedy = "send it to another VM; it may run twice";
+        unknown.retry_after = other_vm_delay;
+    }
+    return unknown;
+}
+
 template <gateway_wire Wire>
 void request_flow<Wire>::refuse_placing(const placement& where)
 {
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -114,7 +114,7 @@
         return std::nullopt;
     }
     return error{error_kind::stopping, "this VM stops before the request would be answered",
-                 "send it to another VM", run_outcome::not_run, 100ms};
+                 "send it to another VM", run_outcome::not_run, other_vm_delay};
 }
 
 /// Waits for a list that contains every version at which the stream can have begun.
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -469,6 +469,9 @@
     if (bytes.empty()) {
         return send_result::answered;
     }
+    if (!m_stream_started && m_ended_by_stop) {
+        return send_result::caller_left; // its last answer is due instead
+    }
     if (!std::exchange(m_stream_started, true)) {
         m_first_byte = elapsed();
         m_state.counters.first_byte.observe(m_first_byte, m_placing_request.service);
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -255,7 +255,10 @@
     auto end = exchange ? answered_end(handle_answer(*exchange.value(), sent, where))
                         : unanswered_end(exchange.error());
     if (m_cancel.cancelled()) {
-        return {send_result::caller_left, send_outcome::abandoned};
+        // What the caller has been sent, or is certain, holds beside the end of a stop.
+        const bool kept =
+            m_ended_by_stop && (end.result == send_result::answered || end.result == send_result::not_run);
+        return {kept ? end.result : send_result::caller_left, send_outcome::abandoned};
     }
     return end;
 }
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -25,12 +25,16 @@
 /// connection that it should have left.
 constexpr std::chrono::milliseconds stop_accept_time{2'000};
 
-/// The process ends so long before the kill.
-constexpr std::chrono::milliseconds stop_margin{600};
+/// So long before the kill, requests without an answer get one that says so.
+constexpr std::chrono::milliseconds stop_margin{800};
+
+/// For these answers; then the process ends.
+constexpr std::chrono::milliseconds last_answers_time{400};
 constexpr std::chrono::milliseconds stop_poll{50};
 
 /// So long before the end of the process connections are no longer kept for a further request.
 constexpr std::chrono::milliseconds last_close_time{400};
+constexpr std::chrono::milliseconds last_answers_poll{10};
 constexpr std::chrono::milliseconds cut_log_time{100}; ///< longest wait for the traffic thread
 
 constexpr std::chrono::milliseconds hop_header_timeout{10'000};
@@ -138,6 +142,7 @@
         return static_cast<std::int64_t>(entry.open_connections() + inner.open_connections());
     }
     void apply_limits(const service_plan& plan);
+    void await_last_answers(time_point until);
     void log_cut_requests(time_point stop_began);
     result<void> listen_for_questions(const endpoint& address);
     void serve_inner(const http_request& request, response_writer& writer);
@@ -261,6 +266,9 @@
             inner.close_idle();
         }
     }
+    if (state.in_flight > 0) {
+        await_last_answers(end + last_answers_time);
+    }
     if (state.in_flight > 0) {
         log_cut_requests(began);
     }
@@ -270,6 +278,15 @@
                {"took_ms", milliseconds_since(began)}});
 }
 
+/// Answers what has no answer yet, and waits until the callers have received it.
+void node_process::impl::await_last_answers(time_point until)
+{
+    boost::asio::post(traffic.front().io(), [this] { state.end_unanswered(); });
+    while (boot_clock::now() < until && caller_connections() > 0) {
+        std::this_thread::sleep_for(last_answers_poll);
+    }
+}
+
 /// The end of the process cuts these requests.
 void node_process::impl::log_cut_requests(time_point stop_began)
 {
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -118,6 +118,22 @@
     return now + needed <= deadline;
 }
 
+bool gateway_state::another_vm_ready() const
+{
+    bool found = false;
+    visit_vms(vms, [&](const vm_report& report, const vm_member& vm, time_point /*received_at*/) {
+        found = found || (vm.ready && vm.entry.port != 0 && report.region == settings.region);
+    });
+    return found;
+}
+
+void gateway_state::end_unanswered() const
+{
+    for (const auto& request : served) {
+        request.end_unanswered();
+    }
+}
+
 void gateway_state::on_quarantine_changes(const std::vector<quarantine_change>& changes,
                                           const vm_name& source)
 {
