A stopping VM takes no stream by an estimate while another one is ready

Streams that came in the first 2 s of a stop were taken by the usual time of their route, and cut by the end of the process when they took longer (the users' measurement: 11 of 16). Now streams and calls that may run once are taken only if their complete time budget ends in time. Idempotent calls are still taken by the estimate: a wrong one costs them a repetition.

--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -61,12 +61,13 @@
 
     bool stopping() const { return m_stop_deadline.load() != time_point::max(); }
 
-    /// Begins a stop. From `strict_from` on, a request is taken only if even its full time budget ends before
-    /// the deadline. May be called on any thread.
+    /// Begins a stop: a request is taken only if even its full time budget ends before the deadline. Until
+    /// `strict_from` the usual time of its route decides for a call that may be repeated, and for all
+    /// requests while no other VM of the region is ready. May be called on any thread.
     void begin_stop(time_point strict_from, time_point deadline);
 
     /// True unless the process stops and a request that is read now might be cut by its end.
-    bool answers_before_end(const route_name& route, std::chrono::milliseconds time_left,
+    bool answers_before_end(const plan_route& route, std::chrono::milliseconds time_left,
                             time_point now) const;
 
     /// Answers each request of which no byte of an answer has been sent. Called as a stop ends.
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -109,8 +109,7 @@
 template <gateway_wire Wire>
 std::optional<error> request_flow<Wire>::check_stopping() const
 {
-    using namespace std::chrono_literals;
-    if (m_state.answers_before_end(m_route->name, time_left(), boot_clock::now())) {
+    if (m_state.answers_before_end(*m_route, time_left(), boot_clock::now())) {
         return std::nullopt;
     }
     return error{error_kind::stopping, "this VM stops before the request would be answered",
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -148,7 +148,7 @@
         return false;
     }
     m_replacement_sought_at = now;
-    if (!why_stream_ends().empty() || !m_state.answers_before_end(m_route->name, time_left(), now)) {
+    if (!why_stream_ends().empty() || !m_state.answers_before_end(*m_route, time_left(), now)) {
         return false;
     }
     if (quarantine_decisions().verdict() != quarantine_verdict::allowed) {
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -106,15 +106,18 @@
     m_stop_deadline = deadline; // last, since it makes the stop visible
 }
 
-bool gateway_state::answers_before_end(const route_name& route, std::chrono::milliseconds time_left,
+bool gateway_state::answers_before_end(const plan_route& route, std::chrono::milliseconds time_left,
                                        time_point now) const
 {
     const auto deadline = m_stop_deadline.load();
     if (deadline == time_point::max()) {
         return true;
     }
-    const auto needed =
-        now < m_stop_strict_from.load() ? std::min(times.upper_bound(route), time_left) : time_left;
+    // The estimate is wrong for some requests. Calls that may be repeated lose little by it; others are taken
+    // by it only if no other VM would take them.
+    const bool estimated =
+        now < m_stop_strict_from.load() && (route.kind == call_kind::idempotent || !another_vm_ready());
+    const auto needed = estimated ? std::min(times.upper_bound(route.name), time_left) : time_left;
     return now + needed <= deadline;
 }
 
--- a/src/request/gateway/tests/gateway_state_test.cpp
+++ b/src/request/gateway/tests/gateway_state_test.cpp
@@ -59,23 +59,50 @@
 {
     traffic_group threads{1};
     http_client client(threads.front().io(), {});
-    const node_settings settings;
+    node_settings settings;
+    settings.region = region_name("riga");
     decision_log log;
     gateway_metrics counters;
     gateway_state state(settings, client, log, counters, 7);
-    const route_name route("draft");
+    plan_route route;
+    route.name = route_name("draft");
+    route.kind = call_kind::idempotent;
     const auto start = boot_clock::now();
     for (int i = 0; i < 50; ++i) {
-        state.times.sample(route, 1'000ms);
+        state.times.sample(route.name, 1'000ms);
     }
     CHECK(state.answers_before_end(route, 1h, start));
     CHECK_FALSE(state.stopping());
 
     state.begin_stop(start + 2s, start + 7s);
     CHECK(state.stopping());
-    SECTION("while callers are leaving, the usual time of a route decides")
+    SECTION("while callers are leaving, the usual time of a route decides for calls that may be repeated")
+    {
+        CHECK(state.answers_before_end(route, 15s, start + 1s));
+    }
+    SECTION("streams and calls that may run once must end in time even if they use up their time budget")
     {
+        known_vm other;
+        other.report.vm = vm_name("other");
+        other.report.region = settings.region;
+        other.report.entry = {"10.0.0.1", 1};
+        other.report.ready = true;
+        state.set_vms({std::make_shared<const known_vm>(other)}, 1);
+        for (const auto kind : {call_kind::stream, call_kind::at_most_once}) {
+            route.kind = kind;
+            for (const bool resumable : {false, true}) {
+                route.resumable = resumable;
+                CHECK_FALSE(state.answers_before_end(route, 15s, start));
+                CHECK_FALSE(state.answers_before_end(route, 7'001ms, start));
+                CHECK(state.answers_before_end(route, 7s, start));
+            }
+        }
+    }
+    SECTION("no other VM of the region is ready: the usual time decides for these, too")
+    {
+        route.kind = call_kind::stream;
         CHECK(state.answers_before_end(route, 15s, start + 1s));
+        CHECK_FALSE(state.answers_before_end(route, 15s, start + 2s));
     }
     SECTION("from then on a request must end in time even if it uses up its time budget")
     {
