The directory names no region without the host's homes while VMs of these restart

Cause: only regions with a ready VM were ranked, by routes without their customers' homes. Now the best regions by the plan, customers included, count whether or not a VM is ready there. While VMs there stop or start, or this VM may have missed it, there is no address and a time to return. Where VMs were killed, the next best regions are named as before, but none in which no route of the host is served.

Weighed: VMs that stop but still serve stay out, since they accept no connections after 2 s and callers keep an answer longer.

--- a/include/cardamomstream/process/deployment/entry_directory.h
+++ b/include/cardamomstream/process/deployment/entry_directory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cardamomstream/process/deployment/node_settings.h"
+#include "cardamomstream/process/deployment/region_readiness.h"
 #include "cardamomstream/process/deployment/vm_table.h"
 
 #include <chrono>
@@ -21,9 +22,6 @@
     data_centre_name data_centre;
 };
 
-/// A process that has run for less time may not know every VM yet.
-inline constexpr std::chrono::seconds directory_settling_time{3};
-
 /// With this many ready VMs in its own data centre, a caller has others to try when one fails.
 inline constexpr std::size_t min_local_vms = 3;
 
@@ -31,15 +29,16 @@
 struct directory_view {
     const service_plan* plan = nullptr; ///< null: none known
     const known_vms& vms;               ///< must outlive this view
+    const region_readiness& readiness;  ///< must outlive this view
+    time_point now;
     bool self_ready = false;
-    bool settled = false; ///< the process has run for `directory_settling_time`
 };
 
 /// Returns the entry addresses of the ready VMs in the caller's data centre, or in its whole region while
-/// fewer than `min_local_vms` of them are ready. If there are none, returns those of the regions that may
-/// serve most routes of the host, since the request body goes to the VM that the caller connects to. A VM
-/// that is not settled returns no regions but the best ones by the plan; until then the caller asks another
-/// VM.
+/// fewer than `min_local_vms` of them are ready. If there are none, returns those of the regions in which
+/// most routes of the host may be served, since the request body goes to the VM that the caller connects to.
+/// Returns none while no VM of these regions is ready but one stops or starts: the
+/// caller asks again. Else returns those of the next best regions, if any route may be served there.
 std::vector<endpoint> entry_addresses(const entry_query& query, const node_settings& self,
                                       const directory_view& known);
 
--- a/include/cardamomstream/request/gateway/gateway_metrics.h
+++ b/include/cardamomstream/request/gateway/gateway_metrics.h
@@ -26,6 +26,7 @@
     counter_family<std::string> refusals;            ///< by reason
     /// Callers' connections that ended before a request was read, by reason.
     counter_family<std::string> unserved_connections;
+    counter_family<> empty_entry_answers;         ///< to callers for whom no VM was found
     counter_family<pool_name, std::string> sends; ///< to upstreams, by outcome
     counter_family<region_name> hops;             ///< requests passed on to a VM of the region
     counter_family<pool_name> repeats;            ///< sends of a request after the first
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -42,6 +42,9 @@
 constexpr std::uint32_t descriptors_for_files = 200;
 constexpr std::uint16_t metrics_port = 9'464; ///< the usual port of a Prometheus exporter
 
+/// Until a caller for whom there is no entry asks again.
+constexpr std::chrono::seconds entry_retry_delay{1};
+
 std::uint64_t random_number()
 {
     std::uint64_t value = 0;
@@ -190,11 +193,17 @@
     else if (platform::is_entry_path(request.path())) {
         const auto question = platform::read_entry_query(request);
         const auto* plan = state.deployment ? state.deployment->plan.get() : nullptr;
-        const bool settled = boot_clock::now() - started_at >= directory_settling_time;
-        const auto entries = entry_addresses(question, settings, {plan, state.vms, state.ready(), settled});
+        const auto now = boot_clock::now();
+        const auto entries =
+            entry_addresses(question, settings, {plan, state.vms, state.readiness, now, state.ready()});
         response = platform::entry_answer(entries, entry_answer_lifetime);
         if (entries.empty()) {
             response.head.status = 503;
+            response.head.headers.push_back({"Retry-After", std::to_string(entry_retry_delay.count())});
+            counters.empty_entry_answers.increment();
+            log.write(log_weight::failure, "no_entry",
+                      {{"running_ms", milliseconds_since(started_at)},
+                       {"vms", static_cast<std::int64_t>(count_vms(state.vms))}});
         }
     }
     else if (request.path() == "/metrics") {
--- a/src/process/deployment/entry_directory.cpp
+++ b/src/process/deployment/entry_directory.cpp
@@ -11,17 +11,64 @@
 
 constexpr std::size_t max_addresses = 64; ///< callers use no more of one answer
 
-/// Number of the host's routes that may be served in the region.
-std::ptrdiff_t count_allowed_routes(const service_plan* plan, const std::string& host,
-                                    const region_name& region)
+/// True if at least one customer may use the route in the region.
+bool is_served_in(const region_name& region, const service_plan& plan, const plan_route& route)
 {
-    if (plan == nullptr) {
-        return 0;
+    if (!plan.has_customers() || route.open_to_all) {
+        return may_run_in(region, route, nullptr);
     }
-    const auto& routes = plan->document().routes;
-    return std::count_if(routes.begin(), routes.end(), [&](const plan_route& route) {
-        return route.host == host && may_run_in(region, route, nullptr);
+    const auto& customers = plan.document().customers;
+    return std::any_of(customers.begin(), customers.end(),
+                       [&](const plan_customer& customer) { return may_run_in(region, route, &customer); });
+}
+
+/// Number of the host's routes that are served in each region.
+std::map<region_name, std::ptrdiff_t> count_served_routes(const service_plan* plan, const std::string& host,
+                                                          const node_settings& self)
+{
+    std::map<region_name, std::ptrdiff_t> counts;
+    for (const auto& [data_centre, region] : self.regions) {
+        const auto [count, added] = counts.try_emplace(region, 0);
+        if (!added || plan == nullptr) {
+            continue;
+        }
+        const auto& routes = plan->document().routes;
+        count->second = std::count_if(routes.begin(), routes.end(), [&, &here = region](const auto& route) {
+            return route.host == host && is_served_in(here, *plan, route);
+        });
+    }
+    return counts;
+}
+
+using entries_by_region = std::map<region_name, std::vector<endpoint>>;
+
+/// For a caller whose own region has no ready VM.
+std::vector<endpoint> entries_elsewhere(const entry_query& query, const node_settings& self,
+                                        const directory_view& known, const entries_by_region& regions)
+{
+    auto counts = count_served_routes(known.plan, query.host, self);
+    std::ptrdiff_t most = 0;
+    for (const auto& [region, count] : counts) {
+        most = std::max(most, count);
+    }
+    std::ptrdiff_t most_with_vms = 0;
+    for (const auto& [region, entries] : regions) {
+        most_with_vms = std::max(most_with_vms, counts[region]);
+    }
+    const bool may_return = std::any_of(counts.begin(), counts.end(), [&](const auto& one) {
+        return one.second == most && known.readiness.may_return(one.first, known.now);
     });
+    std::vector<endpoint> selected;
+    // Where none of the host's routes is served, each request would be refused.
+    if (most_with_vms < most && (may_return || most_with_vms == 0)) {
+        return selected;
+    }
+    for (const auto& [region, entries] : regions) {
+        if (counts[region] == most_with_vms) {
+            selected.insert(selected.end(), entries.begin(), entries.end());
+        }
+    }
+    return selected;
 }
 
 } // namespace
@@ -31,7 +78,7 @@
 {
     std::vector<endpoint> same_data_centre;
     std::vector<endpoint> selected;
-    std::map<region_name, std::vector<endpoint>> other_regions;
+    entries_by_region other_regions;
     const auto add = [&](const region_name& region, const data_centre_name& data_centre,
                          const endpoint& entry) {
         (region == query.region ? selected : other_regions[region]).push_back(entry);
@@ -51,19 +98,7 @@
         selected = std::move(same_data_centre);
     }
     if (selected.empty()) {
-        std::ptrdiff_t max_routes = 0;
-        for (const auto& [data_centre, region] : self.regions) {
-            // Before this VM is settled, the plan alone gives the best regions, whether or not a VM there
-            // is known yet.
-            if (!known.settled || other_regions.contains(region)) {
-                max_routes = std::max(max_routes, count_allowed_routes(known.plan, query.host, region));
-            }
-        }
-        for (const auto& [region, entries] : other_regions) {
-            if (count_allowed_routes(known.plan, query.host, region) >= max_routes) {
-                selected.insert(selected.end(), entries.begin(), entries.end());
-            }
-        }
+        selected = entries_elsewhere(query, self, known, other_regions);
     }
     selected.resize(std::min(selected.size(), max_addresses));
     return selected;
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -24,6 +24,9 @@
     , unserved_connections(m_registry, {"cardamomstream_gateway_unserved_connections_total",
                                         "Connections that ended before a request was read, by reason.",
                                         {"reason"}})
+    , empty_entry_answers(m_registry, {"cardamomstream_gateway_empty_entry_answers_total",
+                                       "Answers to callers for whom no VM was found.",
+                                       {}})
     , sends(m_registry, {"cardamomstream_gateway_sends_total", "Sends by outcome.", {"service", "outcome"}})
     , hops(m_registry, {"cardamomstream_gateway_hops_total", "Requests passed on, by region.", {"region"}})
     , repeats(m_registry, {"cardamomstream_gateway_repeats_total", "Further sends.", {"service"}})
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -75,6 +75,11 @@
 void gateway_state::set_vms(known_vms reports, std::size_t sharers)
 {
     vms = std::move(reports);
+    const auto now = boot_clock::now();
+    readiness.update(vms, now);
+    if (!ready() && settings.entry_listener) {
+        readiness.note_restart(settings.region, now);
+    }
     load.set_reports(vms);
     placing.set_vms(vms);
     quota.set_fleet_size(count_vms(vms), sharers);
