--- a/include/cardamomstream/process/deployment/entry_directory.h
+++ b/include/cardamomstream/process/deployment/entry_directory.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "cardamomstream/process/deployment/node_settings.h"
-#include "cardamomstream/process/deployment/region_readiness.h"
+#include "cardamomstream/process/deployment/region_restarts.h"
 #include "cardamomstream/process/deployment/vm_table.h"
 
 #include <chrono>
@@ -29,7 +29,7 @@
 struct directory_view {
     const service_plan* plan = nullptr; ///< null: none known
     const known_vms& vms;               ///< must outlive this view
-    const region_readiness& readiness;  ///< must outlive this view
+    const region_restarts& restarts;    ///< must outlive this view
     time_point now;
     bool self_ready = false;
 };
--- a/include/cardamomstream/process/deployment/region_readiness.h
+++ b/include/cardamomstream/process/deployment/region_restarts.h
@@ -12,9 +12,9 @@
 inline constexpr std::chrono::seconds vm_return_time{20};
 
 /// Not thread-safe.
-class region_readiness {
+class region_restarts {
 public:
-    explicit region_readiness(time_point started)
+    explicit region_restarts(time_point started)
         : m_started(started)
     {
     }
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -4,7 +4,7 @@
 #include "cardamomstream/connection/http_client.h"
 #include "cardamomstream/process/decision_log.h"
 #include "cardamomstream/process/deployment/node_settings.h"
-#include "cardamomstream/process/deployment/region_readiness.h"
+#include "cardamomstream/process/deployment/region_restarts.h"
 #include "cardamomstream/request/admission_retry_budget.h"
 #include "cardamomstream/request/gateway/answer_memory.h"
 #include "cardamomstream/request/gateway/gateway_metrics.h"
@@ -80,7 +80,7 @@
     gateway_metrics& counters;
     std::shared_ptr<const deployment_view> deployment;
     known_vms vms;
-    region_readiness readiness{boot_clock::now()};
+    region_restarts restarts{boot_clock::now()};
     fleet_load load;
     placer placing;
     fleet_quota quota;
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -137,7 +137,7 @@
     entry_limits limits; ///< used on the traffic thread
     http_server entry;
     http_server inner;
-    std::vector<std::unique_ptr<http_server>> questions; ///< readiness, entry answers and metrics
+    std::vector<std::unique_ptr<http_server>> questions; ///< restarts, entry answers and metrics
 
 private:
     std::int64_t caller_connections() const
@@ -195,7 +195,7 @@
         const auto* plan = state.deployment ? state.deployment->plan.get() : nullptr;
         const auto now = boot_clock::now();
         const auto entries =
-            entry_addresses(question, settings, {plan, state.vms, state.readiness, now, state.ready()});
+            entry_addresses(question, settings, {plan, state.vms, state.restarts, now, state.ready()});
         response = platform::entry_answer(entries, entry_answer_lifetime);
         if (entries.empty()) {
             response.head.status = 503;
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -94,8 +94,8 @@
 constexpr std::chrono::milliseconds lingering_time{300};
 constexpr std::size_t lingering_read_bytes = 16 * 1024;
 
-/// The rest of a request that is too large is discarded within the time that a body may
-/// take, up to these limits: many callers read no answer before they have sent everything.
+/// The rest of a request that is too large is discarded within the time that a body may take, up to these
+/// limits: many callers read no answer before they have sent everything.
 constexpr std::chrono::milliseconds max_discard_silence{2'000};
 constexpr std::uint64_t max_discarded_bytes = std::uint64_t{64} * 1024 * 1024;
 
@@ -141,7 +141,7 @@
     socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ec);
     m_stream.expires_never();
     m_buffer.clear();
-    const auto until = boot_clock::now() + (m_partly_read ? m_limits->body_timeout : lingering_time);
+    const auto until = boot_clock::now() + (m_too_large ? m_limits->body_timeout : lingering_time);
     std::uint64_t discarded = 0;
     while (!ec && discarded < max_discarded_bytes) {
         const auto left = std::chrono::ceil<std::chrono::milliseconds>(until - boot_clock::now());
@@ -173,7 +173,7 @@
     incoming.header_limit(std::min(m_limits->max_header_bytes, longest_header_bytes));
     incoming.body_limit(m_limits->max_body_bytes);
     if (auto ec = read_request(incoming)) {
-        m_partly_read = ec == http::error::body_limit || ec == http::error::header_limit;
+        m_too_large = ec == http::error::body_limit || ec == http::error::header_limit;
         refuse_malformed(ec);
         return false;
     }
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -90,8 +90,8 @@
     bool m_chunked = true; ///< the stream that began last
     bool m_started = false;
     bool m_ended = false;
-    bool m_partly_read = false; ///< the last request was refused as too large
-    bool m_idle = false;        ///< waits for a request of which nothing has come
+    bool m_too_large = false; ///< the last request was refused as too large
+    bool m_idle = false;      ///< waits for a request of which nothing has come
 };
 
 } // namespace cardamomstream
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -514,10 +514,12 @@
 {
     http_limits limits;
     limits.max_body_bytes = 1024;
-    limits.body_timeout = 500ms;
+    limits.body_timeout = 10s;
     running_server running(echo, limits);
     raw_caller caller(running.address);
-    caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000000\r\n\r\n");
+    const auto send_head = [&] {
+        caller.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100000000\r\n\r\n");
+    };
     const auto sends_until_cut = [&](std::size_t bytes, std::chrono::milliseconds pause) {
         const std::string part(bytes, 'x');
         const auto began = std::chrono::steady_clock::now();
@@ -535,17 +537,22 @@
 
     SECTION("slowly, for longer than a body may take")
     {
+        limits.body_timeout = 500ms;
+        running.server.set_limits(limits);
+        send_head();
         CHECK(sends_until_cut(100, 20ms));
     }
-    SECTION("without a pause")
+    SECTION("more bytes than are discarded")
     {
+        send_head();
         CHECK(sends_until_cut(64 * 1024, 0ms));
     }
     SECTION("nothing for longer than a caller may pause")
     {
+        send_head();
         CHECK(contains(caller.read_all(), "HTTP/1.1 413 "));
-        CHECK(running.server.open_connections() <= 1);
-        std::this_thread::sleep_for(600ms);
+        CHECK(running.server.open_connections() == 1);
+        std::this_thread::sleep_for(2'600ms);
         CHECK(running.server.open_connections() == 0);
     }
 }
--- a/src/process/deployment/entry_directory.cpp
+++ b/src/process/deployment/entry_directory.cpp
@@ -56,7 +56,7 @@
         most_with_vms = std::max(most_with_vms, counts[region]);
     }
     const bool may_return = std::any_of(counts.begin(), counts.end(), [&](const auto& one) {
-        return one.second == most && known.readiness.may_return(one.first, known.now);
+        return one.second == most && known.restarts.may_return(one.first, known.now);
     });
     std::vector<endpoint> selected;
     // Where none of the host's routes is served, each request would be refused.
--- a/src/process/deployment/region_readiness.cpp
+++ b/src/process/deployment/region_restarts.cpp
@@ -1,10 +1,10 @@
-#include "cardamomstream/process/deployment/region_readiness.h"
+#include "cardamomstream/process/deployment/region_restarts.h"
 
 #include <algorithm>
 
 namespace cardamomstream {
 
-void region_readiness::update(const known_vms& vms, time_point now)
+void region_restarts::update(const known_vms& vms, time_point now)
 {
     visit_vms(vms, [&](const vm_report& report, const vm_member& vm, time_point /*received_at*/) {
         if (!vm.ready && vm.entry.port != 0) {
@@ -13,12 +13,12 @@
     });
 }
 
-void region_readiness::note_restart(const region_name& region, time_point now)
+void region_restarts::note_restart(const region_name& region, time_point now)
 {
     m_restart_at[region] = now;
 }
 
-bool region_readiness::may_return(const region_name& region, time_point now) const
+bool region_restarts::may_return(const region_name& region, time_point now) const
 {
     const auto found = m_restart_at.find(region);
     const auto since = found == m_restart_at.end() ? m_started : std::max(m_started, found->second);
--- a/src/process/deployment/tests/entry_directory_test.cpp
+++ b/src/process/deployment/tests/entry_directory_test.cpp
@@ -49,10 +49,10 @@
     const endpoint riga{"10.0.0.1", 2};
     const endpoint kurzeme{"10.0.0.1", 3};
     const auto now = boot_clock::now();
-    region_readiness readiness(now - 1h); // as if no other VM stopped or started
+    region_restarts restarts(now - 1h); // as if no other VM stopped or started
     const auto ask = [&](const entry_query& query, const service_plan& in_force, const known_vms& reports,
                          bool self_ready = true) {
-        return entry_addresses(query, self, {&in_force, reports, readiness, now, self_ready});
+        return entry_addresses(query, self, {&in_force, reports, restarts, now, self_ready});
     };
 
     SECTION("its own region has a ready VM: only that one")
@@ -110,23 +110,23 @@
         };
         SECTION("while one of them may come back: none")
         {
-            readiness.note_restart(region_name("riga"), now - vm_return_time);
+            restarts.note_restart(region_name("riga"), now - vm_return_time);
             CHECK(elsewhere().empty());
         }
         SECTION("after that, or when they were killed: the region in which the other route may be served")
         {
-            readiness.note_restart(region_name("riga"), now - vm_return_time - 1ms);
+            restarts.note_restart(region_name("riga"), now - vm_return_time - 1ms);
             CHECK(elsewhere() == std::vector<endpoint>{here});
         }
         SECTION("a VM that has just started can't tell: none")
         {
-            readiness = region_readiness(now - vm_return_time);
+            restarts = region_restarts(now - vm_return_time);
             CHECK(elsewhere().empty());
         }
         SECTION("a VM of a home region comes back: that one")
         {
             vms = {vm_in("riga", 2)};
-            readiness.update(vms, now);
+            restarts.update(vms, now);
             CHECK(ask({"bound.example", region_name("kurzeme"), {}}, mixed, vms) ==
                   std::vector<endpoint>{riga});
         }
@@ -178,7 +178,7 @@
     SECTION("a VM that has just started and knows no other does not return itself for a host with home "
             "regions elsewhere")
     {
-        readiness = region_readiness(now);
+        restarts = region_restarts(now);
         CHECK(ask({"bound.example", region_name("kurzeme"), {}}, plan, none).empty());
     }
     SECTION("a VM that is leaving or not ready is never returned")
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -76,9 +76,9 @@
 {
     vms = std::move(reports);
     const auto now = boot_clock::now();
-    readiness.update(vms, now);
+    restarts.update(vms, now);
     if (!ready() && settings.entry_listener) {
-        readiness.note_restart(settings.region, now);
+        restarts.note_restart(settings.region, now);
     }
     load.set_reports(vms);
     placing.set_vms(vms);
