--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -3,6 +3,7 @@
 
 #include "cardamomstream/connection/cancellation.h"
 #include "cardamomstream/connection/http_types.h"
+#include "cardamomstream/core/boot_clock.h"
 #include "cardamomstream/core/core_types.h"
 #include "cardamomstream/core/error.h"
 
@@ -24,6 +25,14 @@
     std::chrono::milliseconds total{300'000};
 };
 
+/// What comes of a new connection to a server.
+enum class reachability {
+    accepts,   ///< it is made; the process may stand still all the same
+    closes,    ///< it is made, and closed at once
+    refuses,   ///< the machine answers that no process listens
+    no_answer, ///< nothing comes back in time
+};
+
 /// One request to a server.
 struct http_call {
     endpoint address;
@@ -34,6 +43,9 @@
     call_limits limits;
     bool fresh_connection = false; ///< takes no pooled connection, which might have been closed meanwhile
 
+    /// Called with `refuses` or `no_answer` when no new connection can be made for the call.
+    std::function<void(reachability)> on_unconnected;
+
     /// Asked directly before the first byte leaves; its error ends the call with nothing sent.
     std::function<result<void>()> before_write;
 
@@ -63,6 +75,9 @@
     /// can be to no other request.
     virtual bool first_on_connection() const = 0;
 
+    /// When the connection was made.
+    virtual time_point connected_at() const = 0;
+
     /// Passes over an answer to another request, of which at most `max_bytes` are read, and reads the head of
     /// the next one. The connection isn't reused. Errors: those of next().
     virtual result<void> skip_answer(std::size_t max_bytes) = 0;
@@ -87,14 +102,6 @@
     std::size_t max_buffered_bytes = std::size_t{16} * 1024 * 1024;
 };
 
-/// What comes of a new connection to a server.
-enum class reachability {
-    accepts,   ///< it is made; the process may stand still all the same
-    closes,    ///< it is made, and closed at once
-    refuses,   ///< the machine answers that no process listens
-    no_answer, ///< nothing comes back in time
-};
-
 /// Opens and keeps connections. All calls are made in fibers of the thread that owns `io`.
 class http_client {
 public:
@@ -117,6 +124,10 @@
     reachability probe(const endpoint& address, std::chrono::milliseconds limit,
                        std::chrono::milliseconds settle_time);
 
+    /// Whether an idle connection to a server that was made before `at` is still open; empty when none was
+    /// kept.
+    std::optional<bool> idle_open(const endpoint& address, time_point at);
+
     /// Closes the idle connections to servers that are no longer in use.
     void close_idle(const endpoint& address);
 
--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -68,6 +68,13 @@
     std::chrono::milliseconds age{0};          ///< of the answer, when the report was made
 };
 
+/// End of an upstream's process, as one VM has seen it.
+struct upstream_end {
+    upstream_name upstream;
+    std::int64_t started_unix_ms = 0; ///< of the process that was listed then
+    std::chrono::milliseconds age{0}; ///< when the report was made
+};
+
 /// What ends of upstreams are counted for.
 enum class crash_subject : std::uint8_t {
     prompt_part, ///< shared by the prompts of many requests
@@ -160,8 +167,8 @@
     std::vector<endpoint> known_vms;
     /// Inner addresses in the other data centres, some of each, for a receiver that knows no VM there.
     std::vector<endpoint> known_elsewhere;
-    /// Set when `loads`, `uses`, `lateness`, `limits` and what is known of prompt parts cover all VMs of the
-    /// data centre.
+    /// Set when `loads`, `uses`, `lateness`, `limits`, `upstream_ends` and what is known of prompt parts
+    /// cover all VMs of the data centre.
     std::optional<data_centre_summary_part> summary;
     bool asks_for_members = false; ///< asks the receiver which VMs of the sender's data centre it knows
     bool reads_store = false;      ///< the VM watches the store itself
@@ -169,6 +176,7 @@
     std::vector<customer_use> uses;
     std::vector<lateness_sample> lateness;
     std::vector<stated_limit> limits;
+    std::vector<upstream_end> upstream_ends;  ///< lately seen
     std::vector<part_crash> part_crashes;     ///< those that all VMs of the fleet should know
     std::vector<part_success> part_successes; ///< of parts that other VMs may suspect
     std::vector<part_trial> part_trials;
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -259,6 +259,8 @@
     void note_success(time_point now);
     void note_completion(time_point now);
     void check_upstream_end(const placement& where, const sent_request& sent);
+    void note_no_process(const sent_request& sent, std::string_view sign);
+    void log_upstream_end(const sent_request& sent, std::string_view sign);
     bool needs_new_connection(const endpoint& address) const;
     send_end exchange_with(const http_call& call, const placement& where, sent_request* sent);
     send_end answered_end(send_result result) const;
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -18,6 +18,8 @@
     m_answer_began_at = boot_clock::now();
     const auto& head = exchange.head();
     if (sent != nullptr && proof != answer_proof::not_from_upstream && head.status != other_upstream) {
+        sent->connected_at = exchange.connected_at();
+        m_state.load.record_activity(*sent, boot_clock::now());
         record_statements(head, *sent);
     }
     if (proof == answer_proof::not_run) {
@@ -335,7 +337,7 @@
             note_success(now);
         }
         if (sent != nullptr) {
-            m_state.load.record_activity(where.upstream, now);
+            m_state.load.record_activity(*sent, now);
         }
     }
     return send_result::answered;
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -165,7 +165,7 @@
 template <gateway_wire Wire>
 bool request_flow<Wire>::is_run_lost(const placement& where, const sent_request* sent)
 {
-    if (sent != nullptr && m_state.load.has_restarted(*sent)) {
+    if (sent != nullptr && m_state.load.has_lost_run(*sent)) {
         return true;
     }
     switch (m_state.probe.reach(where.address)) {
@@ -221,6 +221,11 @@
     load_mark load(m_state.load, m_state.load.begin_request(where.upstream, m_placing_request,
                                                             where.predicted, boot_clock::now()));
     auto& sent = load.sent;
+    call.on_unconnected = [this, &sent](reachability /*found*/) { note_no_process(sent, "no_connection"); };
+    call.before_write = [this, &sent]() -> result<void> {
+        m_state.load.record_write(sent, boot_clock::now());
+        return boost::outcome_v2::success();
+    };
     limit_silence(call, where, &sent, connect_timeout);
     m_state.counters.predicted_first_byte.observe(where.predicted, m_placing_request.service);
     if (m_state.load.take_early_report_due() && m_state.request_early_report) {
@@ -334,13 +339,42 @@
                        {"send", std::int64_t{m_sends}}});
 }
 
+/// Records that no process of the upstream takes connections: the next one that does may be cold.
+template <gateway_wire Wire>
+void request_flow<Wire>::note_no_process(const sent_request& sent, std::string_view sign)
+{
+    if (m_state.load.record_no_process(sent, boot_clock::now())) {
+        log_upstream_end(sent, sign);
+    }
+}
+
+template <gateway_wire Wire>
+void request_flow<Wire>::log_upstream_end(const sent_request& sent, std::string_view sign)
+{
+    m_state.log.write(log_weight::state, "upstream_end_seen",
+                      {{"upstream", sent.upstream.str()}, {"sign", sign}});
+    if (m_state.request_early_report) {
+        m_state.request_early_report();
+    }
+}
+
 /// Suspects the request when its connection broke, and the parts of its prompt when the upstream's process
 /// has ended under an answer that had just begun.
 template <gateway_wire Wire>
 void request_flow<Wire>::check_upstream_end(const placement& where, const sent_request& sent)
 {
     const auto broke_at = boot_clock::now();
-    const bool ended = m_state.probe.has_ended(where.address);
+    m_state.load.record_break(sent, broke_at);
+    const auto found = m_state.probe.after_break(where.address);
+    const bool ended = found != reachability::accepts;
+    if (found == reachability::refuses || found == reachability::no_answer) {
+        note_no_process(sent, "broke_no_connection");
+    }
+    else if (found == reachability::accepts &&
+             m_state.load.record_common_break(sent, m_state.client.idle_open(where.address, broke_at),
+                                              broke_at)) {
+        log_upstream_end(sent, "connections_broke");
+    }
     const auto& id = m_caller_request.id.str();
     const auto broken_send = ended ? 0 : std::max<std::uint64_t>(1, std::hash<std::string>{}(id));
     m_state.on_quarantine_changes(m_state.request_quarantine.record_crash(m_request_digest, where.upstream,
--- a/include/cardamomstream/request/gateway/upstream_probe.h
+++ b/include/cardamomstream/request/gateway/upstream_probe.h
@@ -21,8 +21,11 @@
 
     // Calls of one kind for the same upstream at the same time share one attempt.
 
+    /// What comes of a new connection after another one broke.
+    reachability after_break(const endpoint& address);
+
     /// True when no connection can be made, or it is closed at once.
-    bool has_ended(const endpoint& address);
+    bool has_ended(const endpoint& address) { return after_break(address) != reachability::accepts; }
 
     /// What comes of a new connection. One that was made isn't tried anew for a second.
     reachability reach(const endpoint& address);
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -5,6 +5,7 @@
 #include "cardamomstream/process/deployment/vm_table.h"
 #include "cardamomstream/request/placing/lateness_table.h"
 #include "cardamomstream/request/placing/placing_types.h"
+#include "cardamomstream/request/placing/upstream_ends.h"
 #include "cardamomstream/request/placing/upstream_statements.h"
 
 #include <deque>
@@ -23,6 +24,7 @@
     std::chrono::milliseconds prefill{0}; ///< predicted prefill time of its prompt
     token_count memory = 0;
     time_point sent_at;
+    time_point connected_at; ///< when its connection was made; set with the first bytes of the answer
     std::chrono::milliseconds predicted{0};
     std::chrono::milliseconds predicted_from_load{0}; ///< `predicted` without the expected lateness
     bool first_event_seen = false;
@@ -49,9 +51,11 @@
         /// Requests passed on to its region that no report includes yet: time and prefill time.
         std::deque<std::pair<time_point, std::chrono::milliseconds>> hops;
         std::unordered_map<std::uint64_t, time_point> cached_parts;
-        std::deque<time_point> cold_sends;
-        double failure_rate = 0;    ///< moving average over the sends
-        std::uint64_t outcomes = 0; ///< number of sends in the average
+        /// Of this VM, also those from before a restart; without those for which no connection was made.
+        std::deque<time_point> recent_sends;
+        std::deque<time_point> recent_breaks; ///< of connections with a request of this VM
+        double failure_rate = 0;              ///< moving average over the sends
+        std::uint64_t outcomes = 0;           ///< number of sends in the average
         std::uint32_t consecutive_failures = 0;
         std::uint32_t consecutive_connect_failures = 0; ///< sends in a row that got no connection
         time_point next_attempt_at; ///< no connection is tried before, even if no other upstream is left
@@ -84,12 +88,23 @@
     /// Records that the upstream owes this request an answer and has fallen silent. Call once for each send.
     void record_silence(const sent_request& sent, time_point now);
 
-    /// Records that bytes came from the upstream.
-    void record_activity(const upstream_name& upstream, time_point now);
+    /// Records that bytes of the answer came from the upstream.
+    void record_activity(const sent_request& sent, time_point now);
 
-    /// True when the upstream has restarted since the request was sent.
+    /// Records that the request is written to its connection only now: a new connection takes time.
+    void record_write(const sent_request& sent, time_point now);
+
+    /// True when another process of the upstream is listed than the one that was when the request was sent.
     bool has_restarted(const sent_request& sent) const;
 
+    /// True when the process that got the request has ended, as its entry shows.
+    bool has_lost_run(const sent_request& sent) const
+    {
+        return has_restarted(sent) &&
+               !m_ends.was_sent_to_successor(sent.upstream, sent.sent_at, sent.started_unix_ms,
+                                             find(sent.upstream)->view.record.started_unix_ms);
+    }
+
     // Statements count also while the upstream is not listed, unless it has restarted since the send.
 
     /// Records the limit that an answer states. Returns true when the upstream's limit changed.
@@ -113,6 +128,29 @@
     /// Records that the upstream takes no connections because its process has ended.
     void record_process_end(const upstream_name& upstream, time_point now);
 
+    /// Records that no connection for the request can be made. Returns true when this is new to the other
+    /// VMs.
+    bool record_no_process(const sent_request& sent, time_point now);
+
+    /// Records that the connection of a request broke.
+    void record_break(const sent_request& sent, time_point now);
+
+    /// Call for a connection that broke at `broke_at`, when the upstream takes new ones. Returns true when
+    /// all connections to this upstream alone broke together, so that its process must have ended, and this
+    /// is new to the other VMs. `idle_open`: whether one that carried no request is still open; empty: there
+    /// was none.
+    bool record_common_break(const sent_request& sent, std::optional<bool> idle_open, time_point broke_at);
+
+    /// True while the upstream is known to be cold, or may have started without its entry being known.
+    /// `cold_time`: for which a process of its service can be cold.
+    bool may_be_cold(const upstream_state& state, std::chrono::milliseconds cold_time, time_point now) const;
+
+    /// Applies the ends of upstreams that another VM has seen. Call once for each report.
+    void apply_reported_ends(const known_vm& vm);
+
+    /// Ends of upstreams that this VM has seen, for its report.
+    std::vector<upstream_end> own_ends(time_point now) { return m_ends.own_ends(now); }
+
     /// Version of the upstream's software. Empty while its process may have started again without its new
     /// entry being known, as long as the list isn't known either.
     std::optional<std::string> version_of(const upstream_state& state, time_point now) const;
@@ -172,10 +210,13 @@
     void sample_lateness(const sent_request& sent, time_point now);
 
     std::unordered_map<upstream_name, upstream_state> m_upstreams;
+    /// Recent sends to upstreams that are not listed now; they count if one is listed again.
+    std::unordered_map<upstream_name, std::deque<time_point>> m_unlisted_sends;
     /// Reports whose loads are included in `others`.
     std::unordered_map<vm_name, std::shared_ptr<const known_vm>> m_counted_reports;
     lateness_table m_lateness;
     upstream_statements m_statements;
+    upstream_ends m_ends;
     double m_prediction_scale = 1;
     std::optional<time_point> m_list_known_since = time_point{};
     std::uint64_t m_last_number = 0;
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -54,9 +54,9 @@
     /// Time until the upstream's stated limit allows a request of this VM; zero without a limit.
     std::chrono::milliseconds limit_wait(const fleet_load& load, const fleet_load::upstream_state& state,
                                          time_point now) const;
-    /// False when the upstream is cold and has got its requests of this second.
-    bool allows_cold_request(const fleet_load::upstream_state& state, const plan_service& service,
-                             time_point now) const;
+    /// False when the upstream may be cold and has got its requests of this second.
+    bool allows_cold_request(const fleet_load& load, const fleet_load::upstream_state& state,
+                             const plan_service& service, time_point now) const;
     /// Adds a cost to upstreams that fail more often than the best candidate.
     static void add_failure_costs(std::vector<candidate>& candidates);
     /// Why no upstream may be used now.
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -57,6 +57,13 @@
             settings.inner_listener};
 }
 
+/// True when the report is among the first that tell of an upstream's end.
+bool has_new_end(const vm_report& report)
+{
+    return std::any_of(report.upstream_ends.begin(), report.upstream_ends.end(),
+                       [](const upstream_end& end) { return end.age < report_interval; });
+}
+
 http_client_settings store_connection()
 {
     http_client_settings settings;
@@ -393,9 +400,14 @@
         send(received.outgoing);
         // Loads on the upstreams of this region are placed on at once.
         if (received.is_new && report.value().region == m_settings.region &&
-            now - m_vms_published_at >= least_publish_interval) {
+            (now - m_vms_published_at >= least_publish_interval || has_new_end(report.value()))) {
             publish_vms(now);
         }
+        if (received.is_new && !report.value().summary && has_new_end(report.value()) &&
+            now - m_summarised_at >= m_exchange.min_interval()) {
+            m_summarised_at = now;
+            send(m_exchange.summarise(now));
+        }
     }
 }
 
@@ -428,9 +440,22 @@
 
 void node_control::report_here()
 {
-    if (boot_clock::now() - m_reported_at >= m_exchange.min_interval()) {
+    const auto asked_at = boot_clock::now();
+    const auto wait = m_reported_at + m_exchange.min_interval() - asked_at;
+    if (wait <= boot_clock::duration::zero()) {
         report_from_traffic();
+        return;
     }
+    if (std::exchange(m_early_report_waits, true)) {
+        return;
+    }
+    m_thread.spawn([this, asked_at, wait] {
+        boost::this_fiber::sleep_for(wait);
+        m_early_report_waits = false;
+        if (m_reported_at < asked_at) {
+            report_from_traffic();
+        }
+    });
 }
 
 void node_control::confirm_upstreams()
@@ -473,6 +498,7 @@
                                 m_state.quota.uses(),
                                 m_state.load.take_lateness(),
                                 m_state.load.own_limits(boot_clock::now()),
+                                m_state.load.own_ends(boot_clock::now()),
                                 m_state.quarantine.take_report(boot_clock::now()),
                                 m_state.request_quarantine.take_report(boot_clock::now()),
                                 m_state.origins.take_report(boot_clock::now())};
@@ -504,6 +530,7 @@
     state.uses = std::move(traffic.uses);
     state.lateness = std::move(traffic.lateness);
     state.limits = std::move(traffic.limits);
+    state.upstream_ends = std::move(traffic.upstream_ends);
     state.part_crashes = std::move(traffic.prompt_parts.crashes);
     state.part_successes = std::move(traffic.prompt_parts.successes);
     state.part_trials = std::move(traffic.prompt_parts.trials);
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -20,6 +20,7 @@
     std::vector<customer_use> uses;
     std::vector<lateness_sample> lateness;
     std::vector<stated_limit> limits;
+    std::vector<upstream_end> upstream_ends;
     quarantine_report prompt_parts;
     quarantine_report requests;
     std::vector<reported_origins> stream_origins;
@@ -90,7 +91,9 @@
     store_reader_choice m_reader;
     boost::asio::ip::udp::socket m_socket;
     time_point m_reported_at;
+    bool m_early_report_waits = false; ///< a fiber makes it once the least interval is over
     time_point m_vms_published_at;
+    time_point m_summarised_at; ///< beside the regular summaries
     bool m_leaving = false;
     bool m_confirmation_wanted = false;
     bool m_confirming = false;         ///< the fiber that reads the list anew is running
--- a/src/connection/client/client_connection.cpp
+++ b/src/connection/client/client_connection.cpp
@@ -40,6 +40,7 @@
         close();
         return unavailable(address, deadline.expired() ? "no answer in time" : ec.message());
     }
+    connected_at = boot_clock::now();
     m_socket.set_option(tcp::no_delay(true), ec);
     m_socket.set_option(boost::asio::socket_base::keep_alive(true), ec);
     m_socket.set_option(user_timeout_option(static_cast<int>(user_timeout.count())), ec);
--- a/src/connection/client/client_connection.h
+++ b/src/connection/client/client_connection.h
@@ -37,6 +37,7 @@
     boost::asio::ip::tcp::socket& socket() noexcept { return m_socket; }
     read_buffer& buffer() noexcept { return m_buffer; }
 
+    time_point connected_at;
     time_point idle_since;
     bool has_carried_request = false;
 
--- a/src/connection/client/http_client.cpp
+++ b/src/connection/client/http_client.cpp
@@ -32,6 +32,14 @@
         auto connected = connection->connect(call.address, call.limits.connect, m_settings.user_timeout);
         cancel.clear_action();
         if (!connected) {
+            // Other errors are this machine's, such as a lack of descriptors.
+            const auto reason = connection->connect_error();
+            if (call.on_unconnected && !cancel.cancelled() &&
+                (reason == boost::asio::error::connection_refused ||
+                 reason == boost::asio::error::operation_aborted ||
+                 reason == boost::asio::error::timed_out)) {
+                call.on_unconnected(reached(*connection));
+            }
             return connected.error();
         }
         return connection;
@@ -42,9 +50,7 @@
     {
         auto connection = std::make_shared<client_connection>(m_io, m_read_memory);
         if (!connection->connect(address, limit, m_settings.user_timeout)) {
-            return connection->connect_error() == boost::asio::error::connection_refused
-                       ? reachability::refuses
-                       : reachability::no_answer;
+            return reached(*connection);
         }
         boost::this_fiber::sleep_for(settle_time);
         if (!connection->usable()) {
@@ -65,9 +71,31 @@
         idle.push_back(std::move(connection));
     }
 
+    std::optional<bool> idle_open(const endpoint& address, time_point at)
+    {
+        std::optional<bool> open;
+        const auto now = boot_clock::now();
+        if (const auto found = m_idle.find(address); found != m_idle.end()) {
+            for (const auto& connection : found->second) {
+                if (connection->connected_at >= at || now - connection->idle_since >= m_settings.max_idle) {
+                    continue;
+                }
+                open = open.value_or(false) || connection->usable();
+            }
+        }
+        return open;
+    }
+
     void close_idle(const endpoint& address) { m_idle.erase(address); }
 
 private:
+    /// What came of a connection that could not be made.
+    static reachability reached(const client_connection& connection)
+    {
+        return connection.connect_error() == boost::asio::error::connection_refused ? reachability::refuses
+                                                                                    : reachability::no_answer;
+    }
+
     std::shared_ptr<client_connection> take_idle(const endpoint& address)
     {
         const auto found = m_idle.find(address);
@@ -147,6 +175,11 @@
     return m_pool->probe(address, limit, settle_time);
 }
 
+std::optional<bool> http_client::idle_open(const endpoint& address, time_point at)
+{
+    return m_pool->idle_open(address, at);
+}
+
 void http_client::close_idle(const endpoint& address)
 {
     m_pool->close_idle(address);
--- a/src/connection/client/pooled_exchange.cpp
+++ b/src/connection/client/pooled_exchange.cpp
@@ -40,6 +40,7 @@
     : m_connection(std::move(connection))
     , m_cancel(cancel)
     , m_give_back(std::move(give_back))
+    , m_connected_at(m_connection->connected_at)
 {
 }
 
--- a/src/connection/client/pooled_exchange.h
+++ b/src/connection/client/pooled_exchange.h
@@ -34,6 +34,7 @@
     const http_response_head& head() const override { return m_head; }
     result<std::optional<std::string>> next() override;
     bool first_on_connection() const override { return m_first_on_connection; }
+    time_point connected_at() const override { return m_connected_at; }
     result<void> skip_answer(std::size_t max_bytes) override;
     void limit_rest(std::chrono::milliseconds rest) override;
 
@@ -59,6 +60,7 @@
     call_limits m_limits;
     std::function<std::chrono::milliseconds(std::chrono::milliseconds)> m_on_silence;
     time_point m_started;
+    time_point m_connected_at;
     bool m_first_on_connection = false;
     bool m_reusable = true;
     std::array<char, 16 * 1024> m_data{};
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -180,6 +180,25 @@
     }
 }
 
+/// Adds the ends of upstreams in a report that was made `age` ago; of several for one process the newest
+/// stays.
+void add_newest_ends(std::vector<upstream_end>& ends, const std::vector<upstream_end>& others,
+                     boot_clock::duration age)
+{
+    for (auto other : others) {
+        other.age += std::chrono::floor<std::chrono::milliseconds>(age);
+        const auto same = std::find_if(ends.begin(), ends.end(), [&](const upstream_end& end) {
+            return end.upstream == other.upstream && end.started_unix_ms == other.started_unix_ms;
+        });
+        if (same == ends.end()) {
+            ends.push_back(std::move(other));
+        }
+        else {
+            same->age = std::min(same->age, other.age);
+        }
+    }
+}
+
 } // namespace
 
 report_exchange::report_exchange(vm_identity self, std::map<data_centre_name, region_name> data_centres)
@@ -327,6 +346,7 @@
     set_identity(state);
     state.limits = m_last_report.limits;
     add_age(state.limits, now - m_last_report_at);
+    add_newest_ends(state.upstream_ends, m_last_report.upstream_ends, now - m_last_report_at);
     add_part_findings(state, m_last_report, now - m_last_report_at);
     state.stream_origins = m_last_report.stream_origins;
     m_last_report = state;
@@ -377,6 +397,8 @@
     summary.read_from.clear();
     summary.limits.clear();
     add_newest_limits(summary.limits, m_last_report.limits, now - m_last_report_at);
+    summary.upstream_ends.clear();
+    add_newest_ends(summary.upstream_ends, m_last_report.upstream_ends, now - m_last_report_at);
     summary.part_crashes.clear();
     summary.part_successes.clear();
     summary.part_trials.clear();
@@ -389,6 +411,7 @@
         alive.push_back(&vm->report);
         merge_newest(summary.known_changes, vm->report.known_changes);
         add_newest_limits(summary.limits, vm->report.limits, now - vm->received_at);
+        add_newest_ends(summary.upstream_ends, vm->report.upstream_ends, now - vm->received_at);
         add_part_findings(summary, vm->report, now - vm->received_at);
         add_stream_origins(summary, vm->report);
     }
--- a/src/process/deployment/tests/vm_report_codec_test.cpp
+++ b/src/process/deployment/tests/vm_report_codec_test.cpp
@@ -64,3 +64,15 @@
         CHECK(sent_and_received(report).lateness.size() == 1);
     }
 }
+
+TEST_CASE("ends of upstreams that a VM has seen reach the other VMs")
+{
+    auto report = plain_report();
+    report.upstream_ends = {{upstream_name("i-1"), 1'700'000'000'000, 40ms},
+                            {upstream_name("i-2"), 0, std::chrono::milliseconds::max()}};
+    const auto read = sent_and_received(report);
+    REQUIRE(read.upstream_ends.size() == 1); // an age beyond all bounds is left out
+    CHECK(read.upstream_ends[0].upstream == upstream_name("i-1"));
+    CHECK(read.upstream_ends[0].started_unix_ms == 1'700'000'000'000);
+    CHECK(read.upstream_ends[0].age == 40ms);
+}
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -113,6 +113,23 @@
     return limit;
 }
 
+void encode_end(const upstream_end& end, report_messages::UpstreamEnd& message)
+{
+    message.set_upstream(end.upstream.str());
+    message.set_started_unix_ms(end.started_unix_ms);
+    message.set_age_ms(encode_age(end.age));
+}
+
+/// Empty when the age makes no sense.
+std::optional<upstream_end> decode_end(const report_messages::UpstreamEnd& message)
+{
+    if (message.age_ms() > max_age_ms) {
+        return std::nullopt;
+    }
+    return upstream_end{upstream_name(message.upstream()), message.started_unix_ms(),
+                        std::chrono::milliseconds(message.age_ms())};
+}
+
 crash_subject decode_subject(bool request)
 {
     return request ? crash_subject::request : crash_subject::prompt_part;
@@ -361,6 +378,9 @@
     for (const auto& limit : report.limits) {
         encode_limit(limit, *message.add_limits());
     }
+    for (const auto& end : report.upstream_ends) {
+        encode_end(end, *message.add_upstream_ends());
+    }
     encode_prompt_parts(report, message);
     encode_origins(report, message);
     encode_positions(report, message);
@@ -412,6 +432,11 @@
             report.limits.push_back(std::move(*limit));
         }
     }
+    for (const auto& message_end : message.upstream_ends()) {
+        if (auto end = decode_end(message_end)) {
+            report.upstream_ends.push_back(std::move(*end));
+        }
+    }
     decode_prompt_parts(message, report);
     decode_origins(message, report);
     report.known_changes = decode_positions(message, message.known_changes());
--- a/src/request/gateway/upstream_probe.cpp
+++ b/src/request/gateway/upstream_probe.cpp
@@ -12,9 +12,9 @@
 
 } // namespace
 
-bool upstream_probe::has_ended(const endpoint& address)
+reachability upstream_probe::after_break(const endpoint& address)
 {
-    return attempt(m_ended_attempts, address, ending_settle_time) != reachability::accepts;
+    return attempt(m_ended_attempts, address, ending_settle_time);
 }
 
 reachability upstream_probe::reach(const endpoint& address)
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -17,7 +17,12 @@
 constexpr std::chrono::seconds cached_part_ttl{30};
 constexpr std::size_t max_cached_parts = 4'096;
 
-constexpr std::chrono::seconds cold_send_window{2}; ///< longer than the second to which the limit applies
+/// Longer than the second to which the limit of a cold upstream applies.
+constexpr std::chrono::seconds recent_send_window{2};
+
+/// Connections that break within this time broke together.
+constexpr std::chrono::milliseconds break_window{300};
+constexpr std::ptrdiff_t breaks_of_end = 2; ///< fewer may be resets of single connections
 
 constexpr double failure_weight = 0.04;          ///< weight of one send in the moving average
 constexpr double prediction_scale_weight = 0.05; ///< weight of one first event in the moving average
@@ -103,12 +108,22 @@
     for (const auto& view : deployment.upstreams) {
         auto& state = kept[view.record.id];
         const auto known = m_upstreams.find(view.record.id);
-        if (known != m_upstreams.end() &&
-            known->second.view.record.started_unix_ms == view.record.started_unix_ms) {
-            state = std::move(known->second);
+        if (known != m_upstreams.end()) {
+            if (known->second.view.record.started_unix_ms == view.record.started_unix_ms) {
+                state = std::move(known->second);
+            }
+            else {
+                // The new process may have got them before it was listed.
+                state.recent_sends = std::move(known->second.recent_sends);
+            }
+            m_upstreams.erase(known);
+        }
+        else if (const auto unlisted = m_unlisted_sends.extract(view.record.id)) {
+            state.recent_sends = std::move(unlisted.mapped());
         }
         state.view = view;
         m_statements.on_listed(view.record.id, view.record.started_unix_ms);
+        m_ends.on_listed(view.record.id, view.record.started_unix_ms);
         const auto* service = deployment.plan ? deployment.plan->find_service(view.record.service) : nullptr;
         if (service != nullptr && service->engine) {
             state.engine_batch = service->engine->batch;
@@ -116,6 +131,11 @@
             state.tokens_per_event = service->engine->tokens_per_event;
         }
     }
+    for (auto& [id, state] : m_upstreams) {
+        if (!state.recent_sends.empty()) {
+            m_unlisted_sends[id] = std::move(state.recent_sends);
+        }
+    }
     m_upstreams = std::move(kept);
     // Reports may include upstreams that were unknown when the reports came.
     for (auto& [id, state] : m_upstreams) {
@@ -232,12 +252,10 @@
     m_unreported_prefill += sent.prefill;
     state.own.memory_tokens += sent.memory;
     m_statements.count_send(upstream, now);
-    if (state.view.cold_until > now) {
-        while (!state.cold_sends.empty() && now - state.cold_sends.front() > cold_send_window) {
-            state.cold_sends.pop_front();
-        }
-        state.cold_sends.push_back(now);
+    while (!state.recent_sends.empty() && now - state.recent_sends.front() > recent_send_window) {
+        state.recent_sends.pop_front();
     }
+    state.recent_sends.push_back(now);
     if (state.cached_parts.size() > max_cached_parts) {
         std::erase_if(state.cached_parts,
                       [&](const auto& part) { return now - part.second > cached_part_ttl / 2; });
@@ -255,7 +273,7 @@
         return;
     }
     const auto found = m_upstreams.find(sent.upstream);
-    if (found == m_upstreams.end()) {
+    if (found == m_upstreams.end() || has_restarted(sent)) {
         return;
     }
     remove_pending_prefill(found->second, sent.number, now);
@@ -272,7 +290,8 @@
 void fleet_load::end_request(sent_request& sent, send_outcome outcome, time_point now)
 {
     const auto found = m_upstreams.find(sent.upstream);
-    if (found == m_upstreams.end()) {
+    // What is known of an earlier process says nothing of the one that is listed now.
+    if (found == m_upstreams.end() || has_restarted(sent)) {
         return;
     }
     auto& state = found->second;
@@ -286,6 +305,7 @@
     }
     if (outcome == send_outcome::unreachable) {
         state.refused_connection_at = now;
+        std::erase(state.recent_sends, sent.sent_at);
     }
     if (outcome == send_outcome::unreachable &&
         ++state.consecutive_connect_failures >= connect_failures_until_paced) {
@@ -381,14 +401,91 @@
     }
 }
 
-void fleet_load::record_activity(const upstream_name& upstream, time_point now)
+void fleet_load::record_activity(const sent_request& sent, time_point now)
 {
-    const auto found = m_upstreams.find(upstream);
-    if (found != m_upstreams.end()) {
+    if (sent.connected_at != time_point{}) {
+        m_ends.record_answer(sent.upstream, {sent.connected_at, sent.sent_at, now});
+    }
+    const auto found = m_upstreams.find(sent.upstream);
+    if (found != m_upstreams.end() && !has_restarted(sent)) {
         mark_active(found->second, now);
     }
 }
 
+void fleet_load::record_write(const sent_request& sent, time_point now)
+{
+    const auto found = m_upstreams.find(sent.upstream);
+    if (found == m_upstreams.end()) {
+        return;
+    }
+    auto& sends = found->second.recent_sends;
+    if (const auto at = std::find(sends.begin(), sends.end(), sent.sent_at); at != sends.end()) {
+        sends.erase(at);
+        sends.push_back(now);
+    }
+}
+
+bool fleet_load::record_no_process(const sent_request& sent, time_point now)
+{
+    return find(sent.upstream) != nullptr && !has_restarted(sent) &&
+           m_ends.record_end(sent.upstream, sent.started_unix_ms, now, std::chrono::nanoseconds{0});
+}
+
+void fleet_load::record_break(const sent_request& sent, time_point now)
+{
+    const auto found = m_upstreams.find(sent.upstream);
+    if (found == m_upstreams.end() || has_restarted(sent)) {
+        return;
+    }
+    auto& breaks = found->second.recent_breaks;
+    std::erase_if(breaks, [&](time_point at) { return now - at > break_window; });
+    breaks.push_back(now);
+}
+
+bool fleet_load::record_common_break(const sent_request& sent, std::optional<bool> idle_open,
+                                     time_point broke_at)
+{
+    const auto* state = find(sent.upstream);
+    if (state == nullptr || has_restarted(sent) || idle_open.value_or(false)) {
+        return false;
+    }
+    const auto is_recent = [&](time_point at) {
+        return at > broke_at - break_window && at < broke_at + break_window;
+    };
+    const auto breaks_of = [&](const upstream_state& one) {
+        return std::count_if(one.recent_breaks.begin(), one.recent_breaks.end(), is_recent);
+    };
+    const bool elsewhere = std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto& item) {
+        return item.first != sent.upstream && breaks_of(item.second) > 0;
+    });
+    const auto broken = breaks_of(*state) + (idle_open ? 1 : 0);
+    const auto answered = m_ends.last_answer_on_older(sent.upstream, broke_at);
+    const auto sent_since = std::count_if(state->recent_sends.begin(), state->recent_sends.end(),
+                                          [&](time_point at) { return at > broke_at; });
+    const bool others_open = std::cmp_greater(state->own.running, sent_since);
+    if (elsewhere || others_open || broken < breaks_of_end || (answered && *answered > broke_at)) {
+        return false;
+    }
+    const auto used_since = sent.connected_at == time_point{} ? sent.sent_at : sent.connected_at;
+    return m_ends.record_end(sent.upstream, sent.started_unix_ms, broke_at, broke_at - used_since);
+}
+
+bool fleet_load::may_be_cold(const upstream_state& state, std::chrono::milliseconds cold_time,
+                             time_point now) const
+{
+    return state.view.cold_until > now || m_ends.may_have_restarted(state.view.record.id, cold_time, now);
+}
+
+void fleet_load::apply_reported_ends(const known_vm& vm)
+{
+    for (const auto& end : vm.report.upstream_ends) {
+        const auto* state = find(end.upstream);
+        if (state != nullptr && end.started_unix_ms >= state->view.record.started_unix_ms) {
+            m_ends.record_reported(end.upstream, end.started_unix_ms, vm.received_at - end.age);
+        }
+    }
+}
+
 bool fleet_load::has_restarted(const sent_request& sent) const
 {
     const auto* state = find(sent.upstream);
@@ -447,6 +544,8 @@
 
 std::vector<upstream_load> fleet_load::take_loads(time_point now)
 {
+    std::erase_if(m_unlisted_sends,
+                  [&](const auto& item) { return now - item.second.back() > recent_send_window; });
     std::vector<upstream_load> loads;
     for (auto& [id, state] : m_upstreams) {
         if (state.own.running > 0 || !state.own.new_parts.empty()) {
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -181,19 +181,19 @@
     return option;
 }
 
-bool placer::allows_cold_request(const fleet_load::upstream_state& state, const plan_service& service,
-                                 time_point now) const
+bool placer::allows_cold_request(const fleet_load& load, const fleet_load::upstream_state& state,
+                                 const plan_service& service, time_point now) const
 {
-    if (state.view.cold_until <= now || service.cold_requests_per_second <= 0) {
+    if (service.cold_requests_per_second <= 0 || !load.may_be_cold(state, service.cold_time, now)) {
         return true;
     }
     if (now - m_started_at < startup_delay) {
         return false;
     }
     const double bound = service.cold_requests_per_second * m_settings.cold_factor + m_settings.cold_slack;
-    const auto recent = std::count_if(state.cold_sends.begin(), state.cold_sends.end(), [&](time_point at) {
-        return now - at < std::chrono::milliseconds{1'100};
-    });
+    const auto recent =
+        std::count_if(state.recent_sends.begin(), state.recent_sends.end(),
+                      [&](time_point at) { return now - at < std::chrono::milliseconds{1'100}; });
     return static_cast<std::size_t>(recent) < cold_request_limit(state.view.record.id, bound, now);
 }
 
@@ -371,7 +371,7 @@
                     std::chrono::ceil<std::chrono::milliseconds>(state.full_until - now));
             continue;
         }
-        if (here && service != nullptr && !allows_cold_request(state, *service, now)) {
+        if (here && service != nullptr && !allows_cold_request(load, state, *service, now)) {
             exclude(placing_verdict::cold);
             continue;
         }
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <deque>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -246,7 +247,7 @@
         auto owed = fixture.send("a", 100);
         fixture.now += 1s;
         CHECK(fixture.place(fixture.request(500)).upstream == upstream_name("b"));
-        fixture.load.record_activity(upstream_name("a"), fixture.now);
+        fixture.load.record_activity(owed, fixture.now);
         fixture.load.on_first_event(owed, fixture.now);
         auto busy = fixture.send("b", 30'000);
         fixture.placing.set_vms({}); // no other region
@@ -761,3 +762,128 @@
         CHECK(certain(100ms));
     }
 }
+
+TEST_CASE("an upstream whose process has ended gets no more than a cold one may, before its entry comes")
+{
+    placing_fixture fixture;
+    fixture.view.upstreams = {engine("a", here)};
+    fixture.load.set_deployment(fixture.view);
+    const upstream_name upstream("a");
+    constexpr std::size_t own_share = 2; // of 2.9 x 1.5 + 3, divided by three VMs
+    const auto placed = [&](int requests) {
+        std::size_t sent = 0;
+        for (int number = 0; number < requests; ++number) {
+            if (fixture.place(fixture.request(100)).verdict == placing_verdict::here) {
+                fixture.send("a", 100);
+                sent += 1;
+            }
+        }
+        return sent;
+    };
+    const auto list_successor = [&] {
+        fixture.view.upstreams[0].record.started_unix_ms = 2;
+        fixture.view.upstreams[0].cold_until = fixture.now + 3s;
+        fixture.load.set_deployment(fixture.view);
+    };
+
+    SECTION("as this VM has seen it")
+    {
+        auto refused = fixture.send("a", 100);
+        CHECK(fixture.load.record_no_process(refused, fixture.now));
+        fixture.load.end_request(refused, send_outcome::unreachable, fixture.now); // reached nobody
+        fixture.now += 10ms;
+        CHECK(placed(5) == own_share);
+        SECTION("and what was sent before the entry counts after it")
+        {
+            fixture.now += 500ms;
+            list_successor();
+            CHECK(placed(5) == 0);
+            fixture.now += 700ms;
+            CHECK(placed(5) == own_share);
+        }
+    }
+    SECTION("nor when its entry lapses meanwhile and comes back")
+    {
+        CHECK(placed(5) == 5);
+        const auto listed = std::exchange(fixture.view.upstreams, {});
+        fixture.load.set_deployment(fixture.view);
+        (void)fixture.load.take_loads(fixture.now);
+        fixture.view.upstreams = listed;
+        list_successor();
+        CHECK(placed(5) == 0);
+    }
+    SECTION("as another VM reports it")
+    {
+        known_vm other;
+        other.received_at = fixture.now;
+        other.report.upstream_ends = {{upstream, 1, 50ms}};
+        fixture.load.apply_reported_ends(other);
+        CHECK(placed(5) == own_share);
+    }
+    SECTION("not for the end of a process before the one that is listed")
+    {
+        known_vm other;
+        other.received_at = fixture.now;
+        other.report.upstream_ends = {{upstream, 0, 50ms}};
+        fixture.load.apply_reported_ends(other);
+        CHECK(placed(5) == 5);
+    }
+    SECTION("one connection of several that breaks is no sign")
+    {
+        auto sent = fixture.send("a", 100);
+        fixture.load.record_break(sent, fixture.now);
+        CHECK_FALSE(fixture.load.record_common_break(sent, false, fixture.now)); // one is still open
+        fixture.load.end_request(sent, send_outcome::broken, fixture.now);
+        CHECK_FALSE(fixture.load.record_common_break(sent, std::nullopt, fixture.now));
+        CHECK_FALSE(fixture.load.record_common_break(sent, true, fixture.now));
+        SECTION("together with the idle ones it is")
+        {
+            CHECK(fixture.load.record_common_break(sent, false, fixture.now));
+            CHECK(placed(5) == own_share - 1); // the send before counts
+        }
+        SECTION("unless connections to others broke too: then they were reset on the way")
+        {
+            fixture.view.upstreams.push_back(engine("b", here));
+            fixture.load.set_deployment(fixture.view);
+            fixture.load.record_break(fixture.send("b", 100), fixture.now);
+            CHECK_FALSE(fixture.load.record_common_break(sent, false, fixture.now));
+        }
+    }
+}
+
+TEST_CASE("what ends at an earlier process of an upstream says nothing of the one that is listed now")
+{
+    placing_fixture fixture;
+    auto at_earlier = fixture.send("a", 100);
+    fixture.view.upstreams[0].record.started_unix_ms = 2;
+    fixture.load.set_deployment(fixture.view);
+    auto at_present = fixture.send("a", 100);
+    const auto* state = fixture.load.find(upstream_name("a"));
+    REQUIRE(state->own.running == 1);
+
+    SECTION("its load stays")
+    {
+        fixture.load.end_request(at_earlier, send_outcome::broken, fixture.now);
+        CHECK(state->own.running == 1);
+        CHECK(state->outcomes == 0);
+    }
+    SECTION("the run of the earlier one is lost")
+    {
+        CHECK(fixture.load.has_lost_run(at_earlier));
+        CHECK_FALSE(fixture.load.has_lost_run(at_present));
+    }
+}
+
+TEST_CASE("a request that was sent to an unlisted successor has not lost its run when that is listed")
+{
+    placing_fixture fixture;
+    auto at_earlier = fixture.send("a", 100);
+    fixture.now += 10ms;
+    fixture.load.record_no_process(at_earlier, fixture.now);
+    fixture.now += 300ms;
+    auto at_successor = fixture.send("a", 100);
+    fixture.view.upstreams[0].record.started_unix_ms = 2;
+    fixture.load.set_deployment(fixture.view);
+    CHECK(fixture.load.has_lost_run(at_earlier));
+    CHECK_FALSE(fixture.load.has_lost_run(at_successor));
+}
