--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -139,6 +139,7 @@
     endpoint inner; ///< where other VMs connect
     endpoint entry; ///< where callers connect
     bool ready = false;
+    bool links_lost = false; ///< to the upstreams of its region
     friend bool operator==(const vm_member&, const vm_member&) = default;
 };
 
@@ -162,6 +163,7 @@
     endpoint inner; ///< where other VMs connect
     bool ready = false;
     bool leaving = false;
+    bool links_lost = false; ///< to the upstreams of its region
     version_number plan_version = 0;
     /// Inner addresses in the receiver's data centre, so that VMs discover each other.
     std::vector<endpoint> known_vms;
--- a/include/cardamomstream/process/deployment/entry_directory.h
+++ b/include/cardamomstream/process/deployment/entry_directory.h
@@ -32,8 +32,10 @@
     const region_restarts& restarts;    ///< must outlive this view
     time_point now;
     bool self_ready = false;
+    bool self_links_lost = false; ///< the links of this VM to its region's upstreams
 };
 
+/// VMs that have lost their links to the upstreams count only where no other VM of their region is ready.
 /// Returns the entry addresses of the ready VMs in the caller's data centre, or in its whole region while
 /// fewer than `min_local_vms` of them are ready. If there are none, returns those of the regions in which
 /// most routes of the host may be served, since the request body goes to the VM that the caller connects to.
--- a/include/cardamomstream/process/deployment/vm_table.h
+++ b/include/cardamomstream/process/deployment/vm_table.h
@@ -31,7 +31,8 @@
     for (const auto& known : vms) {
         const auto& report = known->report;
         if (!report.summary) {
-            action(report, vm_member{report.inner, report.entry, report.ready && !report.leaving},
+            action(report,
+                   vm_member{report.inner, report.entry, report.ready && !report.leaving, report.links_lost},
                    known->received_at);
             continue;
         }
--- a/include/cardamomstream/request/admission_retry_budget.h
+++ b/include/cardamomstream/request/admission_retry_budget.h
@@ -22,8 +22,9 @@
     /// Records a first attempt, which adds to the budget.
     void on_request();
 
-    /// Decides on one more attempt and consumes one of the budget if it is allowed. Allowed are requests that
-    /// are idempotent or did not run, before the first byte of a response and within the deadline.
+    /// Decides on one more attempt and consumes one of the budget if it is allowed and the last one reached
+    /// an upstream. Allowed are requests that are idempotent or did not run, before the first byte of a
+    /// response and within the deadline.
     retry_decision next(const retry_query& query, time_point now, std::mt19937_64& random);
 
     /// Sets how many unused retries may accumulate, for a process whose share of the fleet's budget changes.
--- a/include/cardamomstream/request/admission_types.h
+++ b/include/cardamomstream/request/admission_types.h
@@ -55,7 +55,8 @@
 struct retry_query {
     repeat_policy repeat = repeat_policy::idempotent;
     run_outcome outcome = run_outcome::unknown;
-    bool answer_begun = false; ///< a byte of the response was sent to the caller
+    bool answer_begun = false;   ///< a byte of the response was sent to the caller
+    bool reached_nobody = false; ///< no byte was sent: one more attempt is no repeat for the upstreams
     std::uint32_t attempts_made = 1;
     time_point deadline;                               ///< of the caller
     std::chrono::milliseconds min_attempt_duration{0}; ///< least duration of one more attempt
--- a/include/cardamomstream/request/gateway/gateway_metrics.h
+++ b/include/cardamomstream/request/gateway/gateway_metrics.h
@@ -45,6 +45,7 @@
     gauge_family<> plan_version;
     gauge_family<> vms_reporting;
     gauge_family<> upstreams_usable;
+    gauge_family<> links_lost;           ///< 1 while no upstream of the region can be reached
     gauge_family<> parts_quarantined;    ///< prompt parts that are refused
     gauge_family<> requests_quarantined; ///< requests that are refused, by path, caller and body
     gauge_family<> prediction_scale;
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -10,6 +10,7 @@
 #include "cardamomstream/request/gateway/gateway_metrics.h"
 #include "cardamomstream/request/gateway/serving_times.h"
 #include "cardamomstream/request/gateway/upstream_probe.h"
+#include "cardamomstream/request/placing/link_monitor.h"
 #include "cardamomstream/request/placing/placer.h"
 #include "cardamomstream/request/quarantine/prompt_quarantine.h"
 #include "cardamomstream/request/quota/fleet_quota.h"
@@ -57,6 +58,16 @@
     /// findings early. `source`: the VM whose findings led to it.
     void on_quarantine_changes(const std::vector<quarantine_change>& changes, const vm_name& source);
 
+    /// Records that an upstream of the region could not be reached or is silent, and tries others if that may
+    /// be this VM's fault.
+    void note_link_failure(const upstream_name& upstream);
+
+    /// Looks for links that are lost or back. Call several times a second.
+    void tend_links();
+
+    /// Ends of upstreams that this VM has seen, for its report; none while its own links are in doubt.
+    std::vector<upstream_end> own_upstream_ends();
+
     /// True when requests can be served: a plan is known and the process is not stopping.
     bool ready() const { return deployment && deployment->plan && !stopping(); }
 
@@ -82,6 +93,7 @@
     known_vms vms;
     region_restarts restarts{boot_clock::now()};
     fleet_load load;
+    link_monitor links;
     placer placing;
     fleet_quota quota;
     prompt_quarantine quarantine;         ///< of prompt parts
@@ -105,6 +117,11 @@
         time_point counted_at;
     };
 
+    void begin_link_round(time_point now);
+    void try_links();
+    std::vector<endpoint> link_targets(time_point now);
+    bool reaches(const endpoint& upstream);
+
     service_retries& find_or_add_retries(const pool_name& service);
     double retry_burst(double recent_requests) const;
     bool another_vm_ready() const; ///< of the own region
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -155,6 +155,8 @@
     static constexpr std::chrono::milliseconds hop_connect_timeout{700}; ///< between regions
     /// Added to twice the predicted time to the first byte of a stream.
     static constexpr std::chrono::milliseconds first_byte_margin{800};
+    /// Of the own region, to which one request is passed on.
+    static constexpr std::size_t max_vms_of_region = 2;
     /// Least time without a byte after which an idempotent call is sent again.
     static constexpr std::chrono::milliseconds min_answer_timeout{400};
     /// Between two events of a stream that can be resumed.
@@ -185,6 +187,7 @@
     /// Until another VM is asked, after this one has stopped.
     static constexpr std::chrono::milliseconds other_vm_delay{100};
 
+    static constexpr std::string_view nothing_sent = "nothing_sent";
     static constexpr std::string_view ends_under_part =
         "upstreams have ended while they answered prompts with the same part";
     static constexpr std::string_view ends_under_request =
@@ -219,7 +222,7 @@
     void merge_hedge();
     void begin_send(const placement& where);
     send_result send_to_upstream(const placement& where);
-    send_result send_to_region(const placement& where);
+    send_result send_to_vm(const placement& where);
     send_result handle_answer(http_exchange& exchange, sent_request* sent, const placement& where);
     std::optional<answer_proof> await_own_answer(http_exchange& exchange, bool by_vm, const placement& where);
     void note_foreign_answer(const http_response_head& head, bool by_vm, const placement& where);
@@ -518,14 +521,15 @@
 template <gateway_wire Wire>
 bool request_flow<Wire>::is_placed(const placement& where)
 {
-    return where.verdict == placing_verdict::here || where.verdict == placing_verdict::other_region;
+    return where.verdict == placing_verdict::here || where.verdict == placing_verdict::other_vm ||
+           where.verdict == placing_verdict::other_region;
 }
 
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result request_flow<Wire>::send(const placement& where)
 {
     begin_send(where);
-    return where.verdict == placing_verdict::here ? send_to_upstream(where) : send_to_region(where);
+    return where.verdict == placing_verdict::here ? send_to_upstream(where) : send_to_vm(where);
 }
 
 /// Records a send that brought no usable answer. The request isn't placed there again.
@@ -545,8 +549,12 @@
 {
     if (where.verdict == placing_verdict::here) {
         request.tried.push_back(where.upstream);
+        return;
     }
-    else {
+    if (where.verdict == placing_verdict::other_vm) {
+        request.tried_vms.push_back(where.address);
+    }
+    if (where.verdict == placing_verdict::other_region || request.tried_vms.size() >= max_vms_of_region) {
         request.refused_by.push_back(where.region);
     }
 }
@@ -628,6 +636,7 @@
     query.repeat = m_route->repeatable() ? repeat_policy::idempotent : repeat_policy::at_most_once;
     query.outcome = result == send_result::not_run ? run_outcome::not_run : run_outcome::unknown;
     query.attempts_made = m_sends;
+    query.reached_nobody = m_not_run_evidence == nothing_sent;
     query.deadline = m_deadline;
     return m_state.retry_budget_for(m_placing_request.service).next(query, now, m_state.random);
 }
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -20,6 +20,9 @@
     if (sent != nullptr && proof != answer_proof::not_from_upstream && head.status != other_upstream) {
         sent->connected_at = exchange.connected_at();
         m_state.load.record_activity(*sent, boot_clock::now());
+        if (exchange.first_on_connection()) {
+            m_state.links.record_contact(sent->upstream);
+        }
         record_statements(head, *sent);
     }
     if (proof == answer_proof::not_run) {
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -1,4 +1,4 @@
-/// Sends a request to an upstream, or to a VM of another region.
+/// Sends a request to an upstream, or to another VM.
 #pragma once
 
 #include "cardamomstream/request/gateway/request_flow.h"
@@ -130,6 +130,7 @@
         return;
     }
     m_state.load.record_silence(*sent, boot_clock::now());
+    m_state.note_link_failure(where.upstream);
     m_state.log.write(log_weight::failure, "upstream_silent",
                       {{"request", m_caller_request.id.str()},
                        {"upstream", where.upstream.str()},
@@ -221,7 +222,10 @@
     load_mark load(m_state.load, m_state.load.begin_request(where.upstream, m_placing_request,
                                                             where.predicted, boot_clock::now()));
     auto& sent = load.sent;
-    call.on_unconnected = [this, &sent](reachability /*found*/) { note_no_process(sent, "no_connection"); };
+    call.on_unconnected = [this, &sent](reachability /*found*/) {
+        note_no_process(sent, "no_connection");
+        m_state.note_link_failure(sent.upstream);
+    };
     call.before_write = [this, &sent]() -> result<void> {
         m_state.load.record_write(sent, boot_clock::now());
         return boost::outcome_v2::success();
@@ -288,7 +292,7 @@
 {
     note_failure(failure);
     if (failure.outcome == run_outcome::not_run) {
-        m_not_run_evidence = "nothing_sent";
+        m_not_run_evidence = nothing_sent;
         return {send_result::not_run, send_outcome::unreachable};
     }
     const bool silent = failure.kind == error_kind::upstream_timeout;
@@ -367,6 +371,9 @@
     m_state.load.record_break(sent, broke_at);
     const auto found = m_state.probe.after_break(where.address);
     const bool ended = found != reachability::accepts;
+    if (ended) {
+        m_state.note_link_failure(where.upstream);
+    }
     if (found == reachability::refuses || found == reachability::no_answer) {
         note_no_process(sent, "broke_no_connection");
     }
@@ -401,8 +408,9 @@
 }
 
 template <gateway_wire Wire>
-typename request_flow<Wire>::send_result request_flow<Wire>::send_to_region(const placement& where)
+typename request_flow<Wire>::send_result request_flow<Wire>::send_to_vm(const placement& where)
 {
+    const bool elsewhere = where.verdict == placing_verdict::other_region;
     auto details = call_details(where);
     http_call call;
     call.address = where.address;
@@ -412,10 +420,12 @@
     remove_hop_headers(call.headers);
     write_hop_headers(call.headers,
                       {m_route->name, m_placing_request.service, details.customer, m_placing_request.urgency,
-                       m_placing_request.waited + m_state.placing.region_delay(), m_placing_request.version});
+                       m_placing_request.waited +
+                           (elsewhere ? m_state.placing.region_delay() : std::chrono::milliseconds{0}),
+                       m_placing_request.version});
     call.body = m_request.body;
     call.fresh_connection = needs_new_connection(where.address);
-    limit_silence(call, where, nullptr, hop_connect_timeout);
+    limit_silence(call, where, nullptr, elsewhere ? hop_connect_timeout : connect_timeout);
     m_state.load.record_hop(where.upstream, m_placing_request, boot_clock::now());
     m_state.counters.hops.increment(where.region);
     const auto [result, outcome] = exchange_with(call, where, nullptr);
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -145,6 +145,15 @@
     /// `cold_time`: for which a process of its service can be cold.
     bool may_be_cold(const upstream_state& state, std::chrono::milliseconds cold_time, time_point now) const;
 
+    /// Sets whether this VM's links to its region's upstreams are lost. What its requests have met until then
+    /// says nothing of the upstreams, and what is sent without links is no load on them.
+    void set_links_lost(bool lost, time_point now);
+
+    /// Upstreams of the region with requests of this VM, from which nothing has come for `limit`; empty when
+    /// something has come from another one.
+    std::vector<upstream_name> all_silent(const region_name& region, std::chrono::milliseconds limit,
+                                          time_point now) const;
+
     /// Applies the ends of upstreams that another VM has seen. Call once for each report.
     void apply_reported_ends(const known_vm& vm);
 
@@ -167,6 +176,9 @@
     /// True once when the load sent since the last report is so large that the next report should not wait.
     bool take_early_report_due();
 
+    /// Engine memory that the requests at the upstream may use, those of other VMs included.
+    token_count memory(const upstream_state& state) const;
+
     /// Moving average of the factor by which first events come later than predicted.
     double prediction_scale() const noexcept { return m_prediction_scale; }
 
@@ -221,6 +233,8 @@
     std::optional<time_point> m_list_known_since = time_point{};
     std::uint64_t m_last_number = 0;
     std::chrono::milliseconds m_unreported_prefill{0}; ///< prefill time sent since the last report
+    bool m_links_lost = false;
+    time_point m_links_changed_at;
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/placing/lateness_table.h
+++ b/include/cardamomstream/request/placing/lateness_table.h
@@ -38,6 +38,13 @@
     /// This VM's own samples since the last call.
     std::vector<lateness_sample> take_unreported();
 
+    /// Discards everything.
+    void clear()
+    {
+        m_averages.clear();
+        m_unreported.clear();
+    }
+
 private:
     struct average {
         double ms = 0;
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -20,6 +20,10 @@
     /// Sets the other VMs of every region; this VM is counted in addition in its own region.
     void set_vms(const known_vms& vms);
 
+    /// Sets whether this VM's links to its region's upstreams are lost. Then other VMs of the region get the
+    /// requests for these.
+    void set_links_lost(bool lost) { m_links_lost = lost; }
+
     /// Chooses an upstream, or refuses the request.
     placement place(const placing_request& request, const service_plan& plan, const fleet_load& load,
                     time_point now);
@@ -77,6 +81,9 @@
     void sample_candidates(std::vector<candidate>& candidates, const upstream_name* preferred);
     /// A random VM of another region.
     endpoint random_vm_in(const region_name& region);
+    /// VMs of this region, but this one, that may get the request.
+    std::vector<endpoint> next_vms(const placing_request& request) const;
+    endpoint random_of(const std::vector<endpoint>& vms);
     void count_refusal(bool refused);
     placement refuse(const placing_request& request, placing_verdict verdict,
                      std::chrono::milliseconds predicted);
@@ -88,7 +95,10 @@
     time_point m_started_at;
     double m_refused_fraction = 0; ///< moving average over the last requests
     std::size_t m_fleet_size = 1;  ///< VMs of all regions, including this one
-    std::unordered_map<region_name, std::vector<endpoint>> m_remote_vms; ///< ready VMs of the other regions
+    bool m_links_lost = false;
+    // Ready VMs that have links to the upstreams of their region:
+    std::unordered_map<region_name, std::vector<endpoint>> m_remote_vms; ///< of the other regions
+    std::vector<endpoint> m_region_vms;                                  ///< of this one, without this VM
     struct neighbour {
         std::uint64_t hash = 0;
         bool same_data_centre = false; ///< as this VM
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -33,6 +33,7 @@
     std::chrono::milliseconds time_left{0};
     std::vector<upstream_name> tried;    ///< excluded because they were tried before
     std::vector<region_name> refused_by; ///< regions that have just refused the request
+    std::vector<endpoint> tried_vms;     ///< VMs of this region to which it was passed on before
     /// Of the upstream's software; set for a stream that has begun.
     std::optional<std::string> version;
     bool own_region_only = false; ///< set for a request that another VM passed on
@@ -42,6 +43,7 @@
 /// The refusals are ordered: when several apply, the last one is given as the reason.
 enum class placing_verdict {
     here,         ///< send to an upstream of this VM's region
+    other_vm,     ///< pass on to another VM of this region, which reaches the upstream
     other_region, ///< pass on to a VM of the upstream's region
     no_upstream,  ///< no upstream is known that the request may use
     unreachable,  ///< the known upstreams have just failed to accept a connection
@@ -86,6 +88,7 @@
     double attention_ms_per_million_pairs = 0.63;
     std::chrono::milliseconds first_event_base{25};   ///< batch step and network delay of an idle engine
     std::chrono::milliseconds region_round_trip{170}; ///< twice 80 ms between the regions, plus the extra hop
+    std::chrono::milliseconds vm_round_trip{10};      ///< for another VM of the region
     std::chrono::milliseconds data_centre_cost{15};   ///< for another data centre of the region
     std::chrono::milliseconds mean_run_time{1'500};   ///< of a stream; slots free up every mean / slots
     std::chrono::milliseconds plain_run_time{40};     ///< of a call that is not a stream
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -494,14 +494,16 @@
 void node_control::report_from_traffic()
 {
     boost::asio::post(m_traffic.io(), [this] {
+        m_state.tend_links();
         traffic_figures traffic{m_state.load.take_loads(boot_clock::now()),
                                 m_state.quota.uses(),
                                 m_state.load.take_lateness(),
                                 m_state.load.own_limits(boot_clock::now()),
-                                m_state.load.own_ends(boot_clock::now()),
+                                m_state.own_upstream_ends(),
                                 m_state.quarantine.take_report(boot_clock::now()),
                                 m_state.request_quarantine.take_report(boot_clock::now()),
-                                m_state.origins.take_report(boot_clock::now())};
+                                m_state.origins.take_report(boot_clock::now()),
+                                m_state.links.lost()};
         boost::asio::post(m_thread.io(),
                           [this, traffic = std::move(traffic)]() mutable { report(std::move(traffic)); });
     });
@@ -540,6 +542,7 @@
                                 requests.successes.end());
     state.part_trials.insert(state.part_trials.end(), requests.trials.begin(), requests.trials.end());
     state.stream_origins = std::move(traffic.stream_origins);
+    state.links_lost = traffic.links_lost;
     send(m_exchange.report(std::move(state), now));
 }
 
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -24,6 +24,7 @@
     quarantine_report prompt_parts;
     quarantine_report requests;
     std::vector<reported_origins> stream_origins;
+    bool links_lost = false;
 };
 
 class node_control {
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -194,8 +194,8 @@
         const auto question = platform::read_entry_query(request);
         const auto* plan = state.deployment ? state.deployment->plan.get() : nullptr;
         const auto now = boot_clock::now();
-        const auto entries =
-            entry_addresses(question, settings, {plan, state.vms, state.restarts, now, state.ready()});
+        const auto entries = entry_addresses(
+            question, settings, {plan, state.vms, state.restarts, now, state.ready(), state.links.lost()});
         response = platform::entry_answer(entries, entry_answer_lifetime);
         if (entries.empty()) {
             response.head.status = 503;
--- a/src/process/deployment/entry_directory.cpp
+++ b/src/process/deployment/entry_directory.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cstddef>
 #include <map>
+#include <set>
 #include <utility>
 
 namespace cardamomstream {
@@ -71,6 +72,21 @@
     return selected;
 }
 
+/// Regions with a ready VM that has its links to the upstreams.
+std::set<region_name> regions_of_linked_vms(const node_settings& self, const directory_view& known)
+{
+    std::set<region_name> regions;
+    if (known.self_ready && self.entry_listener && !known.self_links_lost) {
+        regions.insert(self.region);
+    }
+    visit_vms(known.vms, [&](const vm_report& report, const vm_member& vm, time_point /*received_at*/) {
+        if (vm.ready && vm.entry.port != 0 && !vm.links_lost) {
+            regions.insert(report.region);
+        }
+    });
+    return regions;
+}
+
 } // namespace
 
 std::vector<endpoint> entry_addresses(const entry_query& query, const node_settings& self,
@@ -79,19 +95,23 @@
     std::vector<endpoint> same_data_centre;
     std::vector<endpoint> selected;
     entries_by_region other_regions;
+    const auto regions_with_links = regions_of_linked_vms(self, known);
     const auto add = [&](const region_name& region, const data_centre_name& data_centre,
-                         const endpoint& entry) {
+                         const endpoint& entry, bool links_lost) {
+        if (links_lost && regions_with_links.contains(region)) {
+            return;
+        }
         (region == query.region ? selected : other_regions[region]).push_back(entry);
         if (region == query.region && data_centre == query.data_centre) {
             same_data_centre.push_back(entry);
         }
     };
     if (known.self_ready && self.entry_listener) {
-        add(self.region, self.data_centre, *self.entry_listener);
+        add(self.region, self.data_centre, *self.entry_listener, known.self_links_lost);
     }
     visit_vms(known.vms, [&](const vm_report& report, const vm_member& vm, time_point /*received_at*/) {
         if (vm.ready && vm.entry.port != 0) {
-            add(report.region, report.data_centre, vm.entry);
+            add(report.region, report.data_centre, vm.entry, vm.links_lost);
         }
     });
     if (same_data_centre.size() >= min_local_vms) {
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -343,6 +343,7 @@
 {
     state.loads = m_last_report.loads;
     state.uses = m_last_report.uses;
+    state.links_lost = m_last_report.links_lost;
     set_identity(state);
     state.limits = m_last_report.limits;
     add_age(state.limits, now - m_last_report_at);
@@ -416,7 +417,7 @@
         add_stream_origins(summary, vm->report);
     }
     for (const auto* vm : alive) {
-        part.members.push_back({vm->inner, vm->entry, vm->ready && !vm->leaving});
+        part.members.push_back({vm->inner, vm->entry, vm->ready && !vm->leaving, vm->links_lost});
         part.store_readers += vm->reads_store || vm->store_failing ? 1 : 0;
         part.store_readers_failing += vm->store_failing ? 1 : 0;
     }
--- a/src/process/deployment/tests/entry_directory_test.cpp
+++ b/src/process/deployment/tests/entry_directory_test.cpp
@@ -59,6 +59,15 @@
     {
         CHECK(ask({"open.example", region_name("riga"), {}}, plan, vms) == std::vector<endpoint>{riga});
     }
+    SECTION("a VM without links to the upstreams is named only where it is the only one")
+    {
+        in_riga->report.links_lost = true;
+        CHECK(ask({"open.example", region_name("riga"), {}}, plan, vms) == std::vector<endpoint>{riga});
+        const auto linked = vm_in("riga", 4);
+        vms.push_back(linked);
+        CHECK(ask({"open.example", region_name("riga"), {}}, plan, vms) ==
+              std::vector<endpoint>{linked->report.entry});
+    }
     SECTION("its region has two data centres")
     {
         const auto add = [&](const std::string& data_centre, std::uint16_t port) {
--- a/src/process/deployment/tests/vm_report_codec_test.cpp
+++ b/src/process/deployment/tests/vm_report_codec_test.cpp
@@ -65,6 +65,20 @@
     }
 }
 
+TEST_CASE("a VM tells that it has lost its links to the upstreams")
+{
+    auto report = plain_report();
+    CHECK_FALSE(sent_and_received(report).links_lost);
+    report.links_lost = true;
+    report.summary.emplace();
+    report.summary->members = {{{"10.2.0.1", 7000}, {"10.2.0.2", 80}, true, true},
+                               {{"10.2.0.3", 7000}, {"10.2.0.4", 80}, true, false}};
+    const auto read = sent_and_received(report);
+    CHECK(read.links_lost);
+    REQUIRE(read.summary.has_value());
+    CHECK(read.summary->members == report.summary->members);
+}
+
 TEST_CASE("ends of upstreams that a VM has seen reach the other VMs")
 {
     auto report = plain_report();
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -171,6 +171,7 @@
         message.add_entry_ipv4(encode_ipv4(member.entry.address));
         message.add_entry_port(member.entry.port);
         message.add_ready(member.ready);
+        message.add_links_lost(member.links_lost);
     }
     message.set_sharers(summary.sharers);
     message.set_store_readers(summary.store_readers);
@@ -187,7 +188,8 @@
     for (int at = 0; at < members; ++at) {
         summary.members.push_back({decode_endpoint(message.inner_ipv4(at), message.inner_port(at)),
                                    decode_endpoint(message.entry_ipv4(at), message.entry_port(at)),
-                                   message.ready(at)});
+                                   message.ready(at),
+                                   at < message.links_lost_size() && message.links_lost(at)});
     }
     summary.sharers = message.sharers();
     summary.store_readers = message.store_readers();
@@ -347,6 +349,7 @@
     encode_endpoint(report.inner, *message.mutable_inner());
     message.set_ready(report.ready);
     message.set_leaving(report.leaving);
+    message.set_links_lost(report.links_lost);
     message.set_plan_version(report.plan_version);
     if (report.summary) {
         encode_summary(*report.summary, *message.mutable_summary());
@@ -414,6 +417,7 @@
     report.inner = decode_endpoint(message.inner());
     report.ready = message.ready();
     report.leaving = message.leaving();
+    report.links_lost = message.links_lost();
     report.plan_version = message.plan_version();
     if (message.has_summary()) {
         report.summary = decode_summary(message.summary());
--- a/src/request/admission/retry_budget.cpp
+++ b/src/request/admission/retry_budget.cpp
@@ -61,10 +61,12 @@
     if (at + query.min_attempt_duration > query.deadline) {
         return {retry_verdict::deadline_too_near, {}};
     }
-    if (m_level < 1) {
-        return {retry_verdict::budget_exhausted, {}};
+    if (!query.reached_nobody) {
+        if (m_level < 1) {
+            return {retry_verdict::budget_exhausted, {}};
+        }
+        m_level -= 1;
     }
-    m_level -= 1;
     return {retry_verdict::allowed, at};
 }
 
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -63,6 +63,9 @@
     , plan_version(m_registry, {"cardamomstream_gateway_plan_version", "Plan in force.", {}})
     , vms_reporting(m_registry, {"cardamomstream_gateway_vms_heard", "Other VMs that report.", {}})
     , upstreams_usable(m_registry, {"cardamomstream_gateway_upstreams_usable", "Upstreams in use.", {}})
+    , links_lost(
+          m_registry,
+          {"cardamomstream_gateway_links_lost", "1 while no upstream of the region can be reached.", {}})
     , parts_quarantined(m_registry, {"cardamomstream_gateway_prompt_parts_quarantined",
                                      "Prompt parts that are kept away from upstreams.",
                                      {}})
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -1,7 +1,10 @@
 #include "cardamomstream/request/gateway/gateway_state.h"
 
+#include "cardamomstream/connection/traffic_thread.h"
+
 #include <algorithm>
 #include <cmath>
+#include <set>
 #include <utility>
 
 #include <fmt/format.h>
@@ -23,6 +26,14 @@
 
 constexpr std::uint32_t max_sends = 4; ///< of one request, including rejected sends
 
+/// No byte from any of the upstreams with requests of this VM for so long: its links may be lost.
+constexpr std::chrono::milliseconds common_silence{700};
+
+constexpr std::size_t max_link_targets = 3;
+constexpr std::chrono::milliseconds link_connect_limit{300};
+/// A connection that is refused by a firewall may be made and reset at once.
+constexpr std::chrono::milliseconds link_settle_time{30};
+
 placing_settings placing_settings_from(const node_settings& settings)
 {
     placing_settings placing;
@@ -106,6 +117,100 @@
     }
 }
 
+void gateway_state::note_link_failure(const upstream_name& upstream)
+{
+    const auto now = boot_clock::now();
+    links.record_failure(upstream, now);
+    if (links.round_due(now)) {
+        begin_link_round(now);
+    }
+}
+
+void gateway_state::tend_links()
+{
+    const auto now = boot_clock::now();
+    for (const auto& upstream : load.all_silent(settings.region, common_silence, now)) {
+        links.record_failure(upstream, now);
+    }
+    if (links.round_due(now)) {
+        begin_link_round(now);
+    }
+}
+
+std::vector<upstream_end> gateway_state::own_upstream_ends()
+{
+    return links.undecided() || links.lost() ? std::vector<upstream_end>{} : load.own_ends(boot_clock::now());
+}
+
+void gateway_state::begin_link_round(time_point now)
+{
+    links.begin_round(now);
+    traffic_thread::start_here([this] { try_links(); }).detach();
+}
+
+/// Upstreams of the region, of several services and such as have not failed lately, if possible.
+std::vector<endpoint> gateway_state::link_targets(time_point now)
+{
+    std::vector<const upstream_view*> views;
+    for (const auto& [id, upstream] : load.all()) {
+        if (upstream.view.region == settings.region) {
+            views.push_back(&upstream.view);
+        }
+    }
+    std::shuffle(views.begin(), views.end(), random);
+    std::stable_partition(views.begin(), views.end(),
+                          [&](const upstream_view* view) { return !links.has_failed(view->record.id, now); });
+    std::set<pool_name> services;
+    std::stable_partition(views.begin(), views.end(), [&](const upstream_view* view) {
+        return services.insert(view->record.service).second;
+    });
+    views.resize(std::min(views.size(), max_link_targets));
+    std::vector<endpoint> targets;
+    for (const auto* view : views) {
+        targets.push_back(view->record.address);
+    }
+    return targets;
+}
+
+bool gateway_state::reaches(const endpoint& upstream)
+{
+    const auto found = client.probe(upstream, link_connect_limit, link_settle_time);
+    // An upstream that has reached its number of connections closes further ones.
+    return found == reachability::accepts ||
+           (found == reachability::closes &&
+            load.all_silent(settings.region, common_silence, boot_clock::now()).empty());
+}
+
+void gateway_state::try_links()
+{
+    const auto targets = link_targets(boot_clock::now());
+    std::size_t reached = 0;
+    std::vector<boost::fibers::fiber> attempts;
+    for (const auto& target : targets) {
+        attempts.push_back(
+            traffic_thread::start_here([this, &target, &reached] { reached += reaches(target) ? 1 : 0; }));
+    }
+    for (auto& attempt : attempts) {
+        attempt.join();
+    }
+    const auto now = boot_clock::now();
+    if (!links.end_round(targets.size(), reached, now)) {
+        if (!links.lost() && request_early_report) {
+            request_early_report();
+        }
+        return;
+    }
+    load.set_links_lost(links.lost(), now);
+    placing.set_links_lost(links.lost());
+    counters.links_lost.set(links.lost() ? 1 : 0);
+    log.write(log_weight::state, links.lost() ? "links_lost" : "links_back",
+              {{"tried", static_cast<std::int64_t>(targets.size())},
+               {"reached", static_cast<std::int64_t>(reached)}});
+    if (request_early_report) {
+        request_early_report();
+    }
+}
+
 void gateway_state::begin_stop(time_point strict_from, time_point deadline)
 {
     m_stop_strict_from = strict_from;
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -78,6 +78,8 @@
     switch (verdict) {
     case placing_verdict::here:
         return "here";
+    case placing_verdict::other_vm:
+        return "other_vm";
     case placing_verdict::other_region:
         return "other_region";
     case placing_verdict::no_upstream:
@@ -300,7 +302,7 @@
     if (!sent.first_event_seen) {
         remove_pending_prefill(state, sent.number, now);
     }
-    if (outcome == send_outcome::abandoned) {
+    if (outcome == send_outcome::abandoned || m_links_lost || sent.sent_at < m_links_changed_at) {
         return;
     }
     if (outcome == send_outcome::unreachable) {
@@ -331,7 +333,7 @@
 void fleet_load::record_silence(const sent_request& sent, time_point now)
 {
     const auto found = m_upstreams.find(sent.upstream);
-    if (found == m_upstreams.end() || has_restarted(sent)) {
+    if (found == m_upstreams.end() || has_restarted(sent) || m_links_lost) {
         return;
     }
     count_outcome(found->second, true);
@@ -427,7 +429,7 @@
 
 bool fleet_load::record_no_process(const sent_request& sent, time_point now)
 {
-    return find(sent.upstream) != nullptr && !has_restarted(sent) &&
+    return find(sent.upstream) != nullptr && !has_restarted(sent) && !m_links_lost &&
            m_ends.record_end(sent.upstream, sent.started_unix_ms, now, std::chrono::nanoseconds{0});
 }
 
@@ -446,7 +448,7 @@
                                      time_point broke_at)
 {
     const auto* state = find(sent.upstream);
-    if (state == nullptr || has_restarted(sent) || idle_open.value_or(false)) {
+    if (state == nullptr || has_restarted(sent) || m_links_lost || idle_open.value_or(false)) {
         return false;
     }
     const auto is_recent = [&](time_point at) {
@@ -476,6 +478,39 @@
     return state.view.cold_until > now || m_ends.may_have_restarted(state.view.record.id, cold_time, now);
 }
 
+void fleet_load::set_links_lost(bool lost, time_point now)
+{
+    m_links_lost = lost;
+    m_links_changed_at = now;
+    m_lateness.clear();
+    m_ends.discard_own();
+    for (auto& [id, state] : m_upstreams) {
+        state.failure_rate = 0;
+        state.outcomes = 0;
+        state.consecutive_failures = 0;
+        state.consecutive_connect_failures = 0;
+        state.next_attempt_at = {};
+        state.suspected_until = {};
+        state.recent_breaks.clear();
+    }
+}
+
+std::vector<upstream_name> fleet_load::all_silent(const region_name& region, std::chrono::milliseconds limit,
+                                                  time_point now) const
+{
+    std::vector<upstream_name> silent;
+    for (const auto& [id, state] : m_upstreams) {
+        if (state.view.region != region || state.own.running == 0) {
+            continue;
+        }
+        if (!is_silent(state, now, limit)) {
+            return {};
+        }
+        silent.push_back(id);
+    }
+    return silent;
+}
+
 void fleet_load::apply_reported_ends(const known_vm& vm)
 {
     for (const auto& end : vm.report.upstream_ends) {
@@ -555,6 +590,9 @@
             state.own.new_parts.clear();
         }
     }
+    if (m_links_lost) {
+        loads.clear();
+    }
     return loads;
 }
 
@@ -564,12 +602,17 @@
     for (const auto& [at, prefill] : state.hops) {
         hops += now - at <= hop_report_delay ? 1U : 0U;
     }
-    return state.own.running + state.others.running + hops;
+    return (m_links_lost ? 0 : state.own.running) + state.others.running + hops;
+}
+
+token_count fleet_load::memory(const upstream_state& state) const
+{
+    return (m_links_lost ? 0 : state.own.memory_tokens) + state.others.memory_tokens;
 }
 
 std::chrono::milliseconds fleet_load::own_prefill_left(const upstream_state& state, time_point now) const
 {
-    if (state.pending_prefills.empty()) {
+    if (state.pending_prefills.empty() || m_links_lost) {
         return {};
     }
     std::chrono::milliseconds left{0};
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <utility>
 
 #include <xxhash.h>
@@ -117,6 +118,7 @@
 void placer::set_vms(const known_vms& vms)
 {
     m_remote_vms.clear();
+    m_region_vms.clear();
     m_fleet_size = count_vms(vms) + 1;
     visit_vms(vms, [&](const vm_report& report, const vm_member& vm, time_point received_at) {
         if (report.region == m_region) {
@@ -124,8 +126,11 @@
             known.hash = known.hash == 0 ? shared_hash(vm.inner) : known.hash;
             known.received_at = received_at;
             known.same_data_centre = report.data_centre == m_data_centre;
+            if (vm.ready && !vm.links_lost) {
+                m_region_vms.push_back(vm.inner);
+            }
         }
-        else if (vm.ready) {
+        else if (vm.ready && !vm.links_lost) {
             m_remote_vms[report.region].push_back(vm.inner);
         }
     });
@@ -143,7 +148,10 @@
     candidate option;
     option.state = &state;
     option.here = state.view.region == m_region;
-    option.suspected = state.suspected_until > now || load.is_silent(state, now, silence_limit);
+    // Through another VM, this VM's own links don't matter.
+    const bool through_vm = option.here && m_links_lost;
+    option.suspected =
+        !through_vm && (state.suspected_until > now || load.is_silent(state, now, silence_limit));
     const auto running = load.running(state, now);
     const bool engine = state.engine_batch > 0;
     const double slots = std::max(1U, engine ? state.engine_batch : state.view.record.slots);
@@ -154,8 +162,8 @@
     if (engine) {
         const milliseconds_f prefill(load.prefill_time(state, request, now));
         const milliseconds_f queue(load.prefill_left(state, now));
-        const auto memory = static_cast<double>(state.own.memory_tokens + state.others.memory_tokens +
-                                                request.prompt_tokens + request.answer_tokens);
+        const auto memory =
+            static_cast<double>(load.memory(state) + request.prompt_tokens + request.answer_tokens);
         const double usable_memory =
             std::max(1.0, static_cast<double>(state.memory_tokens) * m_settings.usable_memory_fraction);
         option.first_byte += (prefill + queue) * load.prediction_scale();
@@ -174,6 +182,9 @@
     if (!option.here) {
         option.first_byte += m_settings.region_round_trip;
     }
+    else if (through_vm) {
+        option.first_byte += m_settings.vm_round_trip;
+    }
     else if (state.view.record.data_centre != m_data_centre) {
         option.cost += m_settings.data_centre_cost;
     }
@@ -257,11 +268,27 @@
 
 endpoint placer::random_vm_in(const region_name& region)
 {
-    const auto& vms = m_remote_vms[region];
+    return random_of(m_remote_vms[region]);
+}
+
+endpoint placer::random_of(const std::vector<endpoint>& vms)
+{
     std::uniform_int_distribution<std::size_t> pick(0, vms.size() - 1);
     return vms[pick(m_random)];
 }
 
+std::vector<endpoint> placer::next_vms(const placing_request& request) const
+{
+    std::vector<endpoint> vms;
+    if (request.own_region_only) {
+        return vms; // passed on once already
+    }
+    std::copy_if(m_region_vms.begin(), m_region_vms.end(), std::back_inserter(vms), [&](const endpoint& vm) {
+        return std::find(request.tried_vms.begin(), request.tried_vms.end(), vm) == request.tried_vms.end();
+    });
+    return vms;
+}
+
 placement placer::refuse(const placing_request& request, placing_verdict verdict,
                          std::chrono::milliseconds predicted)
 {
@@ -326,6 +353,7 @@
 {
     const auto* service = plan.find_service(request.service);
     std::vector<candidate> candidates;
+    const bool other_vm_left = m_links_lost && !next_vms(request).empty();
     excluded = {};
     const auto exclude = [&](placing_verdict verdict, std::chrono::milliseconds wait = {}) {
         excluded.verdict = std::max(excluded.verdict, verdict);
@@ -350,6 +378,10 @@
         if (load.statements().is_leaving(id)) {
             continue;
         }
+        if (here && m_links_lost && !other_vm_left) {
+            exclude(placing_verdict::unreachable);
+            continue;
+        }
         if (!here && (!m_remote_vms.contains(view.region) || view.cold_until > now)) {
             continue;
         }
@@ -357,6 +389,10 @@
             exclude(placing_verdict::limited, wait);
             continue;
         }
+        if (here && m_links_lost) {
+            candidates.push_back(score(request, load, state, now));
+            continue;
+        }
         const auto pause = here ? load.statements().pause_left(id, now) : std::chrono::milliseconds::zero();
         if (pause > std::chrono::milliseconds::zero()) {
             exclude(placing_verdict::paused, pause);
@@ -443,11 +479,16 @@
         return refuse(request, placing_verdict::overloaded, predicted);
     }
     placement chosen;
-    chosen.verdict = best->here ? placing_verdict::here : placing_verdict::other_region;
+    const bool through_vm = best->here && m_links_lost;
+    chosen.verdict = through_vm   ? placing_verdict::other_vm
+                     : best->here ? placing_verdict::here
+                                  : placing_verdict::other_region;
     chosen.upstream = best->state->view.record.id;
     chosen.region = best->state->view.region;
     chosen.version = load.version_of(*best->state, now);
-    chosen.address = best->here ? best->state->view.record.address : random_vm_in(chosen.region);
+    chosen.address = through_vm   ? random_of(next_vms(request))
+                     : best->here ? best->state->view.record.address
+                                  : random_vm_in(chosen.region);
     chosen.predicted = predicted;
     chosen.running = load.running(*best->state, now);
     return chosen;
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -887,3 +887,85 @@
     CHECK(fixture.load.has_lost_run(at_earlier));
     CHECK_FALSE(fixture.load.has_lost_run(at_successor));
 }
+
+TEST_CASE("a VM that has lost its links passes requests on to VMs of its region that have theirs")
+{
+    placing_fixture fixture;
+    known_vm linked;
+    linked.report.region = here;
+    linked.report.inner = {"10.0.0.2", 7000};
+    linked.report.ready = true;
+    auto cut = linked;
+    cut.report.inner = {"10.0.0.3", 7000};
+    cut.report.links_lost = true;
+    known_vm elsewhere;
+    elsewhere.report.region = there;
+    elsewhere.report.inner = {"10.0.1.1", 7000};
+    elsewhere.report.ready = true;
+    fixture.placing.set_vms(known_vms_of({linked, cut, elsewhere}));
+    // What the links did to its requests says nothing of the upstreams.
+    std::vector<sent_request> hanging;
+    for (const auto* id : {"a", "b"}) {
+        auto sent = fixture.send(id, 20'000);
+        fixture.load.end_request(sent, send_outcome::unreachable, fixture.now);
+        hanging.push_back(fixture.send(id, 20'000));
+    }
+    fixture.load.set_links_lost(true, fixture.now);
+    fixture.placing.set_links_lost(true);
+
+    SECTION("never to one that has lost them too")
+    {
+        for (int number = 0; number < 20; ++number) {
+            const auto placed = fixture.place(fixture.request(500));
+            REQUIRE(placed.verdict == placing_verdict::other_vm);
+            CHECK(placed.address == linked.report.inner);
+            CHECK(placed.region == here);
+        }
+    }
+    SECTION("without one, to another region")
+    {
+        fixture.placing.set_vms(known_vms_of({cut, elsewhere}));
+        CHECK(fixture.place(fixture.request(500)).verdict == placing_verdict::other_region);
+        SECTION("where a VM has its links")
+        {
+            elsewhere.report.links_lost = true;
+            fixture.placing.set_vms(known_vms_of({cut, elsewhere}));
+            CHECK(fixture.place(fixture.request(500)).verdict == placing_verdict::unreachable);
+        }
+        SECTION("unless it must stay here: then it is refused at once")
+        {
+            auto bound = *fixture.route;
+            bound.home_regions = {here};
+            auto request = fixture.request(500);
+            request.route = &bound;
+            CHECK(fixture.place(request).verdict == placing_verdict::unreachable);
+        }
+    }
+    SECTION("not those that another VM has passed on: it tries the next")
+    {
+        auto request = fixture.request(500);
+        request.own_region_only = true;
+        CHECK(fixture.place(request).verdict == placing_verdict::unreachable);
+    }
+    SECTION("each gets a request once")
+    {
+        auto request = fixture.request(500);
+        request.tried_vms = {linked.report.inner};
+        CHECK(fixture.place(request).verdict == placing_verdict::other_region);
+    }
+    SECTION("what it sent is no load for the others, nor is its lateness")
+    {
+        CHECK(fixture.load.take_loads(fixture.now).empty());
+        CHECK(fixture.load.take_lateness().empty());
+    }
+    SECTION("and serves by itself once they are back")
+    {
+        fixture.load.set_links_lost(false, fixture.now + 1s);
+        fixture.placing.set_links_lost(false);
+        fixture.now += 1s;
+        for (auto& sent : hanging) {
+            fixture.load.end_request(sent, send_outcome::broken, fixture.now);
+        }
+        CHECK(fixture.place(fixture.request(500)).verdict == placing_verdict::here);
+    }
+}
--- a/src/request/placing/upstream_ends.cpp
+++ b/src/request/placing/upstream_ends.cpp
@@ -149,6 +149,15 @@
     return ends;
 }
 
+void upstream_ends::discard_own()
+{
+    for (auto& [upstream, known] : m_upstreams) {
+        if (known.end && known.end->own_ended_at) {
+            known.end.reset();
+        }
+    }
+}
+
 void upstream_ends::on_listed(const upstream_name& upstream, std::int64_t started_unix_ms)
 {
     const auto found = m_upstreams.find(upstream);
