--- a/include/cardamomstream/process/deployment/entry_directory.h
+++ b/include/cardamomstream/process/deployment/entry_directory.h
@@ -35,12 +35,12 @@
     bool self_links_lost = false; ///< the links of this VM to its region's upstreams
 };
 
-/// VMs that have lost their links to the upstreams count only where no other VM of their region is ready.
-/// Returns the entry addresses of the ready VMs in the caller's data centre, or in its whole region while
-/// fewer than `min_local_vms` of them are ready. If there are none, returns those of the regions in which
-/// most routes of the host may be served, since the request body goes to the VM that the caller connects to.
-/// Returns none while no VM of these regions is ready but one stops or starts: the caller asks again. Else
-/// returns those of the next best regions, if any route may be served there.
+/// VMs that have lost their links to the upstreams count only where too few others of their region have
+/// theirs. Returns the entry addresses of the ready VMs in the caller's data centre, or in its whole region
+/// while fewer than `min_local_vms` of them are ready. If there are none, returns those of the regions in
+/// which most routes of the host may be served, since the request body goes to the VM that the caller
+/// connects to. Returns none while no VM of these regions is ready but one stops or starts: the caller asks
+/// again. Else returns those of the next best regions, if any route may be served there.
 std::vector<endpoint> entry_addresses(const entry_query& query, const node_settings& self,
                                       const directory_view& known);
 
--- a/include/cardamomstream/request/gateway/request_flow/hedging.h
+++ b/include/cardamomstream/request/gateway/request_flow/hedging.h
@@ -68,6 +68,7 @@
     m_may_have_run = m_may_have_run || second.m_runs > 0;
     m_placing_request.tried = std::move(second.m_placing_request.tried);
     m_placing_request.refused_by = std::move(second.m_placing_request.refused_by);
+    m_placing_request.tried_vms = std::move(second.m_placing_request.tried_vms);
     m_sent_to = std::move(second.m_sent_to);
     m_last_failure = std::move(second.m_last_failure);
     if (second.m_final_refusal) {
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -223,8 +223,8 @@
                                                             where.predicted, boot_clock::now()));
     auto& sent = load.sent;
     call.on_unconnected = [this, &sent](reachability /*found*/) {
-        note_no_process(sent, "no_connection");
         m_state.note_link_failure(sent.upstream);
+        note_no_process(sent, "no_connection");
     };
     call.before_write = [this, &sent]() -> result<void> {
         m_state.load.record_write(sent, boot_clock::now());
@@ -238,6 +238,9 @@
     m_last_pause.reset();
     const auto [result, outcome] = exchange_with(call, where, &sent);
     load.end(outcome);
+    if (outcome == send_outcome::unreachable) {
+        m_state.note_link_failure(where.upstream);
+    }
     if (m_connection_broke && !m_cancel.cancelled()) {
         check_upstream_end(where, sent);
     }
@@ -382,6 +385,9 @@
                                               broke_at)) {
         log_upstream_end(sent, "connections_broke");
     }
+    if (m_state.links.lost()) {
+        return; // says nothing of the upstream
+    }
     const auto& id = m_caller_request.id.str();
     const auto broken_send = ended ? 0 : std::max<std::uint64_t>(1, std::hash<std::string>{}(id));
     m_state.on_quarantine_changes(m_state.request_quarantine.record_crash(m_request_digest, where.upstream,
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -147,7 +147,11 @@
 
     /// Sets whether this VM's links to its region's upstreams are lost. What its requests have met until then
     /// says nothing of the upstreams, and what is sent without links is no load on them.
-    void set_links_lost(bool lost, time_point now);
+    /// `others_linked`: other VMs of the region had theirs meanwhile, so that the upstreams ran.
+    void set_links_lost(bool lost, bool others_linked, time_point now);
+
+    /// True when bytes of an answer have come from an upstream since then.
+    bool heard_since(time_point at) const { return m_last_byte_at >= at; }
 
     /// Upstreams of the region with requests of this VM, from which nothing has come for `limit`; empty when
     /// something has come from another one.
@@ -234,7 +238,9 @@
     std::uint64_t m_last_number = 0;
     std::chrono::milliseconds m_unreported_prefill{0}; ///< prefill time sent since the last report
     bool m_links_lost = false;
-    time_point m_links_changed_at;
+    time_point m_links_lost_at;
+    time_point m_links_back_at;
+    time_point m_last_byte_at; ///< from any upstream
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/placing/link_monitor.h
+++ b/include/cardamomstream/request/placing/link_monitor.h
@@ -45,7 +45,8 @@
     std::unordered_map<upstream_name, time_point> m_failures;
     time_point m_round_at;
     time_point m_back_at;
-    std::size_t m_good_rounds = 0; ///< in a row, while the links are lost
+    std::chrono::milliseconds m_interval{0}; ///< between rounds, beyond the least one
+    std::size_t m_good_rounds = 0;           ///< in a row, while the links are lost
     std::size_t m_needed_rounds = 1;
     bool m_trying = false;
     bool m_lost = false;
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -24,6 +24,9 @@
     /// requests for these.
     void set_links_lost(bool lost) { m_links_lost = lost; }
 
+    /// True when another VM of the region has its links.
+    bool others_linked() const { return !m_region_vms.empty(); }
+
     /// Chooses an upstream, or refuses the request.
     placement place(const placing_request& request, const service_plan& plan, const fleet_load& load,
                     time_point now);
--- a/include/cardamomstream/request/placing/upstream_ends.h
+++ b/include/cardamomstream/request/placing/upstream_ends.h
@@ -54,8 +54,8 @@
     /// Signs that this VM has seen itself, for its report.
     std::vector<upstream_end> own_ends(time_point now);
 
-    /// Discards the signs that this VM has seen itself.
-    void discard_own();
+    /// Discards the signs that this VM has noticed itself since then.
+    void discard_own(time_point since);
 
     /// Ends the signs of an earlier process.
     void on_listed(const upstream_name& upstream, std::int64_t started_unix_ms);
--- a/src/process/deployment/entry_directory.cpp
+++ b/src/process/deployment/entry_directory.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/// A VM with links takes the callers of at most so many VMs, itself included.
+constexpr std::size_t most_callers_per_linked_vm = 3;
+
 constexpr std::size_t max_addresses = 64; ///< callers use no more of one answer
 
 /// True if at least one customer may use the route in the region.
@@ -72,18 +75,33 @@
     return selected;
 }
 
-/// Regions with a ready VM that has its links to the upstreams.
+/// Regions of whose ready VMs enough have their links to the upstreams to take the callers of all.
 std::set<region_name> regions_of_linked_vms(const node_settings& self, const directory_view& known)
 {
-    std::set<region_name> regions;
-    if (known.self_ready && self.entry_listener && !known.self_links_lost) {
-        regions.insert(self.region);
+    struct vm_count {
+        std::size_t all = 0;
+        std::size_t linked = 0;
+    };
+    std::map<region_name, vm_count> counts;
+    const auto count = [&](const region_name& region, bool links_lost) {
+        auto& counted = counts[region];
+        counted.all += 1;
+        counted.linked += links_lost ? 0 : 1;
+    };
+    if (known.self_ready && self.entry_listener) {
+        count(self.region, known.self_links_lost);
     }
     visit_vms(known.vms, [&](const vm_report& report, const vm_member& vm, time_point /*received_at*/) {
-        if (vm.ready && vm.entry.port != 0 && !vm.links_lost) {
-            regions.insert(report.region);
+        if (vm.ready && vm.entry.port != 0) {
+            count(report.region, vm.links_lost);
         }
     });
+    std::set<region_name> regions;
+    for (const auto& [region, counted] : counts) {
+        if (counted.linked * most_callers_per_linked_vm >= counted.all) {
+            regions.insert(region);
+        }
+    }
     return regions;
 }
 
--- a/src/request/admission/tests/retry_budget_test.cpp
+++ b/src/request/admission/tests/retry_budget_test.cpp
@@ -61,6 +61,15 @@
     CHECK(retries >= 100);
     CHECK(retries <= 110);
     CHECK(budget.next(failed, now, random).verdict == retry_verdict::budget_exhausted);
+
+    SECTION("an attempt that reached nobody is no load, so that another one is allowed")
+    {
+        failed.outcome = run_outcome::not_run;
+        failed.reached_nobody = true;
+        CHECK(budget.next(failed, now, random).verdict == retry_verdict::allowed);
+        failed.reached_nobody = false;
+        CHECK(budget.next(failed, now, random).verdict == retry_verdict::budget_exhausted);
+    }
 }
 
 TEST_CASE("only idempotent calls are hedged, up to a fraction of the traffic")
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -1,5 +1,6 @@
 #include "cardamomstream/request/gateway/gateway_state.h"
 
+#include "cardamomstream/connection/contained_call.h"
 #include "cardamomstream/connection/traffic_thread.h"
 
 #include <algorithm>
@@ -145,7 +146,11 @@
 void gateway_state::begin_link_round(time_point now)
 {
     links.begin_round(now);
-    traffic_thread::start_here([this] { try_links(); }).detach();
+    traffic_thread::start_here([this] {
+        if (!run_contained("links could not be tried", [this] { try_links(); })) {
+            (void)links.end_round(0, 0, boot_clock::now());
+        }
+    }).detach();
 }
 
 /// Upstreams of the region, of several services and such as have not failed lately, if possible.
@@ -177,8 +182,7 @@
     const auto found = client.probe(upstream, link_connect_limit, link_settle_time);
     // An upstream that has reached its number of connections closes further ones.
     return found == reachability::accepts ||
-           (found == reachability::closes &&
-            load.all_silent(settings.region, common_silence, boot_clock::now()).empty());
+           (found == reachability::closes && load.heard_since(boot_clock::now() - common_silence));
 }
 
 void gateway_state::try_links()
@@ -195,12 +199,12 @@
     }
     const auto now = boot_clock::now();
     if (!links.end_round(targets.size(), reached, now)) {
-        if (!links.lost() && request_early_report) {
-            request_early_report();
+        if (!links.lost() && request_early_report && !load.own_ends(now).empty()) {
+            request_early_report(); // they were held back
         }
         return;
     }
-    load.set_links_lost(links.lost(), now);
+    load.set_links_lost(links.lost(), placing.others_linked(), now);
     placing.set_links_lost(links.lost());
     counters.links_lost.set(links.lost() ? 1 : 0);
     log.write(log_weight::state, links.lost() ? "links_lost" : "links_back",
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -30,6 +30,9 @@
 constexpr double min_prediction_scale = 0.5;
 constexpr double max_prediction_scale = 3;
 
+/// Failures so long before links are found lost are theirs.
+constexpr std::chrono::seconds link_loss_notice{2};
+
 /// An upstream that rejected a request for lack of capacity gets no requests for this time, in which some of
 /// its running requests end.
 constexpr std::chrono::milliseconds full_backoff{150};
@@ -207,7 +210,11 @@
 
 std::vector<lateness_sample> fleet_load::take_lateness()
 {
-    return m_lateness.take_unreported();
+    auto samples = m_lateness.take_unreported();
+    if (m_links_lost) {
+        samples.clear();
+    }
+    return samples;
 }
 
 std::chrono::milliseconds fleet_load::lateness(const placing_request& request, const region_name& region,
@@ -275,10 +282,13 @@
         return;
     }
     const auto found = m_upstreams.find(sent.upstream);
-    if (found == m_upstreams.end() || has_restarted(sent)) {
+    if (found == m_upstreams.end() || has_restarted(sent) || sent.sent_at < m_links_back_at) {
         return;
     }
     remove_pending_prefill(found->second, sent.number, now);
+    if (m_links_lost) {
+        return;
+    }
     sample_lateness(sent, now);
     if (found->second.engine_batch > 0 && sent.prefill >= min_measured_prefill) {
         const double ratio = std::chrono::duration<double, std::milli>(now - sent.sent_at).count() /
@@ -293,7 +303,7 @@
 {
     const auto found = m_upstreams.find(sent.upstream);
     // What is known of an earlier process says nothing of the one that is listed now.
-    if (found == m_upstreams.end() || has_restarted(sent)) {
+    if (found == m_upstreams.end() || has_restarted(sent) || sent.sent_at < m_links_back_at) {
         return;
     }
     auto& state = found->second;
@@ -302,7 +312,7 @@
     if (!sent.first_event_seen) {
         remove_pending_prefill(state, sent.number, now);
     }
-    if (outcome == send_outcome::abandoned || m_links_lost || sent.sent_at < m_links_changed_at) {
+    if (outcome == send_outcome::abandoned || m_links_lost) {
         return;
     }
     if (outcome == send_outcome::unreachable) {
@@ -333,7 +343,7 @@
 void fleet_load::record_silence(const sent_request& sent, time_point now)
 {
     const auto found = m_upstreams.find(sent.upstream);
-    if (found == m_upstreams.end() || has_restarted(sent) || m_links_lost) {
+    if (found == m_upstreams.end() || has_restarted(sent) || m_links_lost || sent.sent_at < m_links_back_at) {
         return;
     }
     count_outcome(found->second, true);
@@ -405,6 +415,7 @@
 
 void fleet_load::record_activity(const sent_request& sent, time_point now)
 {
+    m_last_byte_at = now;
     if (sent.connected_at != time_point{}) {
         m_ends.record_answer(sent.upstream, {sent.connected_at, sent.sent_at, now});
     }
@@ -429,7 +440,7 @@
 
 bool fleet_load::record_no_process(const sent_request& sent, time_point now)
 {
-    return find(sent.upstream) != nullptr && !has_restarted(sent) && !m_links_lost &&
+    return find(sent.upstream) != nullptr && !has_restarted(sent) &&
            m_ends.record_end(sent.upstream, sent.started_unix_ms, now, std::chrono::nanoseconds{0});
 }
 
@@ -448,7 +459,7 @@
                                      time_point broke_at)
 {
     const auto* state = find(sent.upstream);
-    if (state == nullptr || has_restarted(sent) || m_links_lost || idle_open.value_or(false)) {
+    if (state == nullptr || has_restarted(sent) || idle_open.value_or(false)) {
         return false;
     }
     const auto is_recent = [&](time_point at) {
@@ -478,12 +489,15 @@
     return state.view.cold_until > now || m_ends.may_have_restarted(state.view.record.id, cold_time, now);
 }
 
-void fleet_load::set_links_lost(bool lost, time_point now)
+void fleet_load::set_links_lost(bool lost, bool others_linked, time_point now)
 {
     m_links_lost = lost;
-    m_links_changed_at = now;
+    (lost ? m_links_lost_at : m_links_back_at) = now;
     m_lateness.clear();
-    m_ends.discard_own();
+    const auto failed_since = m_links_lost_at - link_loss_notice;
+    if (!lost && others_linked) {
+        m_ends.discard_own(failed_since);
+    }
     for (auto& [id, state] : m_upstreams) {
         state.failure_rate = 0;
         state.outcomes = 0;
@@ -492,6 +506,16 @@
         state.next_attempt_at = {};
         state.suspected_until = {};
         state.recent_breaks.clear();
+        if (lost) {
+            continue;
+        }
+        state.last_active_at = now;
+        state.own.running = 0;
+        state.own.memory_tokens = 0;
+        state.pending_prefills.clear();
+        if (others_linked && state.refused_connection_at >= failed_since) {
+            state.refused_connection_at = {};
+        }
     }
 }
 
--- a/src/request/placing/link_monitor.cpp
+++ b/src/request/placing/link_monitor.cpp
@@ -14,6 +14,8 @@
 
 constexpr std::chrono::milliseconds round_interval{400};
 
+constexpr std::chrono::milliseconds max_added_interval{1'200};
+
 /// Links that are lost again within this time need more good rounds.
 constexpr std::chrono::seconds flapping_time{10};
 constexpr std::size_t max_needed_rounds = 4;
@@ -34,7 +36,8 @@
 
 bool link_monitor::round_due(time_point now) const
 {
-    if (now - m_round_at < round_interval) {
+    if (m_trying ||
+        now - m_round_at < round_interval + (m_lost ? std::chrono::milliseconds{0} : m_interval)) {
         return false;
     }
     const auto failing = std::count_if(m_failures.begin(), m_failures.end(), [&](const auto& failure) {
@@ -46,6 +49,9 @@
 bool link_monitor::end_round(std::size_t tried, std::size_t reached, time_point now)
 {
     m_trying = false;
+    // Failures of which the links are not the cause go on.
+    m_interval = reached > 0 ? std::min(m_interval + round_interval, max_added_interval)
+                             : std::chrono::milliseconds{0};
     if (!m_lost) {
         m_lost = tried >= min_tried && reached == 0;
         if (m_lost) {
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -19,6 +19,9 @@
 /// sends events several times a second.
 constexpr std::chrono::milliseconds silence_limit{900};
 
+/// While links count as lost, connections on which bytes have come within this time may be left.
+constexpr std::chrono::milliseconds heard_ttl{1'000};
+
 /// Additional weight of the request's own prefill time in the cost, since it also delays later requests.
 constexpr double prefill_weight = 2;
 
@@ -149,7 +152,7 @@
     option.state = &state;
     option.here = state.view.region == m_region;
     // Through another VM, this VM's own links don't matter.
-    const bool through_vm = option.here && m_links_lost;
+    const bool through_vm = option.here && m_links_lost && !m_region_vms.empty();
     option.suspected =
         !through_vm && (state.suspected_until > now || load.is_silent(state, now, silence_limit));
     const auto running = load.running(state, now);
@@ -353,7 +356,7 @@
 {
     const auto* service = plan.find_service(request.service);
     std::vector<candidate> candidates;
-    const bool other_vm_left = m_links_lost && !next_vms(request).empty();
+    const bool through_vms = m_links_lost && !next_vms(request).empty();
     excluded = {};
     const auto exclude = [&](placing_verdict verdict, std::chrono::milliseconds wait = {}) {
         excluded.verdict = std::max(excluded.verdict, verdict);
@@ -372,13 +375,19 @@
                 request.refused_by.end()) {
             continue;
         }
-        if (request.version && load.version_of(state, now) != request.version) {
+        // The other VM knows whether the version is certain.
+        if (request.version && (here && m_links_lost ? std::optional(view.record.version)
+                                                     : load.version_of(state, now)) != request.version) {
             continue;
         }
         if (load.statements().is_leaving(id)) {
             continue;
         }
-        if (here && m_links_lost && !other_vm_left) {
+        if (through_vms && here) {
+            candidates.push_back(score(request, load, state, now));
+            continue;
+        }
+        if (here && m_links_lost && !load.heard_since(now - heard_ttl)) {
             exclude(placing_verdict::unreachable);
             continue;
         }
@@ -389,10 +398,6 @@
             exclude(placing_verdict::limited, wait);
             continue;
         }
-        if (here && m_links_lost) {
-            candidates.push_back(score(request, load, state, now));
-            continue;
-        }
         const auto pause = here ? load.statements().pause_left(id, now) : std::chrono::milliseconds::zero();
         if (pause > std::chrono::milliseconds::zero()) {
             exclude(placing_verdict::paused, pause);
@@ -479,14 +484,15 @@
         return refuse(request, placing_verdict::overloaded, predicted);
     }
     placement chosen;
-    const bool through_vm = best->here && m_links_lost;
+    const auto other_vms = m_links_lost ? next_vms(request) : std::vector<endpoint>{};
+    const bool through_vm = best->here && !other_vms.empty();
     chosen.verdict = through_vm   ? placing_verdict::other_vm
                      : best->here ? placing_verdict::here
                                   : placing_verdict::other_region;
     chosen.upstream = best->state->view.record.id;
     chosen.region = best->state->view.region;
     chosen.version = load.version_of(*best->state, now);
-    chosen.address = through_vm   ? random_of(next_vms(request))
+    chosen.address = through_vm   ? random_of(other_vms)
                      : best->here ? best->state->view.record.address
                                   : random_vm_in(chosen.region);
     chosen.predicted = predicted;
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -910,7 +910,10 @@
         fixture.load.end_request(sent, send_outcome::unreachable, fixture.now);
         hanging.push_back(fixture.send(id, 20'000));
     }
-    fixture.load.set_links_lost(true, fixture.now);
+    auto late = fixture.send("a", 100);
+    fixture.now += 2s;
+    fixture.load.on_first_event(late, fixture.now);
+    fixture.load.set_links_lost(true, true, fixture.now);
     fixture.placing.set_links_lost(true);
 
     SECTION("never to one that has lost them too")
@@ -960,12 +963,44 @@
     }
     SECTION("and serves by itself once they are back")
     {
-        fixture.load.set_links_lost(false, fixture.now + 1s);
-        fixture.placing.set_links_lost(false);
         fixture.now += 1s;
-        for (auto& sent : hanging) {
-            fixture.load.end_request(sent, send_outcome::broken, fixture.now);
-        }
+        fixture.load.set_links_lost(false, true, fixture.now);
+        fixture.placing.set_links_lost(false);
+        fixture.now += 1s; // what hangs from before doesn't make the upstreams silent
         CHECK(fixture.place(fixture.request(500)).verdict == placing_verdict::here);
     }
 }
+
+TEST_CASE("upstreams that all ended count as restarted when they are back, though the links seemed lost")
+{
+    placing_fixture fixture;
+    auto refused = fixture.send("a", 100);
+    fixture.load.record_no_process(refused, fixture.now);
+    fixture.load.end_request(refused, send_outcome::unreachable, fixture.now);
+    const auto may_be_cold = [&] {
+        return fixture.load.may_be_cold(*fixture.load.find(upstream_name("a")), 3s, fixture.now);
+    };
+
+    SECTION("no VM of the region had links")
+    {
+        fixture.load.set_links_lost(true, false, fixture.now);
+        fixture.now += 1s;
+        fixture.load.set_links_lost(false, false, fixture.now);
+        CHECK(may_be_cold());
+        CHECK(fixture.load.own_ends(fixture.now).size() == 1);
+    }
+    SECTION("others had: then this VM's links were the cause")
+    {
+        fixture.load.set_links_lost(true, true, fixture.now);
+        fixture.now += 1s;
+        fixture.load.set_links_lost(false, true, fixture.now);
+        CHECK_FALSE(may_be_cold());
+    }
+    SECTION("an end that was seen long before stays one")
+    {
+        fixture.now += 10s;
+        fixture.load.set_links_lost(true, true, fixture.now);
+        fixture.load.set_links_lost(false, true, fixture.now);
+        CHECK(may_be_cold());
+    }
+}
--- a/src/request/placing/upstream_ends.cpp
+++ b/src/request/placing/upstream_ends.cpp
@@ -149,10 +149,10 @@
     return ends;
 }
 
-void upstream_ends::discard_own()
+void upstream_ends::discard_own(time_point since)
 {
     for (auto& [upstream, known] : m_upstreams) {
-        if (known.end && known.end->own_ended_at) {
+        if (known.end && known.end->own_ended_at && known.end->first_at >= since) {
             known.end.reset();
         }
     }
