--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -171,6 +171,7 @@
     });
     views.resize(std::min(views.size(), max_link_targets));
     std::vector<endpoint> targets;
+    targets.reserve(views.size());
     for (const auto* view : views) {
         targets.push_back(view->record.address);
     }
@@ -190,6 +191,7 @@
     const auto targets = link_targets(boot_clock::now());
     std::size_t reached = 0;
     std::vector<boost::fibers::fiber> attempts;
+    attempts.reserve(targets.size());
     for (const auto& target : targets) {
         attempts.push_back(
             traffic_thread::start_here([this, &target, &reached] { reached += reaches(target) ? 1 : 0; }));
