Lost links: a begun stream goes on only where its software version is certain (ORDER)

While the links of a VM count as lost and no other VM of its region has its own, a connection on which bytes still come is used. The check that the upstream's version is certain was left out there too; it belongs to the VM that sends. Found in reading the diff; the test placed the stream without this commit, and doesn't with it.

--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -376,8 +376,8 @@
             continue;
         }
         // The other VM knows whether the version is certain.
-        if (request.version && (here && m_links_lost ? std::optional(view.record.version)
-                                                     : load.version_of(state, now)) != request.version) {
+        if (request.version && (through_vms && here ? std::optional(view.record.version)
+                                                    : load.version_of(state, now)) != request.version) {
             continue;
         }
         if (load.statements().is_leaving(id)) {
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -944,6 +944,17 @@
             CHECK(fixture.place(request).verdict == placing_verdict::unreachable);
         }
     }
+    SECTION("without one, a begun stream goes on at no upstream whose software version is uncertain")
+    {
+        elsewhere.report.links_lost = true;
+        fixture.placing.set_vms(known_vms_of({cut, elsewhere}));
+        late.connected_at = fixture.now;
+        fixture.load.record_activity(late, fixture.now);
+        auto request = fixture.request(500);
+        REQUIRE(fixture.place(request).verdict == placing_verdict::here); // a connection still works
+        request.version = std::string{};
+        CHECK(fixture.place(request).verdict == placing_verdict::no_upstream);
+    }
     SECTION("not those that another VM has passed on: it tries the next")
     {
         auto request = fixture.request(500);
