--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -56,7 +56,7 @@
 };
 
 /// The answer of one call, read piece by piece. Destroying it before the end closes the connection, which
-/// tells the server to stop.
+/// shows the server that it may stop.
 class http_exchange {
 public:
     virtual ~http_exchange() = default;
@@ -116,7 +116,7 @@
     /// run), upstream_timeout and upstream_failed (after the first byte may have left: unknown), cancelled.
     result<std::unique_ptr<http_exchange>> send(const http_call& call, cancellation& cancel);
 
-    /// Sends the request and reads the whole answer, at most `max_body_bytes` of it.
+    /// Sends the request and reads the complete answer, at most `max_body_bytes` of it.
     result<http_response> fetch(const http_call& call, cancellation& cancel, std::size_t max_body_bytes);
 
     /// Tries a new connection, and looks after `settle_time` whether it is still open. It is kept for the
--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -90,8 +90,8 @@
     // When the report was made:
     std::chrono::milliseconds sent_age{0};  ///< since the request was sent
     std::chrono::milliseconds ended_age{0}; ///< since the process ended
-    /// 0: the process has ended. Otherwise only the connection is known to have, and this tells the send from
-    /// others.
+    /// 0: the process has ended. Otherwise only the connection is known to have, and this distinguishes the
+    /// send from others.
     std::uint64_t broken_send = 0;
     crash_subject subject = crash_subject::prompt_part;
 };
@@ -146,7 +146,7 @@
 /// Additional part of a report that summarises all VMs of a data centre.
 struct data_centre_summary_part {
     std::vector<vm_member> members; ///< live VMs, including the sender
-    std::uint32_t sharers = 0;      ///< VMs heard within `vm_expiry_time`, including the sender
+    std::uint32_t sharers = 0;      ///< VMs that reported within `vm_expiry_time`, including the sender
     std::uint32_t store_readers = 0;
     std::uint32_t store_readers_failing = 0;
     bool relayed = false; ///< already forwarded within the receiving data centre
--- a/include/cardamomstream/process/deployment/entry_directory.h
+++ b/include/cardamomstream/process/deployment/entry_directory.h
@@ -1,4 +1,4 @@
-/// Selects the VMs that a caller is told to connect to.
+/// Selects the VMs that a caller is led to.
 #pragma once
 
 #include "cardamomstream/process/deployment/node_settings.h"
--- a/include/cardamomstream/process/deployment/vm_table.h
+++ b/include/cardamomstream/process/deployment/vm_table.h
@@ -91,7 +91,7 @@
     /// Number of other data centres that report.
     std::size_t reporting_data_centres(time_point now) const;
 
-    /// Number of other VMs that share fleet-wide quotas: those heard within `vm_expiry_time`.
+    /// Number of other VMs that share fleet-wide quotas: those that reported within `vm_expiry_time`.
     std::size_t sharers(time_point now) const;
     std::size_t local_sharers(time_point now) const; ///< those of the own data centre only
 
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -151,7 +151,7 @@
     void set_links_lost(bool lost, bool others_linked, time_point now);
 
     /// True when bytes of an answer have come from an upstream since then.
-    bool heard_since(time_point at) const { return m_last_byte_at >= at; }
+    bool has_answered_since(time_point at) const { return m_last_byte_at >= at; }
 
     /// Upstreams of the region with requests of this VM, from which nothing has come for `limit`; empty when
     /// something has come from another one.
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -36,7 +36,7 @@
     /// Binds the inner port for datagrams and starts the fibers. Errors: invalid_settings.
     result<void> start();
 
-    /// Tells the other VMs at once that this one leaves; call from any thread.
+    /// Announces to the other VMs at once that this one leaves; call from any thread.
     void announce_leaving();
 
     /// Addresses of VMs that may exist, after the settings file has changed; call from any thread.
--- a/src/connection/client/pooled_exchange.h
+++ b/src/connection/client/pooled_exchange.h
@@ -15,7 +15,8 @@
 
 namespace cardamomstream {
 
-/// One request and its answer on one connection. At a whole end the connection goes back through `give_back`.
+/// One request and its answer on one connection. At a complete end the connection goes back through
+/// `give_back`.
 class pooled_exchange final : public http_exchange {
 public:
     using give_back_action = std::function<void(std::shared_ptr<client_connection>)>;
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -12,8 +12,8 @@
 
 constexpr std::chrono::milliseconds min_report_interval{40}; ///< however fast the loads change
 
-/// Each VM receives the reports of its whole data centre. The interval grows with the data centre, so that
-/// the cost for each VM stays the same.
+/// Each VM receives the reports of all VMs of its data centre. The interval grows with the data centre, so
+/// that the cost for each VM stays the same.
 constexpr std::size_t neighbours_per_interval_step = 64;
 /// Two intervals are shorter than vm_alive_timeout, so that one report may be lost.
 constexpr std::chrono::milliseconds max_report_interval{700};
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -183,7 +183,7 @@
     const auto found = client.probe(upstream, link_connect_limit, link_settle_time);
     // An upstream that has reached its number of connections closes further ones.
     return found == reachability::accepts ||
-           (found == reachability::closes && load.heard_since(boot_clock::now() - common_silence));
+           (found == reachability::closes && load.has_answered_since(boot_clock::now() - common_silence));
 }
 
 void gateway_state::try_links()
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -20,7 +20,7 @@
 constexpr std::chrono::milliseconds silence_limit{900};
 
 /// While links count as lost, connections on which bytes have come within this time may be left.
-constexpr std::chrono::milliseconds heard_ttl{1'000};
+constexpr std::chrono::milliseconds working_connection_ttl{1'000};
 
 /// Additional weight of the request's own prefill time in the cost, since it also delays later requests.
 constexpr double prefill_weight = 2;
@@ -387,7 +387,7 @@
             candidates.push_back(score(request, load, state, now));
             continue;
         }
-        if (here && m_links_lost && !load.heard_since(now - heard_ttl)) {
+        if (here && m_links_lost && !load.has_answered_since(now - working_connection_ttl)) {
             exclude(placing_verdict::unreachable);
             continue;
         }
