Signs of ended processes: one piece of code where there were two

Limits and ends of upstreams in reports were merged, and kept within their bounds, by two copies each of the same code; the state of the process that a request was sent to was looked up in six places; a callback had an argument that nobody read; a report was searched twice for new ends.

--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -25,14 +25,6 @@
     std::chrono::milliseconds total{300'000};
 };
 
-/// What comes of a new connection to a server.
-enum class reachability {
-    accepts,   ///< it is made; the process may stand still all the same
-    closes,    ///< it is made, and closed at once
-    refuses,   ///< the machine answers that no process listens
-    no_answer, ///< nothing comes back in time
-};
-
 /// One request to a server.
 struct http_call {
     endpoint address;
@@ -43,8 +35,8 @@
     call_limits limits;
     bool fresh_connection = false; ///< takes no pooled connection, which might have been closed meanwhile
 
-    /// Called with `refuses` or `no_answer` when no new connection can be made for the call.
-    std::function<void(reachability)> on_unconnected;
+    /// Called when a new connection for the call is refused, or not answered in time.
+    std::function<void()> on_unconnected;
 
     /// Asked directly before the first byte leaves; its error ends the call with nothing sent.
     std::function<result<void>()> before_write;
@@ -102,6 +94,14 @@
     std::size_t max_buffered_bytes = std::size_t{16} * 1024 * 1024;
 };
 
+/// What comes of a new connection to a server.
+enum class reachability {
+    accepts,   ///< it is made; the process may stand still all the same
+    closes,    ///< it is made, and closed at once
+    refuses,   ///< the machine answers that no process listens
+    no_answer, ///< nothing comes back in time
+};
+
 /// Opens and keeps connections. All calls are made in fibers of the thread that owns `io`.
 class http_client {
 public:
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -222,7 +222,7 @@
     load_mark load(m_state.load, m_state.load.begin_request(where.upstream, m_placing_request,
                                                             where.predicted, boot_clock::now()));
     auto& sent = load.sent;
-    call.on_unconnected = [this, &sent](reachability /*found*/) {
+    call.on_unconnected = [this, &sent] {
         m_state.note_link_failure(sent.upstream);
         note_no_process(sent, "no_connection");
     };
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -214,6 +214,8 @@
                                            time_point now) const;
 
 private:
+    /// State of the process that was listed when the request was sent; null when it isn't listed any more.
+    upstream_state* state_of(const sent_request& sent);
     static void count_outcome(upstream_state& state, bool failure);
     void record_failure(upstream_state& state, time_point now, bool unreachable);
     static void mark_active(upstream_state& state, time_point now);
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -398,13 +398,16 @@
         record_peer_changes(report.value(), now);
         const auto received = m_exchange.receive(report.value(), now);
         send(received.outgoing);
+        if (!received.is_new) {
+            continue;
+        }
         // Loads on the upstreams of this region are placed on at once.
-        if (received.is_new && report.value().region == m_settings.region &&
-            (now - m_vms_published_at >= least_publish_interval || has_new_end(report.value()))) {
+        const bool new_end = has_new_end(report.value());
+        if (report.value().region == m_settings.region &&
+            (now - m_vms_published_at >= least_publish_interval || new_end)) {
             publish_vms(now);
         }
-        if (received.is_new && !report.value().summary && has_new_end(report.value()) &&
-            now - m_summarised_at >= m_exchange.min_interval()) {
+        if (new_end && !report.value().summary && now - m_summarised_at >= m_exchange.min_interval()) {
             m_summarised_at = now;
             send(m_exchange.summarise(now));
         }
--- a/src/connection/client/http_client.cpp
+++ b/src/connection/client/http_client.cpp
@@ -38,7 +38,7 @@
                 (reason == boost::asio::error::connection_refused ||
                  reason == boost::asio::error::operation_aborted ||
                  reason == boost::asio::error::timed_out)) {
-                call.on_unconnected(reached(*connection));
+                call.on_unconnected();
             }
             return connected.error();
         }
@@ -50,7 +50,9 @@
     {
         auto connection = std::make_shared<client_connection>(m_io, m_read_memory);
         if (!connection->connect(address, limit, m_settings.user_timeout)) {
-            return reached(*connection);
+            return connection->connect_error() == boost::asio::error::connection_refused
+                       ? reachability::refuses
+                       : reachability::no_answer;
         }
         boost::this_fiber::sleep_for(settle_time);
         if (!connection->usable()) {
@@ -89,13 +91,6 @@
     void close_idle(const endpoint& address) { m_idle.erase(address); }
 
 private:
-    /// What came of a connection that could not be made.
-    static reachability reached(const client_connection& connection)
-    {
-        return connection.connect_error() == boost::asio::error::connection_refused ? reachability::refuses
-                                                                                    : reachability::no_answer;
-    }
-
     std::shared_ptr<client_connection> take_idle(const endpoint& address)
     {
         const auto found = m_idle.find(address);
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -98,10 +98,11 @@
 constexpr std::size_t max_summary_streams = 4'000;
 constexpr std::size_t max_summary_crashes = 192; ///< in the summary of a data centre
 
-void add_age(std::vector<stated_limit>& limits, boot_clock::duration age)
+template <class Statement>
+void add_age(std::vector<Statement>& statements, boot_clock::duration age)
 {
-    for (auto& limit : limits) {
-        limit.age += std::chrono::floor<std::chrono::milliseconds>(age);
+    for (auto& statement : statements) {
+        statement.age += std::chrono::floor<std::chrono::milliseconds>(age);
     }
 }
 
@@ -162,17 +163,18 @@
     }
 }
 
-/// Adds the limits of a report that was made `age` ago; of several for one upstream the newest stays.
-void add_newest_limits(std::vector<stated_limit>& limits, std::vector<stated_limit> others,
-                       boot_clock::duration age)
+/// Adds the statements of a report that was made `age` ago; of several about one process of an upstream the
+/// newest stays.
+template <class Statement>
+void add_newest(std::vector<Statement>& known, std::vector<Statement> others, boot_clock::duration age)
 {
     add_age(others, age);
     for (auto& other : others) {
-        const auto same = std::find_if(limits.begin(), limits.end(), [&](const stated_limit& limit) {
-            return limit.upstream == other.upstream && limit.started_unix_ms == other.started_unix_ms;
+        const auto same = std::find_if(known.begin(), known.end(), [&](const Statement& one) {
+            return one.upstream == other.upstream && one.started_unix_ms == other.started_unix_ms;
         });
-        if (same == limits.end()) {
-            limits.push_back(std::move(other));
+        if (same == known.end()) {
+            known.push_back(std::move(other));
         }
         else if (other.age < same->age) {
             *same = std::move(other);
@@ -180,25 +182,6 @@
     }
 }
 
-/// Adds the ends of upstreams in a report that was made `age` ago; of several for one process the newest
-/// stays.
-void add_newest_ends(std::vector<upstream_end>& ends, const std::vector<upstream_end>& others,
-                     boot_clock::duration age)
-{
-    for (auto other : others) {
-        other.age += std::chrono::floor<std::chrono::milliseconds>(age);
-        const auto same = std::find_if(ends.begin(), ends.end(), [&](const upstream_end& end) {
-            return end.upstream == other.upstream && end.started_unix_ms == other.started_unix_ms;
-        });
-        if (same == ends.end()) {
-            ends.push_back(std::move(other));
-        }
-        else {
-            same->age = std::min(same->age, other.age);
-        }
-    }
-}
-
 } // namespace
 
 report_exchange::report_exchange(vm_identity self, std::map<data_centre_name, region_name> data_centres)
@@ -347,7 +330,7 @@
     set_identity(state);
     state.limits = m_last_report.limits;
     add_age(state.limits, now - m_last_report_at);
-    add_newest_ends(state.upstream_ends, m_last_report.upstream_ends, now - m_last_report_at);
+    add_newest(state.upstream_ends, m_last_report.upstream_ends, now - m_last_report_at);
     add_part_findings(state, m_last_report, now - m_last_report_at);
     state.stream_origins = m_last_report.stream_origins;
     m_last_report = state;
@@ -397,9 +380,9 @@
     summary.read_up_to.clear();
     summary.read_from.clear();
     summary.limits.clear();
-    add_newest_limits(summary.limits, m_last_report.limits, now - m_last_report_at);
+    add_newest(summary.limits, m_last_report.limits, now - m_last_report_at);
     summary.upstream_ends.clear();
-    add_newest_ends(summary.upstream_ends, m_last_report.upstream_ends, now - m_last_report_at);
+    add_newest(summary.upstream_ends, m_last_report.upstream_ends, now - m_last_report_at);
     summary.part_crashes.clear();
     summary.part_successes.clear();
     summary.part_trials.clear();
@@ -411,8 +394,8 @@
     for (const auto& vm : neighbours) {
         alive.push_back(&vm->report);
         merge_newest(summary.known_changes, vm->report.known_changes);
-        add_newest_limits(summary.limits, vm->report.limits, now - vm->received_at);
-        add_newest_ends(summary.upstream_ends, vm->report.upstream_ends, now - vm->received_at);
+        add_newest(summary.limits, vm->report.limits, now - vm->received_at);
+        add_newest(summary.upstream_ends, vm->report.upstream_ends, now - vm->received_at);
         add_part_findings(summary, vm->report, now - vm->received_at);
         add_stream_origins(summary, vm->report);
     }
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -281,16 +281,16 @@
     if (std::exchange(sent.first_event_seen, true)) {
         return;
     }
-    const auto found = m_upstreams.find(sent.upstream);
-    if (found == m_upstreams.end() || has_restarted(sent) || sent.sent_at < m_links_back_at) {
+    auto* state = state_of(sent);
+    if (state == nullptr || sent.sent_at < m_links_back_at) {
         return;
     }
-    remove_pending_prefill(found->second, sent.number, now);
+    remove_pending_prefill(*state, sent.number, now);
     if (m_links_lost) {
         return;
     }
     sample_lateness(sent, now);
-    if (found->second.engine_batch > 0 && sent.prefill >= min_measured_prefill) {
+    if (state->engine_batch > 0 && sent.prefill >= min_measured_prefill) {
         const double ratio = std::chrono::duration<double, std::milli>(now - sent.sent_at).count() /
                              static_cast<double>(sent.predicted.count());
         m_prediction_scale = std::clamp(
@@ -301,12 +301,12 @@
 
 void fleet_load::end_request(sent_request& sent, send_outcome outcome, time_point now)
 {
-    const auto found = m_upstreams.find(sent.upstream);
     // What is known of an earlier process says nothing of the one that is listed now.
-    if (found == m_upstreams.end() || has_restarted(sent) || sent.sent_at < m_links_back_at) {
+    auto* listed = state_of(sent);
+    if (listed == nullptr || sent.sent_at < m_links_back_at) {
         return;
     }
-    auto& state = found->second;
+    auto& state = *listed;
     state.own.running -= std::min(state.own.running, 1U);
     state.own.memory_tokens = std::max<token_count>(0, state.own.memory_tokens - sent.memory);
     if (!sent.first_event_seen) {
@@ -342,12 +342,12 @@
 
 void fleet_load::record_silence(const sent_request& sent, time_point now)
 {
-    const auto found = m_upstreams.find(sent.upstream);
-    if (found == m_upstreams.end() || has_restarted(sent) || m_links_lost || sent.sent_at < m_links_back_at) {
+    auto* state = state_of(sent);
+    if (state == nullptr || m_links_lost || sent.sent_at < m_links_back_at) {
         return;
     }
-    count_outcome(found->second, true);
-    record_failure(found->second, now, true);
+    count_outcome(*state, true);
+    record_failure(*state, now, true);
 }
 
 void fleet_load::count_outcome(upstream_state& state, bool failure)
@@ -419,9 +419,8 @@
     if (sent.connected_at != time_point{}) {
         m_ends.record_answer(sent.upstream, {sent.connected_at, sent.sent_at, now});
     }
-    const auto found = m_upstreams.find(sent.upstream);
-    if (found != m_upstreams.end() && !has_restarted(sent)) {
-        mark_active(found->second, now);
+    if (auto* state = state_of(sent)) {
+        mark_active(*state, now);
     }
 }
 
@@ -440,17 +439,17 @@
 
 bool fleet_load::record_no_process(const sent_request& sent, time_point now)
 {
-    return find(sent.upstream) != nullptr && !has_restarted(sent) &&
+    return state_of(sent) != nullptr &&
            m_ends.record_end(sent.upstream, sent.started_unix_ms, now, std::chrono::nanoseconds{0});
 }
 
 void fleet_load::record_break(const sent_request& sent, time_point now)
 {
-    const auto found = m_upstreams.find(sent.upstream);
-    if (found == m_upstreams.end() || has_restarted(sent)) {
+    auto* state = state_of(sent);
+    if (state == nullptr) {
         return;
     }
-    auto& breaks = found->second.recent_breaks;
+    auto& breaks = state->recent_breaks;
     std::erase_if(breaks, [&](time_point at) { return now - at > break_window; });
     breaks.push_back(now);
 }
@@ -458,8 +457,8 @@
 bool fleet_load::record_common_break(const sent_request& sent, std::optional<bool> idle_open,
                                      time_point broke_at)
 {
-    const auto* state = find(sent.upstream);
-    if (state == nullptr || has_restarted(sent) || idle_open.value_or(false)) {
+    const auto* state = state_of(sent);
+    if (state == nullptr || idle_open.value_or(false)) {
         return false;
     }
     const auto is_recent = [&](time_point at) {
@@ -545,6 +544,12 @@
     }
 }
 
+fleet_load::upstream_state* fleet_load::state_of(const sent_request& sent)
+{
+    const auto found = m_upstreams.find(sent.upstream);
+    return found == m_upstreams.end() || has_restarted(sent) ? nullptr : &found->second;
+}
+
 bool fleet_load::has_restarted(const sent_request& sent) const
 {
     const auto* state = find(sent.upstream);
--- a/src/request/placing/upstream_ends.cpp
+++ b/src/request/placing/upstream_ends.cpp
@@ -1,5 +1,7 @@
 #include "cardamomstream/request/placing/upstream_ends.h"
 
+#include "keep_newest.h"
+
 #include <algorithm>
 
 namespace cardamomstream {
@@ -140,12 +142,7 @@
                             std::chrono::floor<std::chrono::milliseconds>(now - *known.end->own_ended_at)});
         }
     }
-    if (ends.size() > max_reported_ends) {
-        std::nth_element(
-            ends.begin(), ends.begin() + max_reported_ends, ends.end(),
-            [](const upstream_end& one, const upstream_end& other) { return one.age < other.age; });
-        ends.resize(max_reported_ends);
-    }
+    keep_newest(ends, max_reported_ends);
     return ends;
 }
 
--- a/src/request/placing/upstream_statements.cpp
+++ b/src/request/placing/upstream_statements.cpp
@@ -1,5 +1,7 @@
 #include "cardamomstream/request/placing/upstream_statements.h"
 
+#include "keep_newest.h"
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -97,12 +99,7 @@
                               std::chrono::floor<std::chrono::milliseconds>(now - stated.own.at)});
         }
     }
-    if (limits.size() > max_reported_limits) {
-        std::nth_element(
-            limits.begin(), limits.begin() + max_reported_limits, limits.end(),
-            [](const stated_limit& one, const stated_limit& other) { return one.age < other.age; });
-        limits.resize(max_reported_limits);
-    }
+    keep_newest(limits, max_reported_limits);
     return limits;
 }
 
