Lost links: whether they are lost is kept in fewer places

The placer kept its own copy of what fleet_load knows, which it is given at each decision; two callers asked whether a round of connections was due; a failed connection was noted twice. No behaviour changes; the tests lose the calls that set the copy, and a variable.

--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -117,7 +117,7 @@
         time_point counted_at;
     };
 
-    void begin_link_round(time_point now);
+    void try_links_if_due(time_point now);
     void try_links();
     std::vector<endpoint> link_targets(time_point now);
     bool reaches(const endpoint& upstream);
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -222,10 +222,7 @@
     load_mark load(m_state.load, m_state.load.begin_request(where.upstream, m_placing_request,
                                                             where.predicted, boot_clock::now()));
     auto& sent = load.sent;
-    call.on_unconnected = [this, &sent] {
-        m_state.note_link_failure(sent.upstream);
-        note_no_process(sent, "no_connection");
-    };
+    call.on_unconnected = [this, &sent] { note_no_process(sent, "no_connection"); };
     call.before_write = [this, &sent]() -> result<void> {
         m_state.load.record_write(sent, boot_clock::now());
         return boost::outcome_v2::success();
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -150,6 +150,8 @@
     /// `others_linked`: other VMs of the region had theirs meanwhile, so that the upstreams ran.
     void set_links_lost(bool lost, bool others_linked, time_point now);
 
+    bool links_lost() const noexcept { return m_links_lost; }
+
     /// True when bytes of an answer have come from an upstream since then.
     bool has_answered_since(time_point at) const { return m_last_byte_at >= at; }
 
--- a/include/cardamomstream/request/placing/link_monitor.h
+++ b/include/cardamomstream/request/placing/link_monitor.h
@@ -26,7 +26,7 @@
     /// True when the upstream has failed lately.
     bool has_failed(const upstream_name& upstream, time_point now) const;
 
-    /// Records that connections to `tried` upstreams are being tried.
+    /// Records that connections are being tried.
     void begin_round(time_point now)
     {
         m_round_at = now;
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -20,10 +20,6 @@
     /// Sets the other VMs of every region; this VM is counted in addition in its own region.
     void set_vms(const known_vms& vms);
 
-    /// Sets whether this VM's links to its region's upstreams are lost. Then other VMs of the region get the
-    /// requests for these.
-    void set_links_lost(bool lost) { m_links_lost = lost; }
-
     /// True when another VM of the region has its links.
     bool others_linked() const { return !m_region_vms.empty(); }
 
@@ -84,8 +80,8 @@
     void sample_candidates(std::vector<candidate>& candidates, const upstream_name* preferred);
     /// A random VM of another region.
     endpoint random_vm_in(const region_name& region);
-    /// VMs of this region, but this one, that may get the request.
-    std::vector<endpoint> next_vms(const placing_request& request) const;
+    /// VMs of this region to which the request may be passed on; none while this VM has its own links.
+    std::vector<endpoint> next_vms(const placing_request& request, const fleet_load& load) const;
     endpoint random_of(const std::vector<endpoint>& vms);
     void count_refusal(bool refused);
     placement refuse(const placing_request& request, placing_verdict verdict,
@@ -98,7 +94,6 @@
     time_point m_started_at;
     double m_refused_fraction = 0; ///< moving average over the last requests
     std::size_t m_fleet_size = 1;  ///< VMs of all regions, including this one
-    bool m_links_lost = false;
     // Ready VMs that have links to the upstreams of their region:
     std::unordered_map<region_name, std::vector<endpoint>> m_remote_vms; ///< of the other regions
     std::vector<endpoint> m_region_vms;                                  ///< of this one, without this VM
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -122,9 +122,7 @@
 {
     const auto now = boot_clock::now();
     links.record_failure(upstream, now);
-    if (links.round_due(now)) {
-        begin_link_round(now);
-    }
+    try_links_if_due(now);
 }
 
 void gateway_state::tend_links()
@@ -133,9 +131,7 @@
     for (const auto& upstream : load.all_silent(settings.region, common_silence, now)) {
         links.record_failure(upstream, now);
     }
-    if (links.round_due(now)) {
-        begin_link_round(now);
-    }
+    try_links_if_due(now);
 }
 
 std::vector<upstream_end> gateway_state::own_upstream_ends()
@@ -143,8 +139,11 @@
     return links.undecided() || links.lost() ? std::vector<upstream_end>{} : load.own_ends(boot_clock::now());
 }
 
-void gateway_state::begin_link_round(time_point now)
+void gateway_state::try_links_if_due(time_point now)
 {
+    if (!links.round_due(now)) {
+        return;
+    }
     links.begin_round(now);
     traffic_thread::start_here([this] {
         if (!run_contained("links could not be tried", [this] { try_links(); })) {
@@ -207,7 +206,6 @@
         return;
     }
     load.set_links_lost(links.lost(), placing.others_linked(), now);
-    placing.set_links_lost(links.lost());
     counters.links_lost.set(links.lost() ? 1 : 0);
     log.write(log_weight::state, links.lost() ? "links_lost" : "links_back",
               {{"tried", static_cast<std::int64_t>(targets.size())},
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -152,7 +152,7 @@
     option.state = &state;
     option.here = state.view.region == m_region;
     // Through another VM, this VM's own links don't matter.
-    const bool through_vm = option.here && m_links_lost && !m_region_vms.empty();
+    const bool through_vm = option.here && load.links_lost() && !m_region_vms.empty();
     option.suspected =
         !through_vm && (state.suspected_until > now || load.is_silent(state, now, silence_limit));
     const auto running = load.running(state, now);
@@ -280,11 +280,12 @@
     return vms[pick(m_random)];
 }
 
-std::vector<endpoint> placer::next_vms(const placing_request& request) const
+std::vector<endpoint> placer::next_vms(const placing_request& request, const fleet_load& load) const
 {
     std::vector<endpoint> vms;
-    if (request.own_region_only) {
-        return vms; // passed on once already
+    const bool passed_on = request.own_region_only;
+    if (passed_on || !load.links_lost()) {
+        return vms;
     }
     std::copy_if(m_region_vms.begin(), m_region_vms.end(), std::back_inserter(vms), [&](const endpoint& vm) {
         return std::find(request.tried_vms.begin(), request.tried_vms.end(), vm) == request.tried_vms.end();
@@ -356,7 +357,7 @@
 {
     const auto* service = plan.find_service(request.service);
     std::vector<candidate> candidates;
-    const bool through_vms = m_links_lost && !next_vms(request).empty();
+    const bool through_vms = !next_vms(request, load).empty();
     excluded = {};
     const auto exclude = [&](placing_verdict verdict, std::chrono::milliseconds wait = {}) {
         excluded.verdict = std::max(excluded.verdict, verdict);
@@ -387,7 +388,7 @@
             candidates.push_back(score(request, load, state, now));
             continue;
         }
-        if (here && m_links_lost && !load.has_answered_since(now - working_connection_ttl)) {
+        if (here && load.links_lost() && !load.has_answered_since(now - working_connection_ttl)) {
             exclude(placing_verdict::unreachable);
             continue;
         }
@@ -484,7 +485,7 @@
         return refuse(request, placing_verdict::overloaded, predicted);
     }
     placement chosen;
-    const auto other_vms = m_links_lost ? next_vms(request) : std::vector<endpoint>{};
+    const auto other_vms = next_vms(request, load);
     const bool through_vm = best->here && !other_vms.empty();
     chosen.verdict = through_vm   ? placing_verdict::other_vm
                      : best->here ? placing_verdict::here
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -904,17 +904,15 @@
     elsewhere.report.ready = true;
     fixture.placing.set_vms(known_vms_of({linked, cut, elsewhere}));
     // What the links did to its requests says nothing of the upstreams.
-    std::vector<sent_request> hanging;
     for (const auto* id : {"a", "b"}) {
         auto sent = fixture.send(id, 20'000);
         fixture.load.end_request(sent, send_outcome::unreachable, fixture.now);
-        hanging.push_back(fixture.send(id, 20'000));
+        fixture.send(id, 20'000); // hangs
     }
     auto late = fixture.send("a", 100);
     fixture.now += 2s;
     fixture.load.on_first_event(late, fixture.now);
     fixture.load.set_links_lost(true, true, fixture.now);
-    fixture.placing.set_links_lost(true);
 
     SECTION("never to one that has lost them too")
     {
@@ -976,7 +974,6 @@
     {
         fixture.now += 1s;
         fixture.load.set_links_lost(false, true, fixture.now);
-        fixture.placing.set_links_lost(false);
         fixture.now += 1s; // what hangs from before doesn't make the upstreams silent
         CHECK(fixture.place(fixture.request(500)).verdict == placing_verdict::here);
     }
