Linter: a file is checked anew when it or a header that it may include has changed

The digest covers the file, the linter's settings and every header of the project that it may include, directly or not. A clean run checks what it did before.

--- a/tools/run_tidy.sh
+++ b/tools/run_tidy.sh
@@ -12,20 +12,19 @@
 database=$build/tidy
 cmake -S . -B "$database" -G Ninja -DCMAKE_DISABLE_PRECOMPILE_HEADERS=ON > "$database.log" 2>&1 || { cat "$database.log"; exit 1; }
 export database cache
-headers=$( (cat .clang-tidy; git ls-files '*.h' | xargs cat) | sha256sum | cut -c1-16)
-export headers
 check() {
-    stamp=$cache/$( (echo "$headers $1"; cat "$1") | sha256sum | cut -c1-40)
+    stamp=$cache/$1
     [ -e "$stamp" ] && return 0
-    if clang-tidy --quiet --extra-arg=-Wno-unknown-warning-option -p "$database" "$1" > "$stamp.log" 2> /dev/null; then
+    if clang-tidy --quiet --extra-arg=-Wno-unknown-warning-option -p "$database" "$2" > "$stamp.log" 2> /dev/null; then
         mv "$stamp.log" "$stamp"
     else
         cat "$stamp.log"
         rm -f "$stamp.log"
-        echo "clang-tidy failed: $1"
+        echo "clang-tidy failed: $2"
         return 1
     fi
 }
 export -f check
 if [ $# -gt 0 ]; then files=$(printf '%s\n' "$@"); else files=$(git ls-files '*.cpp' ':!:*.pb.*'); fi
-echo "$files" | xargs -P "${TIDY_JOBS:-8}" -I{} bash -c 'check {}'
+inputs=$(echo "$files" | xargs tools/tidy_inputs.py) || exit 1
+echo "$inputs" | xargs -P "${TIDY_JOBS:-8}" -L1 bash -c 'check "$0" "$1"'
