--- a/include/cardamomstream/connection/http_client.h
+++ b/include/cardamomstream/connection/http_client.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include <boost/asio/io_context.hpp>
 
@@ -32,6 +33,7 @@
     std::string target = "/";
     std::vector<http_header> headers;
     std::string body;
+    std::string_view borrowed_body; ///< sent if `body` is empty; must outlive the call
     call_limits limits;
     bool fresh_connection = false; ///< takes no pooled connection, which might have been closed meanwhile
 
--- a/include/cardamomstream/connection/http_server.h
+++ b/include/cardamomstream/connection/http_server.h
@@ -1,6 +1,7 @@
 /// HTTP/1.1 listener: one accepting thread, sessions spread over the traffic threads.
 #pragma once
 
+#include "cardamomstream/connection/body_memory.h"
 #include "cardamomstream/connection/http_types.h"
 #include "cardamomstream/connection/response_writer.h"
 #include "cardamomstream/connection/traffic_group.h"
@@ -19,8 +20,10 @@
 /// Listens on one address. The bind is exclusive: a second process on the same address fails to start.
 class http_server {
 public:
-    /// The threads must outlive the server.
-    http_server(traffic_group& threads, http_limits limits, request_handler handler);
+    /// The threads must outlive the server. `bodies`: memory that other listeners share; null: the listener
+    /// has its own, of `max_body_memory` or what a single body needs.
+    http_server(traffic_group& threads, http_limits limits, request_handler handler,
+                std::shared_ptr<body_memory> bodies = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/include/cardamomstream/core/memory_limit.h
+++ b/include/cardamomstream/core/memory_limit.h
@@ -14,10 +14,10 @@
     {
     }
 
-    /// False, and nothing is reserved, when the limit would be exceeded.
-    bool reserve(std::size_t bytes) noexcept
+    /// False, and nothing is reserved, when less than `keep_free` would be left of the limit.
+    bool reserve(std::size_t bytes, std::size_t keep_free = 0) noexcept
     {
-        if (m_bytes.fetch_add(bytes) + bytes <= m_max_bytes) {
+        if (m_bytes.fetch_add(bytes) + bytes + keep_free <= m_max_bytes) {
             return true;
         }
         m_bytes -= bytes;
@@ -26,6 +26,7 @@
     void release(std::size_t bytes) noexcept { m_bytes -= bytes; }
 
     std::size_t bytes() const noexcept { return m_bytes; }
+    std::size_t max_bytes() const noexcept { return m_max_bytes; }
 
 private:
     std::size_t m_max_bytes;
--- a/include/cardamomstream/process/deployment/node_settings.h
+++ b/include/cardamomstream/process/deployment/node_settings.h
@@ -35,6 +35,9 @@
     std::vector<endpoint> seeds; ///< inner addresses of VMs to contact first; they need not exist
     endpoint store;
     std::uint32_t max_descriptors = 1'024;
+    double processor_cores = 1;                                ///< that the process may use
+    double link_mbps = 1'000;                                  ///< of the machine, in each direction
+    std::size_t memory_bytes = std::size_t{256} * 1024 * 1024; ///< of the machine
     fleet_bounds bounds;
 };
 
--- a/include/cardamomstream/request/gateway/answer_memory.h
+++ b/include/cardamomstream/request/gateway/answer_memory.h
@@ -3,6 +3,7 @@
 
 #include "cardamomstream/core/memory_limit.h"
 
+#include <algorithm>
 #include <cstddef>
 
 namespace cardamomstream {
@@ -12,7 +13,16 @@
 class answer_memory {
 public:
     static constexpr std::size_t max_bytes_per_answer = std::size_t{8} * 1024 * 1024;
-    static constexpr std::size_t max_bytes = std::size_t{48} * 1024 * 1024;
+    static constexpr std::size_t default_max_bytes = std::size_t{48} * 1024 * 1024;
+
+    /// An answer of at most this size may also use the last quarter of the memory.
+    static constexpr std::size_t small_bytes = std::size_t{64} * 1024;
+
+    /// `max_bytes`: of all answers together; room for a single one of the largest size is always made.
+    explicit answer_memory(std::size_t max_bytes = default_max_bytes)
+        : m_limit(std::max(max_bytes, max_bytes_per_answer / 3 * 4))
+    {
+    }
 
     /// Bytes reserved for one answer, or for a stream's incomplete event; released on destruction.
     class reservation {
@@ -36,7 +46,8 @@
             if (bytes <= m_bytes) {
                 m_owner.m_limit.release(m_bytes - bytes);
             }
-            else if (bytes > max_bytes_per_answer || !m_owner.m_limit.reserve(bytes - m_bytes)) {
+            else if (bytes > max_bytes_per_answer ||
+                     !m_owner.m_limit.reserve(bytes - m_bytes, m_owner.kept_free(bytes))) {
                 return false;
             }
             m_bytes = bytes;
@@ -48,11 +59,20 @@
         std::size_t m_bytes = 0;
     };
 
+    /// Bytes in use.
+    std::size_t bytes() const { return m_limit.bytes(); }
+
     /// Starts an empty reservation for one answer.
     reservation reserve() { return reservation(*this); }
 
 private:
-    memory_limit m_limit{max_bytes};
+    /// Of the limit, for an answer of this size.
+    std::size_t kept_free(std::size_t bytes) const
+    {
+        return bytes <= small_bytes ? 0 : m_limit.max_bytes() / 4;
+    }
+
+    memory_limit m_limit;
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/gateway/gateway_metrics.h
+++ b/include/cardamomstream/request/gateway/gateway_metrics.h
@@ -42,6 +42,8 @@
     duration_family<pool_name> first_byte; ///< from a request's arrival to the first byte of its answer
     duration_family<pool_name> predicted_first_byte; ///< as predicted when the request was placed
     gauge_family<> in_flight;
+    gauge_family<> body_bytes;   ///< memory in use for bodies of requests
+    gauge_family<> answer_bytes; ///< memory in use for buffered answers
     gauge_family<> plan_version;
     gauge_family<> vms_reporting;
     gauge_family<> upstreams_usable;
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -39,8 +39,10 @@
 /// Used on its traffic thread only, except for the atomics.
 class gateway_state {
 public:
+    /// `answer_bytes`: memory for answers that are buffered until they are complete.
     gateway_state(const node_settings& settings, http_client& client, decision_log& log,
-                  gateway_metrics& counters, std::uint64_t seed);
+                  gateway_metrics& counters, std::uint64_t seed,
+                  std::size_t answer_bytes = answer_memory::default_max_bytes);
 
     /// Applies the current plan and upstreams.
     void set_deployment(std::shared_ptr<const deployment_view> deployment);
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -167,6 +167,8 @@
     static constexpr std::chrono::milliseconds lost_run_poll{500};
     /// While a hedge runs, until its end is looked for again.
     static constexpr std::chrono::milliseconds hedge_poll{10};
+    /// While others use the memory for buffered answers, until it is asked for again.
+    static constexpr std::chrono::milliseconds answer_memory_poll{10};
     /// For bytes that came while it was found out that the run is lost.
     static constexpr std::chrono::milliseconds last_read_time{5};
     /// Connections in a row that are neither made nor refused.
@@ -230,6 +232,7 @@
     static void drain_rejection(http_exchange& exchange);
     send_result relay_buffered(http_exchange& exchange, sent_request* sent, const placement& where,
                                bool repeatable_failure);
+    bool await_answer_memory(std::size_t bytes);
     send_result deliver(const http_response& answer);
     send_result relay_stream(http_exchange& exchange, sent_request* sent, const placement& where);
     send_result relay_answer(http_exchange& exchange, sent_request* sent, const placement& where);
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -1,6 +1,7 @@
 /// Relays an upstream's answer to the caller.
 #pragma once
 
+#include "cardamomstream/connection/header_number.h"
 #include "cardamomstream/request/gateway/request_flow.h"
 
 namespace cardamomstream {
@@ -165,6 +166,11 @@
     answer.head = {exchange.head().status, end_to_end_headers(exchange.head().headers)};
     set_framing(answer.head);
     m_buffered.emplace(m_state.held_answers);
+    const auto announced =
+        leading_number<std::size_t>(header_value(exchange.head().headers, "Content-Length"));
+    if (!await_answer_memory(announced.value_or(0))) {
+        return send_result::may_have_run;
+    }
     while (true) {
         auto part = exchange.next();
         if (!part) {
@@ -179,11 +185,10 @@
         if (!part.value()) {
             break;
         }
-        if (!m_buffered->add(part.value()->size())) {
-            m_last_failure = "the answer exceeds the memory for buffered answers";
+        answer.body += *part.value();
+        if (answer.body.size() > announced.value_or(0) && !await_answer_memory(answer.body.size())) {
             return send_result::may_have_run;
         }
-        answer.body += *part.value();
     }
     if (m_unframed && process_has_ended(sent, where)) {
         note_broken_end();
@@ -202,6 +207,22 @@
     return deliver(answer);
 }
 
+/// Waits until so many bytes of the answer may be kept: others end, or their callers read on. False when
+/// there will be no memory in time.
+template <gateway_wire Wire>
+bool request_flow<Wire>::await_answer_memory(std::size_t bytes)
+{
+    while (!m_buffered->resize(bytes)) {
+        if (bytes > answer_memory::max_bytes_per_answer || m_cancel.cancelled() ||
+            time_left() <= std::chrono::milliseconds::zero()) {
+            m_last_failure = "the answer exceeds the memory for buffered answers";
+            return false;
+        }
+        boost::this_fiber::sleep_for(answer_memory_poll);
+    }
+    return true;
+}
+
 /// Gives the caller a complete answer.
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result request_flow<Wire>::deliver(const http_response& answer)
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -217,7 +217,7 @@
     call.target = m_request.target;
     call.headers = Wire::upstream_headers(m_request, call_details(where));
     remove_hop_headers(call.headers);
-    call.body = m_request.body;
+    call.borrowed_body = m_request.body;
     call.fresh_connection = needs_new_connection(where.address);
     load_mark load(m_state.load, m_state.load.begin_request(where.upstream, m_placing_request,
                                                             where.predicted, boot_clock::now()));
@@ -426,7 +426,7 @@
                        m_placing_request.waited +
                            (elsewhere ? m_state.placing.region_delay() : std::chrono::milliseconds{0}),
                        m_placing_request.version});
-    call.body = m_request.body;
+    call.borrowed_body = m_request.body;
     call.fresh_connection = needs_new_connection(where.address);
     limit_silence(call, where, nullptr, elsewhere ? hop_connect_timeout : connect_timeout);
     m_state.load.record_hop(where.upstream, m_placing_request, boot_clock::now());
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -52,6 +52,11 @@
     return value;
 }
 
+// Parts of the machine's memory. The rest is for the program, its connections and what it knows.
+constexpr std::size_t body_memory_divisor = 4;
+constexpr std::size_t answer_memory_divisor = 10;
+constexpr std::size_t read_memory_divisor = 32; ///< of each listener, and of the connections to upstreams
+
 /// Where no plan states others.
 http_limits default_limits(const node_settings& settings)
 {
@@ -62,6 +67,7 @@
     limits.body_timeout = std::chrono::milliseconds{10'000};
     limits.idle_timeout = std::chrono::milliseconds{20'000};
     limits.write_timeout = std::chrono::milliseconds{10'000};
+    limits.max_buffered_bytes = settings.memory_bytes / read_memory_divisor;
     // Each request may need a connection to an upstream beside the caller's.
     limits.max_connections = (settings.max_descriptors - descriptors_for_files) / 2;
     return limits;
@@ -77,11 +83,12 @@
     return limits;
 }
 
-http_client_settings upstream_connections()
+http_client_settings upstream_connections(const node_settings& node)
 {
     http_client_settings settings;
     settings.max_idle = std::chrono::milliseconds{4'000};
     settings.user_timeout = std::chrono::milliseconds{2'000};
+    settings.max_buffered_bytes = node.memory_bytes / read_memory_divisor;
     return settings;
 }
 
@@ -103,18 +110,25 @@
 public:
     explicit impl(node_settings read)
         : settings(std::move(read))
-        , client(traffic.front().io(), upstream_connections())
-        , state(settings, client, log, counters, random_number())
+        , client(traffic.front().io(), upstream_connections(settings))
+        , state(settings, client, log, counters, random_number(),
+                settings.memory_bytes / answer_memory_divisor)
         , control(settings, control_thread, traffic.front(), state, log, incarnation{random_number()})
+        , bodies(std::make_shared<body_memory>(
+              body_memory_settings{settings.memory_bytes / body_memory_divisor}))
         , limits(default_limits(settings))
-        , entry(traffic, limits.at(started_at),
-                [this](const http_request& request, std::size_t /*thread*/, response_writer& writer) {
-                    request_flow<platform::message_format>(state, request, writer).serve_caller();
-                })
-        , inner(traffic, hop_limits(settings),
-                [this](const http_request& request, std::size_t /*thread*/, response_writer& writer) {
-                    serve_inner(request, writer);
-                })
+        , entry(
+              traffic, limits.at(started_at),
+              [this](const http_request& request, std::size_t /*thread*/, response_writer& writer) {
+                  request_flow<platform::message_format>(state, request, writer).serve_caller();
+              },
+              bodies)
+        , inner(
+              traffic, hop_limits(settings),
+              [this](const http_request& request, std::size_t /*thread*/, response_writer& writer) {
+                  serve_inner(request, writer);
+              },
+              bodies)
     {
         state.on_plan = [this](const service_plan& plan) { apply_limits(plan); };
         entry.on_unserved([this](std::string_view reason) {
@@ -134,7 +148,8 @@
     http_client client;
     gateway_state state;
     node_control control;
-    entry_limits limits; ///< used on the traffic thread
+    std::shared_ptr<body_memory> bodies; ///< of the requests of callers and other VMs
+    entry_limits limits;                 ///< used on the traffic thread
     http_server entry;
     http_server inner;
     std::vector<std::unique_ptr<http_server>> questions; ///< restarts, entry answers and metrics
@@ -157,6 +172,7 @@
     const auto now = boot_clock::now();
     limits.apply(plan.document().limits, now);
     const auto in_force = limits.at(now);
+    bodies->make_room_for(in_force.max_body_bytes);
     entry.set_limits(in_force);
     log.write(log_weight::state, "caller_limits",
               {{"plan", static_cast<std::int64_t>(plan.version())},
@@ -209,6 +225,8 @@
     else if (request.path() == "/metrics") {
         response.head.status = 200;
         response.head.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+        counters.body_bytes.set(static_cast<double>(bodies->bytes()));
+        counters.answer_bytes.set(static_cast<double>(state.held_answers.bytes()));
         response.body = counters.render();
     }
     (void)writer.send(response); // who has left needs no answer
--- a/src/connection/client/pooled_exchange.cpp
+++ b/src/connection/client/pooled_exchange.cpp
@@ -14,11 +14,14 @@
 
 constexpr std::uint32_t max_response_header_bytes = 32 * 1024;
 constexpr int max_informational_heads = 8; ///< before the head of the answer
+constexpr unsigned first_status = 100;     ///< what is below is no status of HTTP
 constexpr unsigned first_final_status = 200;
 
-http::request<http::string_body> make_request(const http_call& call)
+using request_body = http::span_body<const char>;
+
+http::request<request_body> make_request(const http_call& call)
 {
-    http::request<http::string_body> request{http::string_to_verb(call.method), call.target, 11};
+    http::request<request_body> request{http::string_to_verb(call.method), call.target, 11};
     if (request.method() == http::verb::unknown) {
         request.method_string(call.method);
     }
@@ -28,7 +31,8 @@
     if (request.find(http::field::host) == request.end()) {
         request.set(http::field::host, call.address.str());
     }
-    request.body() = call.body;
+    const std::string_view body = call.body.empty() ? call.borrowed_body : call.body;
+    request.body() = {body.data(), body.size()};
     request.prepare_payload();
     return request;
 }
@@ -89,7 +93,7 @@
 
 result<void> pooled_exchange::write(const http_call& call)
 {
-    if (call.method == "TRACE" && !call.body.empty()) {
+    if (call.method == "TRACE" && !(call.body.empty() && call.borrowed_body.empty())) {
         return error{error_kind::invalid_request, "HTTP forbids a body of TRACE", "send none",
                      run_outcome::not_run, std::nullopt};
     }
@@ -108,7 +112,7 @@
                      run_outcome::not_run,
                      {}};
     }
-    http::request_serializer<http::string_body> serializer{request};
+    http::request_serializer<request_body> serializer{request};
     return run_within(call.limits.first_byte,
                       [&] { return http::async_write(m_connection->socket(), serializer, use_fiber); });
 }
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -28,12 +28,16 @@
 /// After a connection could not be accepted, as when the process has no descriptor left.
 constexpr std::chrono::milliseconds accept_retry_pause{100};
 
+/// A connection that has brought no whole head for this long makes room for another one when all are taken.
+constexpr std::chrono::milliseconds min_wait_for_first_request{1'000};
+
 } // namespace
 
 struct http_server::state : std::enable_shared_from_this<http_server::state> {
     using session_set = std::set<std::shared_ptr<http_session>>;
 
-    state(traffic_group& traffic, http_limits limits, request_handler handler)
+    state(traffic_group& traffic, http_limits limits, request_handler handler,
+          std::shared_ptr<body_memory> bodies)
         : threads(traffic)
         , sessions(threads.size())
         , acceptor(threads.front().io())
@@ -41,15 +45,30 @@
         context->limits = std::make_shared<const http_limits>(limits);
         context->max_connections = limits.max_connections;
         context->read_memory = std::make_shared<memory_limit>(limits.max_buffered_bytes);
+        context->bodies = bodies
+                              ? std::move(bodies)
+                              : std::make_shared<body_memory>(body_memory_settings{limits.max_body_memory});
+        make_room_for_body(limits);
         context->handler = std::move(handler);
     }
 
+    void make_room_for_body(const http_limits& limits)
+    {
+        if (owns_bodies) {
+            context->bodies->make_room_for(limits.max_body_bytes);
+        }
+    }
+
     result<endpoint> bind(const endpoint& address);
     void accept_loop();
     void accept_waiting();
     std::size_t take_thread() { return std::exchange(next_thread, (next_thread + 1) % threads.size()); }
     void start_session(tcp::socket socket, std::size_t thread);
 
+    /// Closes the connection of a thread that has waited longest for the head of its first request. False
+    /// when there is none that has waited for some time.
+    bool close_without_request(std::size_t thread);
+
     /// Calls `visit` with each session, on the session's thread.
     template <class Visitor>
     void for_each_session(Visitor visit);
@@ -61,6 +80,7 @@
     std::shared_ptr<session_context> context = std::make_shared<session_context>();
     std::atomic<std::size_t> open = 0;
     std::atomic<bool> accepting = false;
+    bool owns_bodies = false; ///< the memory for bodies is not shared
 };
 
 result<endpoint> http_server::state::bind(const endpoint& address)
@@ -147,7 +167,7 @@
         self->sessions[thread].insert(session);
     });
     threads[thread].spawn([self = shared_from_this(), session, thread, count] {
-        if (count > self->context->max_connections) {
+        if (count > self->context->max_connections && !self->close_without_request(thread)) {
             (void)session->send(error_response(
                 {error_kind::too_many_connections, "this VM has too many open connections",
                  "try again, or another VM of GET /v1/entry", run_outcome::not_run, std::chrono::seconds{1}},
@@ -162,6 +182,22 @@
     });
 }
 
+bool http_server::state::close_without_request(std::size_t thread)
+{
+    const auto now = boot_clock::now();
+    http_session* longest = nullptr;
+    for (const auto& session : sessions[thread]) {
+        if (session->waits_for_first_request() && now - session->began_at() >= min_wait_for_first_request &&
+            (longest == nullptr || session->began_at() < longest->began_at())) {
+            longest = session.get();
+        }
+    }
+    if (longest != nullptr) {
+        longest->close();
+    }
+    return longest != nullptr;
+}
+
 template <class Visitor>
 void http_server::state::for_each_session(Visitor visit)
 {
@@ -174,8 +210,9 @@
     }
 }
 
-http_server::http_server(traffic_group& threads, http_limits limits, request_handler handler)
-    : m_state(std::make_shared<state>(threads, limits, std::move(handler)))
+http_server::http_server(traffic_group& threads, http_limits limits, request_handler handler,
+                         std::shared_ptr<body_memory> bodies)
+    : m_state(std::make_shared<state>(threads, limits, std::move(handler), std::move(bodies)))
 {
 }
 
@@ -199,6 +236,7 @@
 
 void http_server::set_limits(const http_limits& limits)
 {
+    m_state->make_room_for_body(limits);
     m_state->context->limits = std::make_shared<const http_limits>(limits);
 }
 
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -11,7 +11,9 @@
 #include <tuple>
 #include <utility>
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/fiber/operations.hpp>
 #include <spdlog/spdlog.h>
 
 namespace cardamomstream {
@@ -20,7 +22,7 @@
 
 namespace {
 
-http_request to_request(http::request<http::string_body>&& message)
+http_request to_request(const http::request<http::buffer_body>& message, std::string&& body)
 {
     http_request request;
     request.method = std::string(message.method_string());
@@ -28,7 +30,7 @@
     for (const auto& field : message) {
         request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
-    request.body = std::move(message.body());
+    request.body = std::move(body);
     return request;
 }
 
@@ -37,6 +39,24 @@
 
 constexpr std::chrono::milliseconds provisional_retry_delay{500};
 
+/// A body is kept in steps of this size, so that one that is announced but doesn't come takes no memory.
+constexpr std::size_t body_step_bytes = std::size_t{64} * 1024;
+constexpr std::size_t first_body_step_bytes = std::size_t{4} * 1024; ///< of a body without a length
+
+/// Larger ones are read in few calls of the system.
+constexpr std::size_t body_read_bytes = std::size_t{16} * 1024;
+
+/// For connections whose senders have stalled, until their memory is free.
+constexpr std::chrono::milliseconds memory_wait{200};
+constexpr std::chrono::milliseconds memory_poll{5};
+constexpr std::chrono::milliseconds memory_retry_delay{1'000};
+
+error no_memory()
+{
+    return {error_kind::overloaded, "this VM has no memory left for the request",
+            "come back after the time given", run_outcome::not_run, memory_retry_delay};
+}
+
 /// `provisional`: the limits of sizes may be larger in fact.
 error read_error(boost::beast::error_code ec, bool provisional)
 {
@@ -55,6 +75,9 @@
         return {
             error_kind::request_too_large, "the request's body is too large", "send a smaller body", {}, {}};
     }
+    if (ec == boost::asio::error::no_memory) {
+        return no_memory();
+    }
     if (ec == boost::beast::error::timeout) {
         return {error_kind::request_timeout,
                 "the request was not received in time",
@@ -72,7 +95,7 @@
 constexpr unsigned http_1_1 = 11;
 
 /// True when the headers leave no doubt where the request ends and which host it is for.
-bool is_unambiguous(const http::request<http::string_body>& message)
+bool is_unambiguous(const http::request<http::buffer_body>& message)
 {
     if (message.count(http::field::transfer_encoding) > 0 &&
         !boost::beast::iequals(message[http::field::transfer_encoding], "chunked")) {
@@ -83,7 +106,7 @@
 }
 
 /// HTTP forbids it, so that it can't be passed on.
-bool is_trace_with_body(const http::request_parser<http::string_body>& incoming)
+bool is_trace_with_body(const http::request_parser<http::buffer_body>& incoming)
 {
     return incoming.get().method() == http::verb::trace &&
            (incoming.chunked() || incoming.content_length().value_or(0) > 0);
@@ -222,9 +245,10 @@
 
 boost::beast::error_code http_session::read_request(parser& incoming)
 {
-    if (auto ec = read_within(m_limits->header_timeout, incoming, read_part::header)) {
+    if (auto ec = read_head(incoming)) {
         return ec;
     }
+    m_waits_for_first_request = false;
     if (!is_unambiguous(incoming.get())) {
         return http::error::bad_field;
     }
@@ -239,25 +263,107 @@
             return ec;
         }
     }
-    return read_within(m_limits->body_timeout, incoming, read_part::body);
+    return read_body(incoming);
 }
 
-boost::beast::error_code http_session::read_within(std::chrono::milliseconds limit, parser& incoming,
-                                                   read_part part)
+boost::beast::error_code http_session::read_head(parser& incoming)
 {
     m_stream.expires_never();
-    io_deadline deadline(m_stream.socket(), limit);
-    auto [ec, n] = part == read_part::header
-                       ? http::async_read_header(m_stream, m_buffer, incoming, use_fiber)
-                       : http::async_read(m_stream, m_buffer, incoming, use_fiber);
+    const io_deadline deadline(m_stream.socket(), m_limits->header_timeout);
+    auto [ec, n] = http::async_read_header(m_stream, m_buffer, incoming, use_fiber);
     if (ec && deadline.expired()) {
         return boost::beast::error::timeout;
     }
     return ec;
 }
 
+/// Reads the body in steps whose memory is reserved first.
+boost::beast::error_code http_session::read_body(parser& incoming)
+{
+    const auto until = boot_clock::now() + m_limits->body_timeout;
+    m_body.clear();
+    m_reads_body = true;
+    m_body_refused = false;
+    m_body_account.emplace(
+        m_context->bodies,
+        [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                boost::asio::post(self->m_stream.get_executor(), [self] { self->cut_body(); });
+            }
+        },
+        boot_clock::now());
+    if (incoming.content_length().value_or(0) > m_buffer.capacity()) {
+        m_buffer.reserve(std::min<std::size_t>(body_read_bytes, *incoming.content_length()));
+    }
+    incoming.eager(true); // many short chunks are read at once
+    auto& space = incoming.get().body();
+    std::size_t length = 0;
+    while (!incoming.is_done()) {
+        if (length == m_body.size() && !extend_body(incoming)) {
+            return boost::asio::error::no_memory;
+        }
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(until - boot_clock::now());
+        const io_deadline deadline(m_stream.socket(), std::max(left, std::chrono::milliseconds{0}));
+        space.data = m_body.data() + length;
+        space.size = m_body.size() - length;
+        space.more = true;
+        auto [ec, n] = http::async_read_some(m_stream, m_buffer, incoming, use_fiber);
+        length = m_body.size() - space.size;
+        if (m_body_refused) {
+            return boost::asio::error::no_memory;
+        }
+        if (ec && ec != http::error::need_buffer) {
+            return deadline.expired() ? boost::beast::error::timeout : ec;
+        }
+    }
+    m_reads_body = false;
+    m_body.resize(length);
+    m_body_account->complete();
+    m_buffer.shrink_to_fit();
+    return {};
+}
+
+/// Makes room for the next step of the body. False when there is no memory for it.
+bool http_session::extend_body(const parser& incoming)
+{
+    const auto size = m_body.size();
+    const auto announced = incoming.content_length();
+    const auto end = static_cast<std::size_t>(announced.value_or(m_limits->max_body_bytes));
+    const auto missing = end - std::min(end, size);
+    const auto step = announced ? std::min(missing, body_step_bytes)
+                                : std::clamp(size, first_body_step_bytes, body_step_bytes);
+    const auto until = boot_clock::now() + memory_wait;
+    auto grant = m_body_account->grow(step, missing - std::min(missing, step), boot_clock::now());
+    while (grant == memory_grant::awaited && !m_body_refused && boot_clock::now() < until) {
+        boost::this_fiber::sleep_for(memory_poll);
+        grant = m_body_account->grow(step, missing - std::min(missing, step), boot_clock::now());
+    }
+    m_body_refused = m_body_refused || grant != memory_grant::granted;
+    if (m_body_refused) {
+        return false;
+    }
+    if (announced && size == 0) {
+        m_body.reserve(static_cast<std::size_t>(*announced));
+    }
+    m_body.resize(size + step);
+    return true;
+}
+
+/// Ends a body whose sender has stalled, since others need its memory.
+void http_session::cut_body()
+{
+    if (m_reads_body) {
+        m_body_refused = true;
+        boost::beast::error_code ignored; // the fiber that reads refuses the request
+        m_stream.socket().cancel(ignored);
+    }
+}
+
 void http_session::refuse_malformed(boost::beast::error_code ec)
 {
+    m_reads_body = false;
+    std::string().swap(m_body);
+    m_body_account.reset();
     if (ec == http::error::end_of_stream || ec == boost::asio::error::connection_reset ||
         ec == boost::asio::error::operation_aborted) {
         return;
@@ -282,8 +388,9 @@
     m_keep_alive = message.keep_alive();
     m_stream.expires_never();
     const bool handled = run_contained("a request's handler failed", [&] {
-        m_context->handler(to_request(std::move(message)), m_thread, *this);
+        m_context->handler(to_request(message, std::move(m_body)), m_thread, *this);
     });
+    m_body_account.reset();
     if (m_watch) {
         m_watch->stop();
         m_watch.reset();
@@ -358,8 +465,8 @@
         return end_stream();
     }
     m_keep_alive = !will_close();
-    http::response<http::string_body> message(make_head(response.head).base());
-    message.body() = response.body;
+    http::response<http::span_body<const char>> message(make_head(response.head).base());
+    message.body() = {response.body.data(), response.body.size()};
     message.prepare_payload();
     m_started = true;
     m_ended = true;
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -5,6 +5,7 @@
 
 #include "cardamomstream/connection/http_server.h"
 #include "cardamomstream/connection/read_buffer.h"
+#include "cardamomstream/core/boot_clock.h"
 
 #include <atomic>
 #include <chrono>
@@ -25,6 +26,7 @@
     request_handler handler;
     std::function<void(std::string_view reason)> on_unserved; ///< may be empty
     std::shared_ptr<memory_limit> read_memory;                ///< of all sessions
+    std::shared_ptr<body_memory> bodies;                      ///< of all sessions, and other listeners
     std::atomic<bool> closing = false;                        ///< answers carry `Connection: close`
     std::atomic<bool> stopping = false;                       ///< no further connection is accepted
     std::atomic<bool> ending = false;                         ///< no connection waits for a further request
@@ -44,6 +46,12 @@
     /// Ends the connection if it waits for a request of which nothing has come; call on the socket's thread.
     void close_if_idle();
     void close();
+
+    /// True until the head of the connection's first request has come; call on the socket's thread.
+    bool waits_for_first_request() const { return m_waits_for_first_request; }
+    /// When the connection was accepted.
+    time_point began_at() const { return m_began_at; }
+
     /// Ends the connection once its caller has received the last answer and closes, or after a limited time.
     void close_after_answer();
 
@@ -57,16 +65,17 @@
     void on_caller_gone(std::function<void()> notify) override;
 
 private:
-    using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
-
-    enum class read_part { header, body };
+    using parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
 
     bool serve_one();
     /// How an idle connection goes on.
     enum class idle_end { request, closed, idle_timeout };
     idle_end await_request();
     boost::beast::error_code read_request(parser& incoming);
-    boost::beast::error_code read_within(std::chrono::milliseconds limit, parser& incoming, read_part part);
+    boost::beast::error_code read_head(parser& incoming);
+    boost::beast::error_code read_body(parser& incoming);
+    bool extend_body(const parser& incoming);
+    void cut_body();
     void refuse_malformed(boost::beast::error_code ec);
     void note_unserved(std::string_view reason);
     void answer(parser& incoming);
@@ -84,6 +93,10 @@
     std::shared_ptr<const http_limits> m_limits;     ///< of the request that is read or answered
     std::chrono::milliseconds m_stated_idle_time{0}; ///< in the last answer; 0: none
     read_buffer m_buffer;
+    std::string m_body; ///< of the request that is read
+    std::optional<body_memory::account> m_body_account;
+    bool m_reads_body = false;
+    bool m_body_refused = false; ///< for lack of memory
     std::shared_ptr<caller_watch> m_watch;
     unsigned m_version = 11;
     bool m_keep_alive = true;
@@ -92,6 +105,8 @@
     bool m_ended = false;
     bool m_too_large = false; ///< the last request was refused as too large
     bool m_idle = false;      ///< waits for a request of which nothing has come
+    bool m_waits_for_first_request = true;
+    time_point m_began_at = boot_clock::now();
 };
 
 } // namespace cardamomstream
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -60,6 +60,10 @@
                             {"service"}},
                            first_byte_bounds())
     , in_flight(m_registry, {"cardamomstream_gateway_in_flight", "Requests being served.", {}})
+    , body_bytes(m_registry,
+                 {"cardamomstream_gateway_body_bytes", "Memory in use for bodies of requests.", {}})
+    , answer_bytes(m_registry,
+                   {"cardamomstream_gateway_answer_bytes", "Memory in use for buffered answers.", {}})
     , plan_version(m_registry, {"cardamomstream_gateway_plan_version", "Plan in force.", {}})
     , vms_reporting(m_registry, {"cardamomstream_gateway_vms_heard", "Other VMs that report.", {}})
     , upstreams_usable(m_registry, {"cardamomstream_gateway_upstreams_usable", "Upstreams in use.", {}})
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -49,7 +49,7 @@
 } // namespace
 
 gateway_state::gateway_state(const node_settings& node, http_client& upstream_client, decision_log& decisions,
-                             gateway_metrics& metrics, std::uint64_t seed)
+                             gateway_metrics& metrics, std::uint64_t seed, std::size_t answer_bytes)
     : settings(node)
     , client(upstream_client)
     , log(decisions)
@@ -60,6 +60,7 @@
     , quarantine(node.inner_listener)
     , request_quarantine(node.inner_listener, whole_request_quarantine())
     , probe(upstream_client)
+    , held_answers(answer_bytes)
     , random(seed)
 {
 }
--- a/src/request/serving/attempt_runner.cpp
+++ b/src/request/serving/attempt_runner.cpp
@@ -206,7 +206,7 @@
     call.method = m_work.method;
     call.target = m_work.target;
     call.headers = m_work.headers;
-    call.body = m_work.body;
+    call.borrowed_body = m_work.body;
     const auto left = m_context.time_left(boot_clock::now());
     call.limits = {connect_timeout, std::min(m_pool.first_byte_limit, left), m_pool.chunk_gap_limit,
                    std::min(m_pool.total_limit, left)};
