--- a/src/connection/client/pooled_exchange.cpp
+++ b/src/connection/client/pooled_exchange.cpp
@@ -130,10 +130,14 @@
             return http::async_read_header(m_connection->socket(), m_connection->buffer(), *m_parser,
                                            use_fiber);
         }));
-        if (m_parser->get().result_int() >= first_final_status) {
+        const auto status = m_parser->get().result_int();
+        if (status >= first_final_status) {
             take_head();
             return boost::outcome_v2::success();
         }
+        if (status < first_status) {
+            break;
+        }
     }
     return failure(http::error::bad_status, false);
 }
--- a/src/connection/client/tests/raw_answer_test.cpp
+++ b/src/connection/client/tests/raw_answer_test.cpp
@@ -118,6 +118,25 @@
     }
 }
 
+// It was taken for an informational head, and the answer awaited until the call's time was over.
+TEST_CASE("a status that HTTP doesn't know is no answer")
+{
+    for (const std::string status : {"000", "001", "099"}) {
+        DYNAMIC_SECTION(status)
+        {
+            raw_server server([&](const byte_writer& write) {
+                write("HTTP/1.1 " + status + " x\r\nContent-Length: 4\r\n\r\ndone");
+            });
+            const auto began = std::chrono::steady_clock::now();
+            const auto got = fetch_from(server, 3s);
+            REQUIRE_FALSE(got);
+            CHECK(got.error().kind == error_kind::upstream_failed);
+            CHECK(got.error().outcome == run_outcome::unknown);
+            CHECK(std::chrono::steady_clock::now() - began < 1s);
+        }
+    }
+}
+
 TEST_CASE("a head has no end")
 {
     raw_server server([](const byte_writer& write) {
