--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -133,10 +133,25 @@
     note_confirmed(boot_clock::now());
     if (!changes.items.empty()) {
         m_newest_change = std::max(m_newest_change, newest_of(changes.up_to.era, changes.items));
+        note_applied(changes);
         m_on_changes(changes);
     }
 }
 
+void store_follower::note_applied(const store_changes& changes)
+{
+    m_keys.apply(changes);
+    m_recent.add(changes, boot_clock::now());
+}
+
+/// Tells the VMs for which this one reads.
+void store_follower::tell(const store_changes& changes)
+{
+    if (m_reads && !changes.items.empty()) {
+        m_on_read(m_recent.repeated(changes, boot_clock::now()));
+    }
+}
+
 bool store_follower::list()
 {
     cancellation cancel;
@@ -169,6 +184,12 @@
                      {"new_revision", static_cast<std::int64_t>(all.position.revision)},
                      {"reads", std::int64_t{m_reads ? 1 : 0}}});
     }
+    const auto after = std::max(m_newest_change, m_listed_at);
+    const auto changes = m_keys.replace(m_part, all, after, before);
+    if (listed_before && !all.restored) {
+        tell(changes);
+        m_recent.add(changes, boot_clock::now());
+    }
     m_lag.record_known(all.position);
     m_listed_at = all.position;
     m_newest_change = std::max(m_newest_change, newest_of(all.position.era, all.items));
@@ -246,9 +267,8 @@
     }
     store_changes read{m_part, after, position, false, std::move(changes.value().items)};
     m_newest_change = std::max(m_newest_change, newest_of(position.era, read.items));
-    if (m_reads) {
-        m_on_read(read);
-    }
+    tell(read);
+    note_applied(read);
     m_on_changes(read);
     boost::this_fiber::sleep_for(m_pace.pause);
     return true;
--- a/src/app/node/store_follower.h
+++ b/src/app/node/store_follower.h
@@ -5,6 +5,7 @@
 
 #include "cardamomstream/process/decision_log.h"
 #include "cardamomstream/process/deployment/change_lag.h"
+#include "cardamomstream/process/deployment/recent_changes.h"
 
 #include <functional>
 #include <optional>
@@ -42,7 +43,8 @@
     store_follower(store_part part, std::string prefix, platform::store_client& store, store_contact& contact,
                    decision_log& log, std::uint64_t seed);
 
-    /// `on_read` gets what this VM has read of the store while it reads for others, before `on_changes`.
+    /// `on_read` gets what this VM has read of the store while it reads for others, with what it has read
+    /// shortly before, in advance of `on_changes` and `on_listing`.
     void on_read(change_action action) { m_on_read = std::move(action); }
     void on_listing(listing_action action) { m_on_listing = std::move(action); }
     void on_changes(change_action action) { m_on_changes = std::move(action); }
@@ -98,6 +100,8 @@
     bool behind_era() const noexcept { return m_newest_era > m_lag.known().era; }
     void note_era(std::uint64_t era);
     void apply_listing(store_batch all);
+    void note_applied(const store_changes& changes);
+    void tell(const store_changes& changes);
     void want_watch();
     void await_question();
     void note_confirmed(time_point now);
@@ -115,6 +119,8 @@
     listing_action m_on_listing;
     change_action m_on_changes;
     change_lag m_lag;
+    listed_keys m_keys;
+    recent_changes m_recent;           ///< applied by this VM
     cancellation* m_waiting = nullptr; ///< ends the watch under way
     store_position m_newest_change;    ///< that this VM knows of
     store_position m_listed_at;
