--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -68,6 +68,14 @@
     std::chrono::milliseconds age{0};          ///< of the answer, when the report was made
 };
 
+/// How long work takes at an upstream that shares its machine, as it stated to one VM.
+struct stated_work {
+    upstream_name upstream;
+    std::int64_t started_unix_ms = 0; ///< of the upstream's process
+    std::uint32_t percent = 100;      ///< of the usual time
+    std::chrono::milliseconds age{0}; ///< of the answer, when the report was made
+};
+
 /// End of an upstream's process, as one VM has seen it.
 struct upstream_end {
     upstream_name upstream;
@@ -140,6 +148,8 @@
     endpoint entry; ///< where callers connect
     bool ready = false;
     bool links_lost = false; ///< to the upstreams of its region
+    /// How many callers it bears, compared with other VMs; 0: unknown.
+    std::uint32_t capacity = 0;
     friend bool operator==(const vm_member&, const vm_member&) = default;
 };
 
@@ -163,14 +173,15 @@
     endpoint inner; ///< where other VMs connect
     bool ready = false;
     bool leaving = false;
-    bool links_lost = false; ///< to the upstreams of its region
+    bool links_lost = false;    ///< to the upstreams of its region
+    std::uint32_t capacity = 0; ///< as in `vm_member`
     version_number plan_version = 0;
     /// Inner addresses in the receiver's data centre, so that VMs discover each other.
     std::vector<endpoint> known_vms;
     /// Inner addresses in the other data centres, some of each, for a receiver that knows no VM there.
     std::vector<endpoint> known_elsewhere;
-    /// Set when `loads`, `uses`, `lateness`, `limits`, `upstream_ends` and what is known of prompt parts
-    /// cover all VMs of the data centre.
+    /// Set when `loads`, `uses`, `lateness`, `limits`, `works`, `upstream_ends` and what is known of prompt
+    /// parts cover all VMs of the data centre.
     std::optional<data_centre_summary_part> summary;
     bool asks_for_members = false; ///< asks the receiver which VMs of the sender's data centre it knows
     bool reads_store = false;      ///< the VM watches the store itself
@@ -178,6 +189,7 @@
     std::vector<customer_use> uses;
     std::vector<lateness_sample> lateness;
     std::vector<stated_limit> limits;
+    std::vector<stated_work> works;
     std::vector<upstream_end> upstream_ends;  ///< lately seen
     std::vector<part_crash> part_crashes;     ///< those that all VMs of the fleet should know
     std::vector<part_success> part_successes; ///< of parts that other VMs may suspect
--- a/include/cardamomstream/process/deployment/entry_directory.h
+++ b/include/cardamomstream/process/deployment/entry_directory.h
@@ -40,7 +40,8 @@
 /// while fewer than `min_local_vms` of them are ready. If there are none, returns those of the regions in
 /// which most routes of the host may be served, since the request body goes to the VM that the caller
 /// connects to. Returns none while no VM of these regions is ready but one stops or starts: the caller asks
-/// again. Else returns those of the next best regions, if any route may be served there.
+/// again. Else returns those of the next best regions, if any route may be served there. VMs of larger
+/// machines are named several times, see `weigh_entries`.
 std::vector<endpoint> entry_addresses(const entry_query& query, const node_settings& self,
                                       const directory_view& known);
 
--- a/include/cardamomstream/process/deployment/report_exchange.h
+++ b/include/cardamomstream/process/deployment/report_exchange.h
@@ -31,6 +31,7 @@
     data_centre_name data_centre;
     endpoint entry;
     endpoint inner;
+    std::uint32_t capacity = 0; ///< as in `vm_member`
 };
 
 /// Usual time between a VM's reports to the other VMs of its data centre.
--- a/include/cardamomstream/process/deployment/vm_table.h
+++ b/include/cardamomstream/process/deployment/vm_table.h
@@ -32,7 +32,8 @@
         const auto& report = known->report;
         if (!report.summary) {
             action(report,
-                   vm_member{report.inner, report.entry, report.ready && !report.leaving, report.links_lost},
+                   vm_member{report.inner, report.entry, report.ready && !report.leaving, report.links_lost,
+                             report.capacity},
                    known->received_at);
             continue;
         }
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -4,6 +4,7 @@
 #include "platform/wire_names.h"
 
 #include "cardamomstream/connection/use_fiber.h"
+#include "cardamomstream/process/deployment/entry_weights.h"
 #include "cardamomstream/process/deployment/vm_report_codec.h"
 
 #include <algorithm>
@@ -54,7 +55,8 @@
             settings.region,
             settings.data_centre,
             settings.entry_listener.value_or(endpoint{}),
-            settings.inner_listener};
+            settings.inner_listener,
+            vm_capacity(settings.processor_cores, settings.link_mbps)};
 }
 
 /// True when the report is among the first that tell of an upstream's end.
@@ -502,6 +504,7 @@
                                 m_state.quota.uses(),
                                 m_state.load.take_lateness(),
                                 m_state.load.own_limits(boot_clock::now()),
+                                m_state.load.own_works(boot_clock::now()),
                                 m_state.own_upstream_ends(),
                                 m_state.quarantine.take_report(boot_clock::now()),
                                 m_state.request_quarantine.take_report(boot_clock::now()),
@@ -535,6 +538,7 @@
     state.uses = std::move(traffic.uses);
     state.lateness = std::move(traffic.lateness);
     state.limits = std::move(traffic.limits);
+    state.works = std::move(traffic.works);
     state.upstream_ends = std::move(traffic.upstream_ends);
     state.part_crashes = std::move(traffic.prompt_parts.crashes);
     state.part_successes = std::move(traffic.prompt_parts.successes);
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -20,6 +20,7 @@
     std::vector<customer_use> uses;
     std::vector<lateness_sample> lateness;
     std::vector<stated_limit> limits;
+    std::vector<stated_work> works;
     std::vector<upstream_end> upstream_ends;
     quarantine_report prompt_parts;
     quarantine_report requests;
--- a/src/process/deployment/entry_directory.cpp
+++ b/src/process/deployment/entry_directory.cpp
@@ -1,5 +1,7 @@
 #include "cardamomstream/process/deployment/entry_directory.h"
 
+#include "cardamomstream/process/deployment/entry_weights.h"
+
 #include <algorithm>
 #include <cstddef>
 #include <map>
@@ -44,11 +46,11 @@
     return counts;
 }
 
-using entries_by_region = std::map<region_name, std::vector<endpoint>>;
+using entries_by_region = std::map<region_name, std::vector<weighted_entry>>;
 
 /// For a caller whose own region has no ready VM.
-std::vector<endpoint> entries_elsewhere(const entry_query& query, const node_settings& self,
-                                        const directory_view& known, const entries_by_region& regions)
+std::vector<weighted_entry> entries_elsewhere(const entry_query& query, const node_settings& self,
+                                              const directory_view& known, const entries_by_region& regions)
 {
     auto counts = count_served_routes(known.plan, query.host, self);
     std::ptrdiff_t most = 0;
@@ -62,7 +64,7 @@
     const bool may_return = std::any_of(counts.begin(), counts.end(), [&](const auto& one) {
         return one.second == most && known.restarts.may_return(one.first, known.now);
     });
-    std::vector<endpoint> selected;
+    std::vector<weighted_entry> selected;
     // Where none of the host's routes is served, each request would be refused.
     if (most_with_vms < most && (may_return || most_with_vms == 0)) {
         return selected;
@@ -110,12 +112,12 @@
 std::vector<endpoint> entry_addresses(const entry_query& query, const node_settings& self,
                                       const directory_view& known)
 {
-    std::vector<endpoint> same_data_centre;
-    std::vector<endpoint> selected;
+    std::vector<weighted_entry> same_data_centre;
+    std::vector<weighted_entry> selected;
     entries_by_region other_regions;
     const auto regions_with_links = regions_of_linked_vms(self, known);
     const auto add = [&](const region_name& region, const data_centre_name& data_centre,
-                         const endpoint& entry, bool links_lost) {
+                         const weighted_entry& entry, bool links_lost) {
         if (links_lost && regions_with_links.contains(region)) {
             return;
         }
@@ -125,11 +127,12 @@
         }
     };
     if (known.self_ready && self.entry_listener) {
-        add(self.region, self.data_centre, *self.entry_listener, known.self_links_lost);
+        add(self.region, self.data_centre,
+            {*self.entry_listener, vm_capacity(self.processor_cores, self.link_mbps)}, known.self_links_lost);
     }
     visit_vms(known.vms, [&](const vm_report& report, const vm_member& vm, time_point /*received_at*/) {
         if (vm.ready && vm.entry.port != 0) {
-            add(report.region, report.data_centre, vm.entry, vm.links_lost);
+            add(report.region, report.data_centre, {vm.entry, vm.capacity}, vm.links_lost);
         }
     });
     if (same_data_centre.size() >= min_local_vms) {
@@ -138,8 +141,7 @@
     if (selected.empty()) {
         selected = entries_elsewhere(query, self, known, other_regions);
     }
-    selected.resize(std::min(selected.size(), max_addresses));
-    return selected;
+    return weigh_entries(selected, max_addresses);
 }
 
 } // namespace cardamomstream
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -225,6 +225,7 @@
     report.data_centre = m_self.data_centre;
     report.entry = m_self.entry;
     report.inner = m_self.inner;
+    report.capacity = m_self.capacity;
 }
 
 void report_exchange::add_known_vms(vm_report& report, const data_centre_name& data_centre) const
@@ -381,6 +382,8 @@
     summary.read_from.clear();
     summary.limits.clear();
     add_newest(summary.limits, m_last_report.limits, now - m_last_report_at);
+    summary.works.clear();
+    add_newest(summary.works, m_last_report.works, now - m_last_report_at);
     summary.upstream_ends.clear();
     add_newest(summary.upstream_ends, m_last_report.upstream_ends, now - m_last_report_at);
     summary.part_crashes.clear();
@@ -395,12 +398,14 @@
         alive.push_back(&vm->report);
         merge_newest(summary.known_changes, vm->report.known_changes);
         add_newest(summary.limits, vm->report.limits, now - vm->received_at);
+        add_newest(summary.works, vm->report.works, now - vm->received_at);
         add_newest(summary.upstream_ends, vm->report.upstream_ends, now - vm->received_at);
         add_part_findings(summary, vm->report, now - vm->received_at);
         add_stream_origins(summary, vm->report);
     }
     for (const auto* vm : alive) {
-        part.members.push_back({vm->inner, vm->entry, vm->ready && !vm->leaving, vm->links_lost});
+        part.members.push_back(
+            {vm->inner, vm->entry, vm->ready && !vm->leaving, vm->links_lost, vm->capacity});
         part.store_readers += vm->reads_store || vm->store_failing ? 1 : 0;
         part.store_readers_failing += vm->store_failing ? 1 : 0;
     }
--- a/src/process/deployment/tests/vm_report_codec_test.cpp
+++ b/src/process/deployment/tests/vm_report_codec_test.cpp
@@ -90,3 +90,27 @@
     CHECK(read.upstream_ends[0].started_unix_ms == 1'700'000'000'000);
     CHECK(read.upstream_ends[0].age == 40ms);
 }
+
+TEST_CASE("a VM tells what its machine bears, and how long work takes at upstreams")
+{
+    auto report = plain_report();
+    report.capacity = 1'095;
+    report.works = {{upstream_name("i-1"), 7, 250, 40ms}};
+    report.summary.emplace();
+    report.summary->members = {{{"10.2.0.1", 7000}, {"10.2.0.2", 80}, true, false, 10'000},
+                               {{"10.2.0.3", 7000}, {"10.2.0.4", 80}, true, false, 0}};
+    auto read = sent_and_received(report);
+    CHECK(read.capacity == 1'095);
+    CHECK(read.summary->members == report.summary->members);
+    REQUIRE(read.works.size() == 1);
+    CHECK(read.works[0].upstream == upstream_name("i-1"));
+    CHECK(read.works[0].started_unix_ms == 7);
+    CHECK(read.works[0].percent == 250);
+    CHECK(read.works[0].age == 40ms);
+
+    SECTION("a figure that makes no sense is left out")
+    {
+        report.works = {{upstream_name("i-1"), 7, 0, 40ms}, {upstream_name("i-2"), 7, 4'000'000'000, 40ms}};
+        CHECK(sent_and_received(report).works.empty());
+    }
+}
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -23,6 +23,7 @@
 // A statement beyond these bounds is left out: what is counted from all VMs must not overflow.
 constexpr std::uint32_t max_running = 10'000'000;
 constexpr token_count max_memory_tokens = 1'000'000'000'000'000;
+constexpr std::uint32_t max_work_percent = 100'000;
 constexpr std::uint32_t max_samples = 10'000'000;
 constexpr std::uint32_t max_urgency = 1'000'000;
 constexpr double max_admitted = 1e15;
@@ -113,6 +114,24 @@
     return limit;
 }
 
+void encode_work(const stated_work& work, report_messages::StatedWork& message)
+{
+    message.set_upstream(work.upstream.str());
+    message.set_started_unix_ms(work.started_unix_ms);
+    message.set_percent(work.percent);
+    message.set_age_ms(encode_age(work.age));
+}
+
+/// Empty when a number is out of range.
+std::optional<stated_work> decode_work(const report_messages::StatedWork& message)
+{
+    if (message.percent() == 0 || message.percent() > max_work_percent || message.age_ms() > max_age_ms) {
+        return std::nullopt;
+    }
+    return stated_work{upstream_name(message.upstream()), message.started_unix_ms(), message.percent(),
+                       std::chrono::milliseconds(message.age_ms())};
+}
+
 void encode_end(const upstream_end& end, report_messages::UpstreamEnd& message)
 {
     message.set_upstream(end.upstream.str());
@@ -172,6 +191,7 @@
         message.add_entry_port(member.entry.port);
         message.add_ready(member.ready);
         message.add_links_lost(member.links_lost);
+        message.add_capacity(member.capacity);
     }
     message.set_sharers(summary.sharers);
     message.set_store_readers(summary.store_readers);
@@ -189,7 +209,8 @@
         summary.members.push_back({decode_endpoint(message.inner_ipv4(at), message.inner_port(at)),
                                    decode_endpoint(message.entry_ipv4(at), message.entry_port(at)),
                                    message.ready(at),
-                                   at < message.links_lost_size() && message.links_lost(at)});
+                                   at < message.links_lost_size() && message.links_lost(at),
+                                   at < message.capacity_size() ? message.capacity(at) : 0});
     }
     summary.sharers = message.sharers();
     summary.store_readers = message.store_readers();
@@ -350,6 +371,7 @@
     message.set_ready(report.ready);
     message.set_leaving(report.leaving);
     message.set_links_lost(report.links_lost);
+    message.set_capacity(report.capacity);
     message.set_plan_version(report.plan_version);
     if (report.summary) {
         encode_summary(*report.summary, *message.mutable_summary());
@@ -381,6 +403,9 @@
     for (const auto& limit : report.limits) {
         encode_limit(limit, *message.add_limits());
     }
+    for (const auto& work : report.works) {
+        encode_work(work, *message.add_works());
+    }
     for (const auto& end : report.upstream_ends) {
         encode_end(end, *message.add_upstream_ends());
     }
@@ -418,6 +443,7 @@
     report.ready = message.ready();
     report.leaving = message.leaving();
     report.links_lost = message.links_lost();
+    report.capacity = message.capacity();
     report.plan_version = message.plan_version();
     if (message.has_summary()) {
         report.summary = decode_summary(message.summary());
@@ -436,6 +462,11 @@
             report.limits.push_back(std::move(*limit));
         }
     }
+    for (const auto& message_work : message.works()) {
+        if (auto work = decode_work(message_work)) {
+            report.works.push_back(std::move(*work));
+        }
+    }
     for (const auto& message_end : message.upstream_ends()) {
         if (auto end = decode_end(message_end)) {
             report.upstream_ends.push_back(std::move(*end));
