--- a/include/cardamomstream/request/gateway/gateway_types.h
+++ b/include/cardamomstream/request/gateway/gateway_types.h
@@ -6,6 +6,7 @@
 #include "cardamomstream/core/error.h"
 #include "cardamomstream/request/placing/placing_types.h"
 #include "cardamomstream/request/placing/upstream_statements.h"
+#include "cardamomstream/request/placing/upstream_work.h"
 
 #include <chrono>
 #include <concepts>
@@ -74,6 +75,9 @@
     {
         Wire::limit_of(head)
         } -> std::same_as<limit_statement>;
+    {
+        Wire::load_of(head)
+        } -> std::same_as<load_statement>;
     {
         Wire::refusal(reason, id)
         } -> std::same_as<http_response>;
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -99,6 +99,15 @@
         m_state.log.write(log_weight::state, "upstream_leaving",
                           {{"upstream", sent.upstream.str()}, {"request", m_caller_request.id.str()}});
     }
+    if (const auto news = m_state.load.record_load(sent, Wire::load_of(head), boot_clock::now());
+        news != load_news::none) {
+        m_state.log.write(log_weight::state,
+                          news == load_news::unreadable ? "upstream_load_unreadable"
+                                                        : "service_shares_machines",
+                          {{"service", m_placing_request.service.str()},
+                           {"upstream", sent.upstream.str()},
+                           {"request", m_caller_request.id.str()}});
+    }
     const auto limit = Wire::limit_of(head);
     if (m_state.load.record_limit(sent, limit, boot_clock::now())) {
         m_state.counters.limit_statements.increment(m_placing_request.service);
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -7,9 +7,11 @@
 #include "cardamomstream/request/placing/placing_types.h"
 #include "cardamomstream/request/placing/upstream_ends.h"
 #include "cardamomstream/request/placing/upstream_statements.h"
+#include "cardamomstream/request/placing/upstream_work.h"
 
 #include <deque>
 #include <memory>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
@@ -28,6 +30,7 @@
     std::chrono::milliseconds predicted{0};
     std::chrono::milliseconds predicted_from_load{0}; ///< `predicted` without the expected lateness
     bool first_event_seen = false;
+    time_point first_event_at; ///< valid once it is seen
 };
 
 /// Requests of this VM count at once, those of other VMs when they are reported. An engine prefills prompts
@@ -123,6 +126,32 @@
     /// Limits that upstreams stated to this VM, for its report.
     std::vector<stated_limit> own_limits(time_point now) { return m_statements.own_limits(now); }
 
+    /// Records the load that an answer states.
+    load_news record_load(const sent_request& sent, const load_statement& statement, time_point now);
+
+    /// Applies how long work takes at upstreams, as stated to another VM. Call once for each report.
+    void apply_reported_works(const known_vm& vm) { m_work.apply_reported(vm.report.works, vm.received_at); }
+
+    /// How long work takes at upstreams, as stated to this VM, for its report.
+    std::vector<stated_work> own_works(time_point now)
+    {
+        m_work.expire(now);
+        return m_work.own(now);
+    }
+
+    /// True once an upstream of the service has stated how long work takes: then its upstreams share
+    /// machines.
+    bool states_work(const pool_name& service) const { return m_services_stating_work.contains(service); }
+
+    /// Factor by which work takes longer than usual at the upstream; at least 1.
+    double work_factor(const upstream_state& state, time_point now) const
+    {
+        return m_work.factor(state.view.record.id, now);
+    }
+
+    /// Mean time from the first event of a stream of the service to its end, as this VM's streams show it.
+    std::chrono::milliseconds run_time(const pool_name& service) const;
+
     const upstream_statements& statements() const noexcept { return m_statements; }
 
     /// Records that the upstream takes no connections because its process has ended.
@@ -207,6 +236,10 @@
     /// Longest gap between two events of an engine's streams while it prefills the request's prompt.
     std::chrono::milliseconds event_gap(const upstream_state& state, const placing_request& request) const;
 
+    /// The same where the upstream states how long work takes, with the prompts that it has yet to prefill.
+    std::chrono::milliseconds event_gap_now(const upstream_state& state, const placing_request& request,
+                                            time_point now) const;
+
     /// Length of the prompt's prefix that is expected in the engine's cache.
     token_count cached_tokens(const upstream_state& state, const placing_request& request,
                               time_point now) const;
@@ -237,6 +270,10 @@
     lateness_table m_lateness;
     upstream_statements m_statements;
     upstream_ends m_ends;
+    upstream_work m_work;
+    std::set<pool_name> m_services_stating_work;
+    std::set<upstream_name> m_unreadable_loads; ///< upstreams of which one was logged
+    std::unordered_map<pool_name, std::chrono::duration<double, std::milli>> m_run_times;
     double m_prediction_scale = 1;
     std::optional<time_point> m_list_known_since = time_point{};
     std::uint64_t m_last_number = 0;
--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -60,6 +60,9 @@
     /// False when the upstream may be cold and has got its requests of this second.
     bool allows_cold_request(const fleet_load& load, const fleet_load::upstream_state& state,
                              const plan_service& service, time_point now) const;
+    /// True when the upstream is an engine that is full for the request.
+    static bool lacks_room(const placing_request& request, const fleet_load& load,
+                           const fleet_load::upstream_state& state, time_point now);
     /// Adds a cost to upstreams that fail more often than the best candidate.
     static void add_failure_costs(std::vector<candidate>& candidates);
     /// Why no upstream may be used now.
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -93,6 +93,8 @@
     std::chrono::milliseconds mean_run_time{1'500};   ///< of a stream; slots free up every mean / slots
     std::chrono::milliseconds plain_run_time{40};     ///< of a call that is not a stream
     token_count prefill_chunk_tokens = 1'024;         ///< prefilled by an engine between two answer tokens
+    std::chrono::duration<double, std::milli> token_time{
+        6};                               ///< of a busy engine, for a token of all its streams
     double usable_memory_fraction = 0.92; ///< fraction of an engine's memory that requests may fill
     double max_objective_fraction = 0.85; ///< a prediction above this fraction of the objective is refused
     double max_wait_fraction = 0.25; ///< the same for the wait before a prompt too long for the objective
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -102,6 +102,7 @@
             quota.apply_report(vm->report);
             load.add_reported_lateness(*vm);
             load.apply_reported_limits(*vm);
+            load.apply_reported_works(*vm);
             load.apply_reported_ends(*vm);
             for (auto* suspects : {&quarantine, &request_quarantine}) {
                 on_quarantine_changes(suspects->apply_reported(vm->report, vm->received_at), vm->report.vm);
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -25,6 +25,7 @@
 constexpr std::ptrdiff_t breaks_of_end = 2; ///< fewer may be resets of single connections
 
 constexpr double failure_weight = 0.04;          ///< weight of one send in the moving average
+constexpr double run_time_weight = 0.02;         ///< weight of one stream in the moving average
 constexpr double prediction_scale_weight = 0.05; ///< weight of one first event in the moving average
 constexpr std::chrono::milliseconds min_measured_prefill{100}; ///< the batch step dominates shorter ones
 constexpr double min_prediction_scale = 0.5;
@@ -142,6 +143,8 @@
         }
     }
     m_upstreams = std::move(kept);
+    std::erase_if(m_unreadable_loads,
+                  [&](const upstream_name& upstream) { return !m_upstreams.contains(upstream); });
     // Reports may include upstreams that were unknown when the reports came.
     for (auto& [id, state] : m_upstreams) {
         state.others = {};
@@ -281,6 +284,7 @@
     if (std::exchange(sent.first_event_seen, true)) {
         return;
     }
+    sent.first_event_at = now;
     auto* state = state_of(sent);
     if (state == nullptr || sent.sent_at < m_links_back_at) {
         return;
@@ -326,6 +330,11 @@
     if (outcome == send_outcome::rejected) {
         state.full_until = now + full_backoff;
     }
+    if (state.engine_batch > 0 && sent.first_event_seen && outcome == send_outcome::answered) {
+        auto& mean =
+            m_run_times.try_emplace(sent.lateness_class.service, m_settings.mean_run_time).first->second;
+        mean += run_time_weight * (now - sent.first_event_at - mean);
+    }
     const bool answered = outcome == send_outcome::answered || outcome == send_outcome::failed;
     if (!sent.first_event_seen && (answered || outcome == send_outcome::silent)) {
         sample_lateness(sent, now);
@@ -340,6 +349,28 @@
     mark_active(state, now);
 }
 
+std::chrono::milliseconds fleet_load::run_time(const pool_name& service) const
+{
+    const auto found = m_run_times.find(service);
+    return found == m_run_times.end() ? m_settings.mean_run_time
+                                      : std::chrono::floor<std::chrono::milliseconds>(found->second);
+}
+
+load_news fleet_load::record_load(const sent_request& sent, const load_statement& statement, time_point now)
+{
+    if (!statement.valid) {
+        return find(sent.upstream) != nullptr && m_unreadable_loads.insert(sent.upstream).second
+                   ? load_news::unreadable
+                   : load_news::none;
+    }
+    if (!statement.work_percent || find(sent.upstream) == nullptr || has_restarted(sent)) {
+        return load_news::none;
+    }
+    m_work.record(sent.upstream, sent.started_unix_ms, *statement.work_percent, now);
+    return m_services_stating_work.insert(sent.lateness_class.service).second ? load_news::shares_machine
+                                                                              : load_news::none;
+}
+
 void fleet_load::record_silence(const sent_request& sent, time_point now)
 {
     auto* state = state_of(sent);
@@ -673,6 +704,18 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(step_ms * state.tokens_per_event));
 }
 
+std::chrono::milliseconds fleet_load::event_gap_now(const upstream_state& state,
+                                                    const placing_request& request, time_point now) const
+{
+    const auto chunk = std::chrono::duration<double, std::milli>(
+        static_cast<double>(m_settings.prefill_chunk_tokens) / m_settings.prompt_tokens_per_ms);
+    const std::chrono::duration<double, std::milli> prompts =
+        prefill_left(state, now) + prefill_time(state, request, now);
+    const auto gap = std::min(prompts, chunk * state.tokens_per_event) +
+                     m_settings.token_time * static_cast<double>(state.tokens_per_event);
+    return std::chrono::ceil<std::chrono::milliseconds>(gap * work_factor(state, now));
+}
+
 token_count fleet_load::cached_tokens(const upstream_state& state, const placing_request& request,
                                       time_point now) const
 {
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -1,6 +1,7 @@
 #include "cardamomstream/request/placing/placer.h"
 
 #include "cardamomstream/core/endpoint_hash.h"
+#include "cardamomstream/request/placing/engine_room.h"
 
 #include <algorithm>
 #include <cmath>
@@ -51,6 +52,9 @@
 constexpr double refused_fraction_weight = 0.02; ///< per request; averages over a VM's last few seconds
 constexpr std::chrono::milliseconds no_upstream_retry_after{800};
 
+/// Until one of the engines that are full now is likely to have room again.
+constexpr std::chrono::milliseconds room_wait{500};
+
 /// Number of upstreams that are compared for one request: a multiple of upstreams / VMs of the region, and at
 /// least the minimum.
 constexpr std::size_t candidates_per_share = 3;
@@ -158,13 +162,15 @@
     const auto running = load.running(state, now);
     const bool engine = state.engine_batch > 0;
     const double slots = std::max(1U, engine ? state.engine_batch : state.view.record.slots);
-    const milliseconds_f run_time = engine ? m_settings.mean_run_time : m_settings.plain_run_time;
+    const bool shares_machine = engine && load.states_work(request.service);
+    const milliseconds_f run_time = engine ? load.run_time(request.service) : m_settings.plain_run_time;
     const double excess_requests = std::max(0.0, running + 1 - slots);
     option.first_byte = engine ? milliseconds_f(m_settings.first_event_base) : run_time;
     option.first_byte += excess_requests / slots * run_time;
     if (engine) {
-        const milliseconds_f prefill(load.prefill_time(state, request, now));
-        const milliseconds_f queue(load.prefill_left(state, now));
+        const double work = load.work_factor(state, now);
+        const milliseconds_f prefill = load.prefill_time(state, request, now) * work;
+        const milliseconds_f queue = load.prefill_left(state, now) * work;
         const auto memory =
             static_cast<double>(load.memory(state) + request.prompt_tokens + request.answer_tokens);
         const double usable_memory =
@@ -176,8 +182,10 @@
         option.has_cached_prefix = load.cached_tokens(state, request, now) >= min_cached_tokens;
         option.cost = prefill * prefill_weight;
         const auto gap_objective = request.route->event_gap_objective;
+        const auto gap =
+            shares_machine ? load.event_gap_now(state, request, now) : load.event_gap(state, request);
         if (gap_objective > std::chrono::milliseconds::zero() &&
-            load.event_gap(state, request) > gap_objective * gap_objective_fraction) {
+            gap > gap_objective * gap_objective_fraction) {
             option.cost += static_cast<double>(running) * milliseconds_f(delayed_stream_cost);
         }
     }
@@ -351,6 +359,18 @@
     });
 }
 
+bool placer::lacks_room(const placing_request& request, const fleet_load& load,
+                        const fleet_load::upstream_state& state, time_point now)
+{
+    if (state.engine_batch == 0) {
+        return false;
+    }
+    const engine_occupancy occupancy{static_cast<double>(state.engine_batch),
+                                     static_cast<double>(load.running(state, now)), state.memory_tokens,
+                                     load.memory(state)};
+    return !has_room(occupancy, {request.urgency, request.prompt_tokens + request.answer_tokens});
+}
+
 std::vector<placer::candidate> placer::candidates_for(const placing_request& request,
                                                       const service_plan& plan, const fleet_load& load,
                                                       time_point now, exclusion& excluded) const
@@ -413,6 +433,10 @@
                     std::chrono::ceil<std::chrono::milliseconds>(state.full_until - now));
             continue;
         }
+        if (!request.sent_before && lacks_room(request, load, state, now)) {
+            exclude(placing_verdict::overloaded, room_wait);
+            continue;
+        }
         if (here && service != nullptr && !allows_cold_request(load, state, *service, now)) {
             exclude(placing_verdict::cold);
             continue;
@@ -455,7 +479,7 @@
     exclusion excluded;
     auto candidates = candidates_for(request, plan, load, now, excluded);
     if (candidates.empty()) {
-        if (excluded.verdict >= placing_verdict::limited) {
+        if (excluded.verdict >= placing_verdict::overloaded && excluded.verdict != placing_verdict::cold) {
             count_refusal(true);
         }
         return refuse(request, excluded.verdict, excluded.wait);
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -1012,3 +1012,78 @@
         CHECK(may_be_cold());
     }
 }
+
+// Engines that share their machines take 2.5 times as long for moments, and say so.
+TEST_CASE("engines on shared machines state how long work takes")
+{
+    placing_fixture fixture;
+    const auto state_work = [&](const std::string& upstream, std::uint32_t percent) {
+        auto sent = fixture.send(upstream, 100);
+        fixture.load.record_load(sent, {true, percent}, fixture.now);
+        fixture.load.end_request(sent, send_outcome::answered, fixture.now);
+    };
+    const auto run_on = [&](const std::string& upstream, int requests) {
+        for (int number = 0; number < requests; ++number) {
+            auto sent = fixture.send(upstream, 100);
+            fixture.load.on_first_event(sent, fixture.now);
+        }
+    };
+    state_work("a", 100);
+
+    SECTION("a long prompt goes where it holds up no streams, even if it waits there")
+    {
+        run_on("a", 20);
+        run_on("b", 20);
+        fixture.send("b", 2'000);
+        CHECK(fixture.place(fixture.request(7'000)).upstream == upstream_name("a"));
+        state_work("a", 250);
+        CHECK(fixture.place(fixture.request(7'000)).upstream == upstream_name("b"));
+
+        SECTION("until that is over")
+        {
+            fixture.now += upstream_work::statement_ttl;
+            fixture.send("b", 2'000);
+            CHECK(fixture.place(fixture.request(7'000)).upstream == upstream_name("a"));
+        }
+    }
+    SECTION("a full engine gets no further request, and none is sent to wait where all are full")
+    {
+        run_on("a", 64);
+        CHECK(fixture.place(fixture.request(500)).upstream == upstream_name("b"));
+        run_on("b", 64);
+        CHECK(fixture.place(fixture.request(500)).upstream == upstream_name("c"));
+        run_on("c", 64);
+        const auto refused = fixture.place(fixture.request(500));
+        CHECK(refused.verdict == placing_verdict::overloaded);
+        CHECK(refused.retry_after > 0ms);
+
+        SECTION("but one that was sent before goes on")
+        {
+            auto again = fixture.request(500);
+            again.sent_before = true;
+            CHECK(fixture.place(again).verdict == placing_verdict::here);
+        }
+    }
+    SECTION("the wait for a slot is known from how long streams run")
+    {
+        const auto before = fixture.load.run_time(drafts);
+        for (int number = 0; number < 200; ++number) {
+            auto sent = fixture.send("a", 100);
+            fixture.load.on_first_event(sent, fixture.now);
+            fixture.now += 5s;
+            fixture.load.end_request(sent, send_outcome::answered, fixture.now);
+        }
+        CHECK(fixture.load.run_time(drafts) > before);
+        CHECK(fixture.load.run_time(drafts) > 4'500ms);
+        CHECK(fixture.load.run_time(drafts) <= 5s);
+    }
+}
+
+TEST_CASE("a load that can't be read is told once for each upstream")
+{
+    placing_fixture fixture;
+    const auto sent = fixture.send("a", 100);
+    CHECK(fixture.load.record_load(sent, {false, std::nullopt}, fixture.now) == load_news::unreadable);
+    CHECK(fixture.load.record_load(sent, {false, std::nullopt}, fixture.now) == load_news::none);
+    CHECK_FALSE(fixture.load.states_work(drafts));
+}
