News of the store: a new listing goes on from what was known; what was passed over is not repeated (CONFIG)

Two causes, from the logs of front-sin-b-4: a VM that passed over known items repeated the rest as if nothing lay before, so that others took a gap for complete (the new check in recent_changes_test fails before). And a reader that listed anew counted its listing as the last change: others, whose position was lower, refused what it told next, and asked the store 0.7 s later, or in vain on a full link.

Also: 2 KB are repeated, not 12: a telling goes to each VM of the data centre, over 10 Mbit/s.

--- a/include/cardamomstream/process/deployment/change_lag.h
+++ b/include/cardamomstream/process/deployment/change_lag.h
@@ -17,8 +17,8 @@
     /// Records that this VM knows of all changes up to this position. One of an older era changes nothing.
     void record_known(store_position position);
 
-    /// Records changes that another VM has read and removes from `changes` those already known. Returns
-    /// false, and changes nothing, when this VM misses changes before these.
+    /// Records changes that another VM has read and removes from `changes` those already known, so that they
+    /// begin after them. Returns false, and changes nothing, when this VM misses changes before these.
     bool accept_changes(store_changes& changes);
 
     /// Records that another VM knows of this change. Returns true when this VM's watch should be restarted.
--- a/include/cardamomstream/process/deployment/recent_changes.h
+++ b/include/cardamomstream/process/deployment/recent_changes.h
@@ -17,7 +17,7 @@
 class recent_changes {
 public:
     static constexpr std::chrono::milliseconds memory{3'000};
-    static constexpr std::size_t max_bytes = std::size_t{12} * 1024; ///< repeated with one telling
+    static constexpr std::size_t max_bytes = std::size_t{2} * 1024; ///< repeated with one telling
 
     /// Adds changes that were read, also those that another VM has read.
     void add(const store_changes& changes, time_point now);
@@ -32,7 +32,7 @@
         time_point at;
     };
 
-    std::deque<entry> m_entries; ///< oldest first
+    std::deque<entry> m_entries; ///< newest first
 };
 
 /// Knows the keys of one part of the store, so that what a new listing leaves out can be told as removed.
--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -184,14 +184,16 @@
                      {"new_revision", static_cast<std::int64_t>(all.position.revision)},
                      {"reads", std::int64_t{m_reads ? 1 : 0}}});
     }
-    const auto after = std::max(m_newest_change, m_listed_at);
-    const auto changes = m_keys.replace(m_part, all, after, before);
+    const auto changes = m_keys.replace(m_part, all, std::max(m_newest_change, m_listed_at), before);
     if (listed_before && !all.restored) {
         tell(changes);
         m_recent.add(changes, boot_clock::now());
+        m_newest_change = std::max(m_newest_change, newest_of(all.position.era, changes.items));
+    }
+    else {
+        m_listed_at = all.position; // of what was removed before, this VM may know nothing
     }
     m_lag.record_known(all.position);
-    m_listed_at = all.position;
     m_newest_change = std::max(m_newest_change, newest_of(all.position.era, all.items));
     m_listed = true;
     m_on_listing(all);
--- a/src/app/node/store_follower.h
+++ b/src/app/node/store_follower.h
@@ -80,7 +80,7 @@
     /// Position of the store up to which this part is known.
     store_position read_up_to() const noexcept { return m_lag.known(); }
 
-    /// Position of this VM's last listing.
+    /// Position of the listing with which this VM began to know the part in its present era.
     store_position read_from() const noexcept { return m_listed_at; }
 
     store_position newest_change() const noexcept { return m_newest_change; }
--- a/src/process/deployment/change_lag.cpp
+++ b/src/process/deployment/change_lag.cpp
@@ -25,6 +25,7 @@
     if (changes.after.era != m_known.era || m_known < changes.after) {
         return false;
     }
+    changes.after = std::max(changes.after, m_known); // what is removed lies before it
     std::erase_if(changes.items, [&](const store_item& item) { return item.revision <= m_known.revision; });
     record_known(changes.up_to);
     return true;
--- a/src/process/deployment/recent_changes.cpp
+++ b/src/process/deployment/recent_changes.cpp
@@ -22,10 +22,10 @@
 void recent_changes::add(const store_changes& changes, time_point now)
 {
     if (!changes.items.empty()) {
-        m_entries.push_back({changes, bytes_of(changes), now});
+        m_entries.push_front({changes, bytes_of(changes), now});
     }
-    while (!m_entries.empty() && now - m_entries.front().at > memory) {
-        m_entries.pop_front();
+    while (!m_entries.empty() && now - m_entries.back().at > memory) {
+        m_entries.pop_back();
     }
 }
 
@@ -33,11 +33,11 @@
 {
     auto told = latest;
     std::size_t bytes = 0;
-    for (auto known = m_entries.rbegin(); known != m_entries.rend(); ++known) {
-        const auto& changes = known->changes;
-        bytes += known->bytes;
+    for (const auto& known : m_entries) {
+        const auto& changes = known.changes;
+        bytes += known.bytes;
         const bool precedes = changes.after < told.after && told.after <= changes.up_to;
-        if (now - known->at > memory || bytes > max_bytes || changes.up_to.era != told.up_to.era ||
+        if (now - known.at > memory || bytes > max_bytes || changes.up_to.era != told.up_to.era ||
             !precedes) {
             break;
         }
--- a/src/process/deployment/tests/recent_changes_test.cpp
+++ b/src/process/deployment/tests/recent_changes_test.cpp
@@ -55,6 +55,8 @@
             auto again = recent.repeated(latest, start + 200ms);
             REQUIRE(current.accept_changes(again));
             CHECK(revisions(again) == std::vector<std::uint64_t>{20});
+            // What it repeats itself must not claim to begin before the changes that it has passed over.
+            CHECK(again.after == store_position{era, 15});
         }
     }
     SECTION("not for ever")
@@ -100,7 +102,7 @@
     CHECK(changes.items[1].key == "servers/b");
     CHECK(changes.items[1].removed);
 
-    SECTION("nothing, if nothing has")
+    SECTION("nothing, if nothing has: later changes then follow on the last one, not on the listing")
     {
         listing.position = {era, 22};
         CHECK(keys.replace(store_part::upstreams, listing, {era, 20}, {era, 20}).items.empty());
