Hops go to VMs by what their machines bear; the room line in one place

The test of the weights fails before (half of the requests go to the large machine).

A stream that a caller takes up again isn't held to the line.

--- a/include/cardamomstream/request/placing/placer.h
+++ b/include/cardamomstream/request/placing/placer.h
@@ -60,9 +60,10 @@
     /// False when the upstream may be cold and has got its requests of this second.
     bool allows_cold_request(const fleet_load& load, const fleet_load::upstream_state& state,
                              const plan_service& service, time_point now) const;
-    /// True when the upstream is an engine that is full for the request.
-    static bool lacks_room(const placing_request& request, const fleet_load& load,
-                           const fleet_load::upstream_state& state, time_point now);
+    /// Until the upstream may have room for the request; zero: it has. A request that has begun is not held
+    /// to what an engine should run.
+    static std::chrono::milliseconds room_delay(const placing_request& request, const fleet_load& load,
+                                                const fleet_load::upstream_state& state, time_point now);
     /// Adds a cost to upstreams that fail more often than the best candidate.
     static void add_failure_costs(std::vector<candidate>& candidates);
     /// Why no upstream may be used now.
@@ -97,7 +98,7 @@
     time_point m_started_at;
     double m_refused_fraction = 0; ///< moving average over the last requests
     std::size_t m_fleet_size = 1;  ///< VMs of all regions, including this one
-    // Ready VMs that have links to the upstreams of their region:
+    // Ready VMs that have links to the upstreams of their region, those of large machines several times:
     std::unordered_map<region_name, std::vector<endpoint>> m_remote_vms; ///< of the other regions
     std::vector<endpoint> m_region_vms;                                  ///< of this one, without this VM
     struct neighbour {
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -1,11 +1,13 @@
 #include "cardamomstream/request/placing/placer.h"
 
 #include "cardamomstream/core/endpoint_hash.h"
+#include "cardamomstream/process/deployment/entry_weights.h"
 #include "cardamomstream/request/placing/engine_room.h"
 
 #include <algorithm>
 #include <cmath>
 #include <iterator>
+#include <limits>
 #include <utility>
 
 #include <xxhash.h>
@@ -124,8 +126,7 @@
 
 void placer::set_vms(const known_vms& vms)
 {
-    m_remote_vms.clear();
-    m_region_vms.clear();
+    std::unordered_map<region_name, std::vector<weighted_entry>> linked;
     m_fleet_size = count_vms(vms) + 1;
     visit_vms(vms, [&](const vm_report& report, const vm_member& vm, time_point received_at) {
         if (report.region == m_region) {
@@ -133,14 +134,17 @@
             known.hash = known.hash == 0 ? shared_hash(vm.inner) : known.hash;
             known.received_at = received_at;
             known.same_data_centre = report.data_centre == m_data_centre;
-            if (vm.ready && !vm.links_lost) {
-                m_region_vms.push_back(vm.inner);
-            }
         }
-        else if (vm.ready && !vm.links_lost) {
-            m_remote_vms[report.region].push_back(vm.inner);
+        if (vm.ready && !vm.links_lost) {
+            linked[report.region].push_back({vm.inner, vm.capacity});
         }
     });
+    m_remote_vms.clear();
+    for (const auto& [region, vms_there] : linked) {
+        m_remote_vms[region] = weigh_entries(vms_there, std::numeric_limits<std::size_t>::max());
+    }
+    m_region_vms = std::move(m_remote_vms[m_region]);
+    m_remote_vms.erase(m_region);
 }
 
 std::chrono::milliseconds placer::predict(const placing_request& request, const fleet_load& load,
@@ -359,16 +363,21 @@
     });
 }
 
-bool placer::lacks_room(const placing_request& request, const fleet_load& load,
-                        const fleet_load::upstream_state& state, time_point now)
+std::chrono::milliseconds placer::room_delay(const placing_request& request, const fleet_load& load,
+                                             const fleet_load::upstream_state& state, time_point now)
 {
-    if (state.engine_batch == 0) {
-        return false;
+    if (state.full_until > now) {
+        return std::chrono::ceil<std::chrono::milliseconds>(state.full_until - now);
+    }
+    const bool begun = request.sent_before || request.version;
+    if (state.engine_batch == 0 || begun) {
+        return {};
     }
     const engine_occupancy occupancy{static_cast<double>(state.engine_batch),
                                      static_cast<double>(load.running(state, now)), state.memory_tokens,
                                      load.memory(state)};
-    return !has_room(occupancy, {request.urgency, request.prompt_tokens + request.answer_tokens});
+    const room_demand demand{request.urgency, request.prompt_tokens + request.answer_tokens};
+    return has_room(occupancy, demand) ? std::chrono::milliseconds::zero() : room_wait;
 }
 
 std::vector<placer::candidate> placer::candidates_for(const placing_request& request,
@@ -428,13 +437,9 @@
             exclude(placing_verdict::unreachable);
             continue;
         }
-        if (state.full_until > now) {
-            exclude(placing_verdict::overloaded,
-                    std::chrono::ceil<std::chrono::milliseconds>(state.full_until - now));
-            continue;
-        }
-        if (!request.sent_before && lacks_room(request, load, state, now)) {
-            exclude(placing_verdict::overloaded, room_wait);
+        if (const auto delay = room_delay(request, load, state, now);
+            delay > std::chrono::milliseconds::zero()) {
+            exclude(placing_verdict::overloaded, delay);
             continue;
         }
         if (here && service != nullptr && !allows_cold_request(load, state, *service, now)) {
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -1087,3 +1087,32 @@
     CHECK(fixture.load.record_load(sent, {false, std::nullopt}, fixture.now) == load_news::none);
     CHECK_FALSE(fixture.load.states_work(drafts));
 }
+
+// Requests that were passed on to another region filled up the links of its small machines.
+TEST_CASE("requests are passed on to VMs by what their machines bear")
+{
+    placing_fixture fixture;
+    known_vm small;
+    small.report.vm = vm_name("small");
+    small.report.region = there;
+    small.report.inner = {"10.0.1.1", 7000};
+    small.report.ready = true;
+    small.report.capacity = 1'000;
+    auto large = small;
+    large.report.vm = vm_name("large");
+    large.report.inner = {"10.0.1.2", 7000};
+    large.report.capacity = 7'000;
+    fixture.placing.set_vms(known_vms_of({small, large}));
+    fixture.send("a", 40'000);
+    fixture.send("b", 40'000);
+
+    int to_large = 0;
+    constexpr int requests = 800;
+    for (int number = 0; number < requests; ++number) {
+        const auto placed = fixture.place(fixture.request(100));
+        REQUIRE(placed.verdict == placing_verdict::other_region);
+        to_large += placed.address == large.report.inner ? 1 : 0;
+    }
+    CHECK(to_large > requests * 3 / 4);
+    CHECK(to_large < requests);
+}
