--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -7,6 +7,7 @@
 #include "cardamomstream/core/boot_clock.h"
 
 #include <algorithm>
+#include <stdexcept>
 #include <string>
 #include <tuple>
 #include <utility>
@@ -280,8 +281,11 @@
 /// Reads the body in steps whose memory is reserved first.
 boost::beast::error_code http_session::read_body(parser& incoming)
 {
-    const auto until = boot_clock::now() + m_limits->body_timeout;
     m_body.clear();
+    if (incoming.is_done()) {
+        return {};
+    }
+    const auto until = boot_clock::now() + m_limits->body_timeout;
     m_reads_body = true;
     m_body_refused = false;
     m_body_account.emplace(
@@ -293,7 +297,7 @@
         },
         boot_clock::now());
     if (incoming.content_length().value_or(0) > m_buffer.capacity()) {
-        m_buffer.reserve(std::min<std::size_t>(body_read_bytes, *incoming.content_length()));
+        widen_buffer(static_cast<std::size_t>(*incoming.content_length()));
     }
     incoming.eager(true); // many short chunks are read at once
     auto& space = incoming.get().body();
@@ -323,6 +327,17 @@
     return {};
 }
 
+/// Lets a body of this size be read in few calls, if there is memory for it.
+void http_session::widen_buffer(std::size_t body_bytes)
+{
+    try {
+        m_buffer.reserve(std::min(body_read_bytes, body_bytes));
+    }
+    catch (const std::length_error&) {
+        return; // it is read in short parts
+    }
+}
+
 /// Makes room for the next step of the body. False when there is no memory for it.
 bool http_session::extend_body(const parser& incoming)
 {
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -74,6 +74,7 @@
     boost::beast::error_code read_request(parser& incoming);
     boost::beast::error_code read_head(parser& incoming);
     boost::beast::error_code read_body(parser& incoming);
+    void widen_buffer(std::size_t body_bytes);
     bool extend_body(const parser& incoming);
     void cut_body();
     void refuse_malformed(boost::beast::error_code ec);
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -276,6 +276,39 @@
     return positions;
 }
 
+/// What upstreams have stated, or shown, of themselves.
+void encode_statements(const vm_report& report, report_messages::Report& message)
+{
+    for (const auto& limit : report.limits) {
+        encode_limit(limit, *message.add_limits());
+    }
+    for (const auto& work : report.works) {
+        encode_work(work, *message.add_works());
+    }
+    for (const auto& end : report.upstream_ends) {
+        encode_end(end, *message.add_upstream_ends());
+    }
+}
+
+void decode_statements(const report_messages::Report& message, vm_report& report)
+{
+    for (const auto& message_limit : message.limits()) {
+        if (auto limit = decode_limit(message_limit)) {
+            report.limits.push_back(std::move(*limit));
+        }
+    }
+    for (const auto& message_work : message.works()) {
+        if (auto work = decode_work(message_work)) {
+            report.works.push_back(std::move(*work));
+        }
+    }
+    for (const auto& message_end : message.upstream_ends()) {
+        if (auto end = decode_end(message_end)) {
+            report.upstream_ends.push_back(std::move(*end));
+        }
+    }
+}
+
 void encode_prompt_parts(const vm_report& report, report_messages::Report& message)
 {
     for (const auto& crash : report.part_crashes) {
@@ -400,15 +433,7 @@
         added.set_mean_ms(static_cast<std::int32_t>(late.mean.count()));
         added.set_samples(late.samples);
     }
-    for (const auto& limit : report.limits) {
-        encode_limit(limit, *message.add_limits());
-    }
-    for (const auto& work : report.works) {
-        encode_work(work, *message.add_works());
-    }
-    for (const auto& end : report.upstream_ends) {
-        encode_end(end, *message.add_upstream_ends());
-    }
+    encode_statements(report, message);
     encode_prompt_parts(report, message);
     encode_origins(report, message);
     encode_positions(report, message);
@@ -457,21 +482,7 @@
         report.known_elsewhere.push_back(decode_endpoint(vm));
     }
     decode_traffic(message, report);
-    for (const auto& message_limit : message.limits()) {
-        if (auto limit = decode_limit(message_limit)) {
-            report.limits.push_back(std::move(*limit));
-        }
-    }
-    for (const auto& message_work : message.works()) {
-        if (auto work = decode_work(message_work)) {
-            report.works.push_back(std::move(*work));
-        }
-    }
-    for (const auto& message_end : message.upstream_ends()) {
-        if (auto end = decode_end(message_end)) {
-            report.upstream_ends.push_back(std::move(*end));
-        }
-    }
+    decode_statements(message, report);
     decode_prompt_parts(message, report);
     decode_origins(message, report);
     report.known_changes = decode_positions(message, message.known_changes());
