--- a/include/cardamomstream/connection/body_memory.h
+++ b/include/cardamomstream/connection/body_memory.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cardamomstream/core/boot_clock.h"
+#include "cardamomstream/core/memory_limit.h"
 
 #include <chrono>
 #include <cstddef>
@@ -9,15 +10,16 @@
 #include <list>
 #include <memory>
 #include <mutex>
+#include <vector>
 
 namespace cardamomstream {
 
 struct body_memory_settings {
     std::size_t max_bytes = std::size_t{64} * 1024 * 1024; ///< of all bodies together
-    /// A body of at most this size, or that lacks no more than this, may also use the reserve.
-    std::size_t small_bytes = std::size_t{64} * 1024;
-    std::size_t reserve_divisor = 4; ///< the reserve is this part of `max_bytes`
-    /// A sender that adds nothing for this long may lose its memory to others.
+    /// A body of at most this size, or that lacks no more than this, may also use what is kept for small
+    /// ones.
+    std::size_t small_bytes = small_message_bytes;
+    /// A sender whose body hasn't grown for this long may lose its memory to others.
     std::chrono::milliseconds stall_time{1'000};
 };
 
@@ -28,9 +30,9 @@
     refused,
 };
 
-/// Answers a crowd of large, slow or stalled uploads on a machine with little memory. Large bodies can't use
-/// up the reserve, so that requests with small bodies, and those nearly complete, are still read. When the
-/// memory is used up, the senders that have stalled for longest are cut off first; none that still sends is.
+/// Answers a crowd of large, slow or stalled uploads on a machine with little memory. A part is kept for
+/// small bodies and those nearly complete, so that they are still read. When the memory is used up, the
+/// senders whose bodies have not grown for longest are cut off first; none whose body has lately grown is.
 /// Thread safe.
 class body_memory {
     struct account_state {
@@ -75,8 +77,12 @@
     std::size_t bytes() const;
 
 private:
-    memory_grant grow(account_state& grown, std::size_t bytes, std::size_t missing, time_point now);
-    bool cut_stalled(const account_state& grown, std::size_t bytes, time_point now);
+    /// Called without the lock: the last reference to a sender may end with it.
+    using cut_actions = std::vector<std::function<void()>>;
+
+    memory_grant grow(account_state& grown, std::size_t bytes, std::size_t missing, time_point now,
+                      cut_actions& cuts);
+    bool cut_stalled(const account_state& grown, std::size_t bytes, time_point now, cut_actions& cuts);
 
     mutable std::mutex m_mutex;
     body_memory_settings m_settings;
--- a/include/cardamomstream/connection/http_server.h
+++ b/include/cardamomstream/connection/http_server.h
@@ -21,7 +21,7 @@
 class http_server {
 public:
     /// The threads must outlive the server. `bodies`: memory that other listeners share; null: the listener
-    /// has its own, of `max_body_memory` or what a single body needs.
+    /// has its own, of `max_body_memory` or what a single body of these limits needs.
     http_server(traffic_group& threads, http_limits limits, request_handler handler,
                 std::shared_ptr<body_memory> bodies = nullptr);
     ~http_server();
--- a/include/cardamomstream/connection/http_types.h
+++ b/include/cardamomstream/connection/http_types.h
@@ -61,8 +61,8 @@
     std::size_t max_connections = 4096;
     /// Of all connections together, for heads, chunk headers and trailers that are not complete yet.
     std::size_t max_buffered_bytes = std::size_t{16} * 1024 * 1024;
-    /// Of all connections together, for the bodies of requests, unless listeners share it. A single body of
-    /// `max_body_bytes` always has room.
+    /// Of all connections together, for the bodies of requests, unless listeners share it. Of a listener's
+    /// own, a single body of `max_body_bytes` has room in any case.
     std::size_t max_body_memory = std::size_t{64} * 1024 * 1024;
     /// The sizes may be larger in fact: a request over one of them is asked to come back.
     bool provisional = false;
--- a/include/cardamomstream/core/memory_limit.h
+++ b/include/cardamomstream/core/memory_limit.h
@@ -6,6 +6,22 @@
 
 namespace cardamomstream {
 
+/// Messages of at most this size may also use the part of a limit that is kept for them, so that large ones
+/// can't keep them out.
+inline constexpr std::size_t small_message_bytes = std::size_t{64} * 1024;
+
+/// The part of a limit that is kept for small messages.
+constexpr std::size_t kept_for_small_messages(std::size_t max_bytes)
+{
+    return max_bytes / 4;
+}
+
+/// The least limit under which one message of this size fits beside that part.
+constexpr std::size_t limit_with_room_for(std::size_t message_bytes)
+{
+    return message_bytes + message_bytes / 3;
+}
+
 /// Counts the bytes that its users have reserved. Thread safe.
 class memory_limit {
 public:
--- a/include/cardamomstream/request/gateway/answer_memory.h
+++ b/include/cardamomstream/request/gateway/answer_memory.h
@@ -15,12 +15,9 @@
     static constexpr std::size_t max_bytes_per_answer = std::size_t{8} * 1024 * 1024;
     static constexpr std::size_t default_max_bytes = std::size_t{48} * 1024 * 1024;
 
-    /// An answer of at most this size may also use the last quarter of the memory.
-    static constexpr std::size_t small_bytes = std::size_t{64} * 1024;
-
     /// `max_bytes`: of all answers together; room for a single one of the largest size is always made.
     explicit answer_memory(std::size_t max_bytes = default_max_bytes)
-        : m_limit(std::max(max_bytes, max_bytes_per_answer / 3 * 4))
+        : m_limit(std::max(max_bytes, limit_with_room_for(max_bytes_per_answer)))
     {
     }
 
@@ -69,7 +66,7 @@
     /// Of the limit, for an answer of this size.
     std::size_t kept_free(std::size_t bytes) const
     {
-        return bytes <= small_bytes ? 0 : m_limit.max_bytes() / 4;
+        return bytes <= small_message_bytes ? 0 : kept_for_small_messages(m_limit.max_bytes());
     }
 
     memory_limit m_limit;
--- a/include/cardamomstream/request/placing/fleet_load.h
+++ b/include/cardamomstream/request/placing/fleet_load.h
@@ -236,9 +236,11 @@
     /// Longest gap between two events of an engine's streams while it prefills the request's prompt.
     std::chrono::milliseconds event_gap(const upstream_state& state, const placing_request& request) const;
 
-    /// The same where the upstream states how long work takes, with the prompts that it has yet to prefill.
-    std::chrono::milliseconds event_gap_now(const upstream_state& state, const placing_request& request,
-                                            time_point now) const;
+    /// The same where upstreams state how long work takes: while the engine prefills for `prefill`, and work
+    /// takes `work` times as long as usual.
+    std::chrono::milliseconds event_gap_during(const upstream_state& state,
+                                               std::chrono::duration<double, std::milli> prefill,
+                                               double work) const;
 
     /// Length of the prompt's prefix that is expected in the engine's cache.
     token_count cached_tokens(const upstream_state& state, const placing_request& request,
--- a/src/connection/http/body_memory.cpp
+++ b/src/connection/http/body_memory.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace cardamomstream {
 
@@ -29,8 +28,16 @@
 
 memory_grant body_memory::account::grow(std::size_t bytes, std::size_t missing, time_point now)
 {
-    const std::lock_guard lock(m_memory->m_mutex);
-    return m_memory->grow(*m_state, bytes, missing, now);
+    cut_actions cuts;
+    auto grant = memory_grant::refused;
+    {
+        const std::lock_guard lock(m_memory->m_mutex);
+        grant = m_memory->grow(*m_state, bytes, missing, now, cuts);
+    }
+    for (const auto& cut : cuts) {
+        cut();
+    }
+    return grant;
 }
 
 void body_memory::account::complete()
@@ -42,8 +49,7 @@
 void body_memory::make_room_for(std::size_t body_bytes)
 {
     const std::lock_guard lock(m_mutex);
-    const auto divisor = m_settings.reserve_divisor;
-    m_settings.max_bytes = std::max(m_settings.max_bytes, body_bytes / (divisor - 1) * divisor + divisor);
+    m_settings.max_bytes = std::max(m_settings.max_bytes, limit_with_room_for(body_bytes));
 }
 
 std::size_t body_memory::bytes() const
@@ -52,24 +58,25 @@
     return m_bytes;
 }
 
-memory_grant body_memory::grow(account_state& grown, std::size_t bytes, std::size_t missing, time_point now)
+memory_grant body_memory::grow(account_state& grown, std::size_t bytes, std::size_t missing, time_point now,
+                               cut_actions& cuts)
 {
-    const bool may_use_reserve =
-        grown.bytes + bytes <= m_settings.small_bytes || missing <= m_settings.small_bytes;
-    const auto reserve = may_use_reserve ? 0 : m_settings.max_bytes / m_settings.reserve_divisor;
-    if (m_bytes + bytes + reserve <= m_settings.max_bytes) {
+    const bool small = grown.bytes + bytes <= m_settings.small_bytes || missing <= m_settings.small_bytes;
+    const auto needed = m_bytes + bytes + (small ? 0 : kept_for_small_messages(m_settings.max_bytes));
+    if (needed <= m_settings.max_bytes) {
         m_bytes += bytes;
         grown.bytes += bytes;
         grown.progressed_at = now;
         return memory_grant::granted;
     }
-    return cut_stalled(grown, m_bytes + bytes + reserve - m_settings.max_bytes, now) ? memory_grant::awaited
-                                                                                     : memory_grant::refused;
+    return cut_stalled(grown, needed - m_settings.max_bytes, now, cuts) ? memory_grant::awaited
+                                                                        : memory_grant::refused;
 }
 
 /// Cuts off stalled senders until this many bytes become free, those stalled for longest first. True when
 /// some are being cut off.
-bool body_memory::cut_stalled(const account_state& grown, std::size_t bytes, time_point now)
+bool body_memory::cut_stalled(const account_state& grown, std::size_t bytes, time_point now,
+                              cut_actions& cuts)
 {
     std::size_t freed = 0;
     std::vector<account_state*> stalled;
@@ -92,7 +99,7 @@
             break;
         }
         one->cut_off = true;
-        one->cut();
+        cuts.push_back(std::move(one->cut));
         freed += one->bytes;
     }
     return freed > 0;
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -31,6 +31,13 @@
 /// A connection that has brought no whole head for this long makes room for another one when all are taken.
 constexpr std::chrono::milliseconds min_wait_for_first_request{1'000};
 
+std::shared_ptr<body_memory> own_body_memory(const http_limits& limits)
+{
+    auto memory = std::make_shared<body_memory>(body_memory_settings{limits.max_body_memory});
+    memory->make_room_for(limits.max_body_bytes);
+    return memory;
+}
+
 } // namespace
 
 struct http_server::state : std::enable_shared_from_this<http_server::state> {
@@ -45,20 +52,10 @@
         context->limits = std::make_shared<const http_limits>(limits);
         context->max_connections = limits.max_connections;
         context->read_memory = std::make_shared<memory_limit>(limits.max_buffered_bytes);
-        context->bodies = bodies
-                              ? std::move(bodies)
-                              : std::make_shared<body_memory>(body_memory_settings{limits.max_body_memory});
-        make_room_for_body(limits);
+        context->bodies = bodies ? std::move(bodies) : own_body_memory(limits);
         context->handler = std::move(handler);
     }
 
-    void make_room_for_body(const http_limits& limits)
-    {
-        if (owns_bodies) {
-            context->bodies->make_room_for(limits.max_body_bytes);
-        }
-    }
-
     result<endpoint> bind(const endpoint& address);
     void accept_loop();
     void accept_waiting();
@@ -80,7 +77,6 @@
     std::shared_ptr<session_context> context = std::make_shared<session_context>();
     std::atomic<std::size_t> open = 0;
     std::atomic<bool> accepting = false;
-    bool owns_bodies = false; ///< the memory for bodies is not shared
 };
 
 result<endpoint> http_server::state::bind(const endpoint& address)
@@ -236,7 +232,6 @@
 
 void http_server::set_limits(const http_limits& limits)
 {
-    m_state->make_room_for_body(limits);
     m_state->context->limits = std::make_shared<const http_limits>(limits);
 }
 
--- a/src/connection/http/http_session.cpp
+++ b/src/connection/http/http_session.cpp
@@ -348,10 +348,13 @@
     const auto step = announced ? std::min(missing, body_step_bytes)
                                 : std::clamp(size, first_body_step_bytes, body_step_bytes);
     const auto until = boot_clock::now() + memory_wait;
-    auto grant = m_body_account->grow(step, missing - std::min(missing, step), boot_clock::now());
+    const auto grow = [&] {
+        return m_body_account->grow(step, missing - std::min(missing, step), boot_clock::now());
+    };
+    auto grant = grow();
     while (grant == memory_grant::awaited && !m_body_refused && boot_clock::now() < until) {
         boost::this_fiber::sleep_for(memory_poll);
-        grant = m_body_account->grow(step, missing - std::min(missing, step), boot_clock::now());
+        grant = grow();
     }
     m_body_refused = m_body_refused || grant != memory_grant::granted;
     if (m_body_refused) {
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -47,8 +47,8 @@
     void close_if_idle();
     void close();
 
-    /// True until the head of the connection's first request has come; call on the socket's thread.
-    bool waits_for_first_request() const { return m_waits_for_first_request; }
+    /// True on an open connection until the head of its first request has come; call on the socket's thread.
+    bool waits_for_first_request() const { return m_waits_for_first_request && m_stream.socket().is_open(); }
     /// When the connection was accepted.
     time_point began_at() const { return m_began_at; }
 
--- a/src/connection/http/tests/body_memory_test.cpp
+++ b/src/connection/http/tests/body_memory_test.cpp
@@ -30,7 +30,7 @@
 TEST_CASE("a crowd of uploads meets a machine with little memory")
 {
     const time_point start{1h};
-    const auto memory = std::make_shared<body_memory>(body_memory_settings{800 * kib, 64 * kib, 4, 1'000ms});
+    const auto memory = std::make_shared<body_memory>(body_memory_settings{800 * kib, 64 * kib, 1'000ms});
     std::vector<std::unique_ptr<sender>> crowd;
     while (true) {
         crowd.push_back(std::make_unique<sender>(memory, start));
@@ -99,7 +99,7 @@
 TEST_CASE("a single body of the largest size fits, however small the machine")
 {
     const time_point start{1h};
-    const auto memory = std::make_shared<body_memory>(body_memory_settings{100 * kib, 10 * kib, 4, 1'000ms});
+    const auto memory = std::make_shared<body_memory>(body_memory_settings{100 * kib, 10 * kib, 1'000ms});
     memory->make_room_for(1'000 * kib);
     sender alone(memory, start);
     CHECK(alone.account.grow(1'000 * kib, unknown, start) == memory_grant::granted);
--- a/src/request/placing/fleet_load.cpp
+++ b/src/request/placing/fleet_load.cpp
@@ -704,16 +704,15 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(step_ms * state.tokens_per_event));
 }
 
-std::chrono::milliseconds fleet_load::event_gap_now(const upstream_state& state,
-                                                    const placing_request& request, time_point now) const
+std::chrono::milliseconds fleet_load::event_gap_during(const upstream_state& state,
+                                                       std::chrono::duration<double, std::milli> prefill,
+                                                       double work) const
 {
-    const auto chunk = std::chrono::duration<double, std::milli>(
+    const std::chrono::duration<double, std::milli> chunk(
         static_cast<double>(m_settings.prefill_chunk_tokens) / m_settings.prompt_tokens_per_ms);
-    const std::chrono::duration<double, std::milli> prompts =
-        prefill_left(state, now) + prefill_time(state, request, now);
-    const auto gap = std::min(prompts, chunk * state.tokens_per_event) +
-                     m_settings.token_time * static_cast<double>(state.tokens_per_event);
-    return std::chrono::ceil<std::chrono::milliseconds>(gap * work_factor(state, now));
+    const auto tokens = static_cast<double>(state.tokens_per_event);
+    return std::chrono::ceil<std::chrono::milliseconds>(std::min(prefill, chunk * tokens * work) +
+                                                        m_settings.token_time * tokens * work);
 }
 
 token_count fleet_load::cached_tokens(const upstream_state& state, const placing_request& request,
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -166,7 +166,6 @@
     const auto running = load.running(state, now);
     const bool engine = state.engine_batch > 0;
     const double slots = std::max(1U, engine ? state.engine_batch : state.view.record.slots);
-    const bool shares_machine = engine && load.states_work(request.service);
     const milliseconds_f run_time = engine ? load.run_time(request.service) : m_settings.plain_run_time;
     const double excess_requests = std::max(0.0, running + 1 - slots);
     option.first_byte = engine ? milliseconds_f(m_settings.first_event_base) : run_time;
@@ -186,8 +185,9 @@
         option.has_cached_prefix = load.cached_tokens(state, request, now) >= min_cached_tokens;
         option.cost = prefill * prefill_weight;
         const auto gap_objective = request.route->event_gap_objective;
-        const auto gap =
-            shares_machine ? load.event_gap_now(state, request, now) : load.event_gap(state, request);
+        const auto gap = load.states_work(request.service)
+                             ? load.event_gap_during(state, prefill + queue, work)
+                             : load.event_gap(state, request);
         if (gap_objective > std::chrono::milliseconds::zero() &&
             gap > gap_objective * gap_objective_fraction) {
             option.cost += static_cast<double>(running) * milliseconds_f(delayed_stream_cost);
