--- a/include/cardamomstream/process/deployment/recent_changes.h
+++ b/include/cardamomstream/process/deployment/recent_changes.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cardamomstream {
 
@@ -35,6 +36,11 @@
     std::deque<entry> m_entries; ///< newest first
 };
 
+/// Divides changes into parts whose keys and values take at most `max_bytes` each; none if a single item
+/// takes more. No part claims to hold all of a revision of which more follows: what a new listing leaves out
+/// is told under one revision.
+std::vector<store_changes> split_changes(const store_changes& changes, std::size_t max_bytes);
+
 /// Knows the keys of one part of the store, so that what a new listing leaves out can be told as removed.
 class listed_keys {
 public:
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -220,32 +220,14 @@
 void node_control::announce(const store_changes& changes)
 {
     const auto now = boot_clock::now();
-    store_changes part = changes;
-    part.after_outage = after_outage(now);
-    part.items.clear();
-    std::size_t bytes = 0;
-    const auto size_of = [](const store_item& item) { return item.key.size() + item.value.size(); };
-    const auto send_part = [&] {
+    // Of changes too large for datagrams, reports name the newer revision, and the others ask the store for
+    // it.
+    for (auto& part : split_changes(changes, max_announced_bytes)) {
+        part.after_outage = after_outage(now);
         auto state = describe(now);
-        state.changes = part;
+        state.changes = std::move(part);
         send({m_exchange.announce(std::move(state), now)});
-        part.after.revision = part.items.back().revision;
-        part.items.clear();
-        bytes = 0;
-    };
-    for (const auto& item : changes.items) {
-        if (size_of(item) > max_announced_bytes) {
-            return; // reports name the newer revision, and the others ask the store for it
-        }
-        if (bytes + size_of(item) > max_announced_bytes) {
-            part.up_to.revision = part.items.back().revision;
-            send_part();
-        }
-        bytes += size_of(item);
-        part.items.push_back(item);
     }
-    part.up_to = changes.up_to;
-    send_part();
 }
 
 void node_control::apply_listing(const store_batch& batch, bool lists_upstreams)
--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -185,7 +185,7 @@
                      {"reads", std::int64_t{m_reads ? 1 : 0}}});
     }
     const auto changes = m_keys.replace(m_part, all, std::max(m_newest_change, m_listed_at), before);
-    if (listed_before && !all.restored) {
+    if (listed_before && !all.restored && all.unreadable_items == 0) {
         tell(changes);
         m_recent.add(changes, boot_clock::now());
         m_newest_change = std::max(m_newest_change, newest_of(all.position.era, changes.items));
--- a/src/process/deployment/recent_changes.cpp
+++ b/src/process/deployment/recent_changes.cpp
@@ -2,19 +2,22 @@
 
 #include <algorithm>
 #include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace cardamomstream {
 
 namespace {
 
+std::size_t bytes_of(const store_item& item)
+{
+    return item.key.size() + item.value.size();
+}
+
 std::size_t bytes_of(const store_changes& changes)
 {
-    std::size_t bytes = 0;
-    for (const auto& item : changes.items) {
-        bytes += item.key.size() + item.value.size();
-    }
-    return bytes;
+    return std::accumulate(changes.items.begin(), changes.items.end(), std::size_t{0},
+                           [](std::size_t sum, const store_item& item) { return sum + bytes_of(item); });
 }
 
 } // namespace
@@ -49,6 +52,33 @@
     return told;
 }
 
+std::vector<store_changes> split_changes(const store_changes& changes, std::size_t max_bytes)
+{
+    std::vector<store_changes> parts;
+    auto part = changes;
+    part.items.clear();
+    std::size_t bytes = 0;
+    for (const auto& item : changes.items) {
+        const auto more = bytes_of(item);
+        if (more > max_bytes) {
+            return {};
+        }
+        if (bytes + more > max_bytes) {
+            const auto last = part.items.back().revision;
+            part.up_to.revision = std::min(item.revision == last ? last - 1 : last, changes.up_to.revision);
+            parts.push_back(part);
+            part.after = part.up_to;
+            part.items.clear();
+            bytes = 0;
+        }
+        bytes += more;
+        part.items.push_back(item);
+    }
+    part.up_to = changes.up_to;
+    parts.push_back(std::move(part));
+    return parts;
+}
+
 store_changes listed_keys::replace(store_part part, const store_batch& listing, const store_position& after,
                                    const store_position& known)
 {
--- a/src/process/deployment/tests/recent_changes_test.cpp
+++ b/src/process/deployment/tests/recent_changes_test.cpp
@@ -108,3 +108,44 @@
         CHECK(keys.replace(store_part::upstreams, listing, {era, 20}, {era, 20}).items.empty());
     }
 }
+
+// Removals found by a listing have one revision: a VM that got the first datagram of several took them for
+// known.
+TEST_CASE("changes too large for one datagram are told in several")
+{
+    store_changes changes{store_part::upstreams, {era, 10}, {era, 30}, false, {}};
+    changes.items = {
+        {"a", "0123456789", 20, false}, {"b", "", 30, true}, {"c", "", 30, true}, {"d", "", 30, true}};
+    const auto parts = split_changes(changes, 12);
+    REQUIRE(parts.size() == 2);
+    CHECK(parts[0].items.size() == 2);
+    CHECK(parts[0].after == store_position{era, 10});
+    CHECK(parts[1].after == parts[0].up_to);
+    CHECK(parts[1].up_to == store_position{era, 30});
+
+    change_lag lag;
+    lag.record_known({era, 15});
+    auto first = parts[0];
+    REQUIRE(lag.accept_changes(first));
+    CHECK(revisions(first) == std::vector<std::uint64_t>{20, 30});
+    SECTION("the rest is still news")
+    {
+        auto second = parts[1];
+        REQUIRE(lag.accept_changes(second));
+        CHECK(revisions(second) == std::vector<std::uint64_t>{30, 30});
+        CHECK(lag.known() == store_position{era, 30});
+    }
+    SECTION("if it is lost, this VM knows that it misses something")
+    {
+        CHECK(lag.known() < store_position{era, 30});
+    }
+    SECTION("an item of a page that is newer than the listing says nothing of what lies between")
+    {
+        changes.items = {{"a", "0123456789", 35, false}, {"b", "0123456789", 36, false}};
+        CHECK(split_changes(changes, 12).front().up_to == store_position{era, 30});
+    }
+    SECTION("one that is larger than a datagram isn't told")
+    {
+        CHECK(split_changes(changes, 10).empty());
+    }
+}
