--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -259,6 +259,7 @@
     void refuse(const error& reason);
     void refuse_placing(const placement& where);
     std::string permitted_regions() const;
+    version_number plan_in_force_version() const;
     std::string shared_parts_text() const;
     std::optional<error> check_quarantine(std::optional<trials>& trial);
     static error quarantined(std::string_view reason, std::chrono::milliseconds retry_after);
@@ -348,6 +349,8 @@
     std::string m_last_failure;      ///< why the last send failed; for the log
     std::string_view m_no_retry;     ///< why it wasn't sent again; for the log
     std::string m_last_upstream;
+    region_name m_sent_region;      ///< of the last send's upstream
+    version_number m_sent_plan = 0; ///< the plan in force at the last send; 0 before the first
     /// Software version of the last send's upstream; empty if it isn't certain.
     std::optional<std::string> m_sent_version;
     std::optional<std::chrono::milliseconds> m_last_pause; ///< asked for by the last send's upstream
@@ -595,6 +598,8 @@
     m_predicted = where.predicted;
     m_running_at_upstream = where.running;
     m_last_upstream = where.upstream.str();
+    m_sent_region = where.region;
+    m_sent_plan = plan_in_force_version();
     m_sent_version = where.version;
     m_answer_began_at.reset();
     m_answer_status = 0;
@@ -762,6 +767,14 @@
     return text;
 }
 
+/// Version of the plan that new requests are admitted by now.
+template <gateway_wire Wire>
+version_number request_flow<Wire>::plan_in_force_version() const
+{
+    const auto& deployment = m_state.deployment;
+    return deployment && deployment->plan ? deployment->plan->version() : 0;
+}
+
 /// Ids of the prompt's parts without the last one, in hexadecimal, separated by spaces.
 template <gateway_wire Wire>
 std::string request_flow<Wire>::shared_parts_text() const
@@ -831,6 +844,7 @@
          {"homes", ordinary ? std::string{} : permitted_regions()},
          {"hop", std::int64_t{m_placing_request.own_region_only ? 1 : 0}},
          {"upstream", m_last_upstream},
+         {"region", m_sent_region.str()},
          {"version", m_sent_version.value_or("")},
          {"unframed", std::int64_t{m_unframed ? 1 : 0}},
          {"resumes", m_caller_request.resumes.str()},
@@ -842,7 +856,8 @@
          {"prompt", std::int64_t{m_caller_request.prompt_tokens}},
          {"first_ms", std::int64_t{m_first_byte.count()}},
          {"took_ms", std::int64_t{elapsed().count()}},
-         {"plan", static_cast<std::int64_t>(m_plan ? m_plan->version() : 0)}});
+         {"plan", static_cast<std::int64_t>(m_plan ? m_plan->version() : 0)},
+         {"sent_plan", static_cast<std::int64_t>(m_sent_plan)}});
 }
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/gateway/request_flow/hedging.h
+++ b/include/cardamomstream/request/gateway/request_flow/hedging.h
@@ -106,6 +106,8 @@
     }
     const auto answer = std::move(*second.m_hedge_answer);
     m_last_upstream = second.m_last_upstream;
+    m_sent_region = second.m_sent_region;
+    m_sent_plan = second.m_sent_plan;
     m_sent_version = second.m_sent_version;
     m_unframed = second.m_unframed;
     m_sends = second.m_sends;
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -315,6 +315,8 @@
                       {{"request", m_caller_request.id.str()},
                        {"upstream", here ? std::string_view(where.upstream.str()) : std::string_view{}},
                        {"address", where.address.str()},
+                       {"region", where.region.str()},
+                       {"plan", static_cast<std::int64_t>(m_sent_plan)},
                        {"hop", std::int64_t{here ? 0 : 1}},
                        {"outcome", to_text(outcome)},
                        {"not_run", m_not_run_evidence},
