Homes of the plan in force bind each send of a request, not only its first (HOME)

Callers saw nothing; a customer's request that was under way when its homes changed could be sent once more to a region that was no home any longer, up to its whole time budget (12 s) after the change.

Cause: route, customer and their homes were looked up when the request was admitted, and kept for as long as it lived. Repeats, hedges, resumed streams, and sends at a VM to which it was passed on, were placed by them. Class of fault: a decision that is taken once and used for as long as the request lives.

Change: before each placement, and when a replacement is sought for a silent upstream, the homes of the plan in force are looked up by host, path and key, else by the names of route and customer, and bind beside those of the admission. What runs already goes on: its data are there. Other terms (MaxAttempts, TimeoutMs, Resumable, the services of the route, a withdrawn key) remain those of the admission.

Both sets bind, since callers sent the request under the first and the operator asks for the second.

--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -216,6 +216,7 @@
     void serve();
     void run_attempts();
     placement place_next();
+    void apply_plan_in_force();
     static bool is_placed(const placement& where);
     send_result send(const placement& where);
     void record_send(const placement& where, send_result result);
@@ -259,6 +260,8 @@
     void refuse(const error& reason);
     void refuse_placing(const placement& where);
     std::string permitted_regions() const;
+    bool permitted_anywhere() const;
+    bool permits(const region_name& region) const;
     version_number plan_in_force_version() const;
     std::string shared_parts_text() const;
     std::optional<error> check_quarantine(std::optional<trials>& trial);
@@ -325,7 +328,8 @@
     caller_request m_caller_request;
     time_point m_started;
     time_point m_deadline;
-    std::shared_ptr<const service_plan> m_plan;
+    std::shared_ptr<const service_plan> m_plan;       ///< that admitted the request
+    std::shared_ptr<const service_plan> m_newer_plan; ///< whose homes bind as well; null before one came
     const plan_route* m_route = nullptr;
     const plan_customer* m_customer = nullptr;
     placing_request m_placing_request;
@@ -428,6 +432,7 @@
     , m_started(first.m_started)
     , m_deadline(first.m_deadline)
     , m_plan(first.m_plan)
+    , m_newer_plan(first.m_newer_plan)
     , m_route(first.m_route)
     , m_customer(first.m_customer)
     , m_placing_request(first.m_placing_request)
@@ -522,9 +527,31 @@
     m_placing_request.waited = m_waited_before + elapsed();
     m_placing_request.time_left = time_left();
     m_placing_request.sent_before = m_sends > 0;
+    apply_plan_in_force();
     return m_state.placing.place(m_placing_request, *m_plan, m_state.load, boot_clock::now());
 }
 
+/// Homes bind each send, as the plan in force then states them. The other terms of a request under way
+/// remain those of its admission.
+template <gateway_wire Wire>
+void request_flow<Wire>::apply_plan_in_force()
+{
+    const auto& plan = m_state.deployment->plan;
+    if (!plan || plan == m_plan || plan == m_newer_plan) {
+        return;
+    }
+    const auto* route = plan->find_route(m_caller_request.host, m_request.path());
+    if (route == nullptr) {
+        route = plan->find_route(m_route->name);
+    }
+    const auto* customer = plan->find_customer_by_key(m_caller_request.key);
+    if (customer == nullptr && m_customer != nullptr) {
+        customer = plan->find_customer(m_customer->name);
+    }
+    m_placing_request.newer_homes = {route, customer};
+    m_newer_plan = plan;
+}
+
 template <gateway_wire Wire>
 bool request_flow<Wire>::is_placed(const placement& where)
 {
@@ -729,6 +756,11 @@
         refuse(not_resumable("no upstream of the software version that began the stream serves any more"));
         return;
     }
+    if (where.verdict == placing_verdict::no_upstream && !permitted_anywhere()) {
+        refuse({error_kind::no_permitted_region, "the homes have changed since the request came",
+                "send it again", run_outcome::not_run, other_vm_delay});
+        return;
+    }
     const bool late = where.verdict == placing_verdict::overloaded;
     const bool limited =
         where.verdict == placing_verdict::limited || where.verdict == placing_verdict::paused;
@@ -753,20 +785,40 @@
 template <gateway_wire Wire>
 std::string request_flow<Wire>::permitted_regions() const
 {
-    std::string text;
-    if (m_route == nullptr ||
-        (m_route->home_regions.empty() && (m_customer == nullptr || m_customer->home_regions.empty()))) {
-        return text;
-    }
     std::set<region_name> regions;
+    bool bound = false;
     for (const auto& [data_centre, region] : m_state.settings.regions) {
-        if (may_run_in(region, *m_route, m_customer) && regions.insert(region).second) {
+        if (permits(region)) {
+            regions.insert(region);
+        }
+        else {
+            bound = true;
+        }
+    }
+    std::string text;
+    if (bound) {
+        for (const auto& region : regions) {
             text += (text.empty() ? "" : " ") + region.str();
         }
     }
     return text;
 }
 
+/// False if the homes by which the request was admitted and those in force have no region in common.
+template <gateway_wire Wire>
+bool request_flow<Wire>::permitted_anywhere() const
+{
+    const auto& regions = m_state.settings.regions;
+    return std::any_of(regions.begin(), regions.end(),
+                       [this](const auto& data_centre) { return permits(data_centre.second); });
+}
+
+template <gateway_wire Wire>
+bool request_flow<Wire>::permits(const region_name& region) const
+{
+    return residency{m_route, m_customer}.permits(region) && m_placing_request.newer_homes.permits(region);
+}
+
 /// Version of the plan that new requests are admitted by now.
 template <gateway_wire Wire>
 version_number request_flow<Wire>::plan_in_force_version() const
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -26,10 +26,7 @@
                 {error_kind::unauthenticated, "the key is unknown", "send a valid key", {}, {}});
         }
     }
-    const auto& regions = m_state.settings.regions;
-    if (std::none_of(regions.begin(), regions.end(), [this](const auto& data_centre) {
-            return may_run_in(data_centre.second, *m_route, m_customer);
-        })) {
+    if (!permitted_anywhere()) {
         return error{error_kind::no_permitted_region,
                      "the route's and the customer's homes have no region in common",
                      "ask for a plan that permits one",
@@ -88,7 +85,7 @@
                      {},
                      300ms};
     }
-    if (!may_run_in(m_state.settings.region, *m_route, m_customer)) {
+    if (!permits(m_state.settings.region)) {
         return error{error_kind::no_permitted_region,
                      "the request may not be served in this region",
                      "send it to one of its home regions",
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -155,6 +155,7 @@
     if (quarantine_decisions().verdict() != quarantine_verdict::allowed) {
         return false;
     }
+    apply_plan_in_force();
     auto request = m_placing_request;
     request.time_left = time_left();
     exclude(request, where);
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -25,7 +25,8 @@
     pool_name service;
     const plan_route* route = nullptr;       ///< never null when placed
     const plan_customer* customer = nullptr; ///< null on routes open to all
-    int urgency = 0;                         ///< 0 is the most urgent
+    residency newer_homes; ///< by a plan that came into force since; binds beside `route` and `customer`
+    int urgency = 0;       ///< 0 is the most urgent
     token_count prompt_tokens = 0;
     token_count answer_tokens = 0;       ///< expected; used to estimate the engine memory
     std::vector<prompt_part> parts;      ///< in order; the last one is not shared with other requests
@@ -38,6 +39,12 @@
     std::optional<std::string> version;
     bool own_region_only = false; ///< set for a request that another VM passed on
     bool sent_before = false;     ///< it is placed even if the answer would be late
+
+    /// True when the homes permit the region, by each plan that binds the request.
+    bool may_run_in(const region_name& region) const
+    {
+        return residency{route, customer}.permits(region) && newer_homes.permits(region);
+    }
 };
 
 /// The refusals are ordered: when several apply, the last one is given as the reason.
--- a/include/cardamomstream/version/service_plan/service_plan.h
+++ b/include/cardamomstream/version/service_plan/service_plan.h
@@ -38,6 +38,15 @@
     std::unordered_map<pool_name, const plan_service*> m_services;
 };
 
+/// The homes of a request's route and of its customer, by one plan.
+struct residency {
+    const plan_route* route = nullptr;       ///< null: binds nothing
+    const plan_customer* customer = nullptr; ///< null: binds nothing
+
+    /// True when both let a request be served in the region.
+    bool permits(const region_name& region) const;
+};
+
 /// True when both the route and the customer let a request be served in the region.
 bool may_run_in(const region_name& region, const plan_route& route, const plan_customer* customer);
 
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -399,7 +399,7 @@
         const auto& view = state.view;
         const bool here = view.region == m_region;
         if (view.record.service != request.service || (!here && request.own_region_only) ||
-            !may_run_in(view.region, *request.route, request.customer) ||
+            !request.may_run_in(view.region) ||
             std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end() ||
             std::find(request.refused_by.begin(), request.refused_by.end(), view.region) !=
                 request.refused_by.end()) {
--- a/src/version/service_plan/service_plan.cpp
+++ b/src/version/service_plan/service_plan.cpp
@@ -76,12 +76,18 @@
     return found == m_services.end() ? nullptr : found->second;
 }
 
+bool residency::permits(const region_name& region) const
+{
+    const auto bound_elsewhere = [&](const std::vector<region_name>& homes) {
+        return !homes.empty() && !contains(homes, region);
+    };
+    return !(route != nullptr && bound_elsewhere(route->home_regions)) &&
+           !(customer != nullptr && bound_elsewhere(customer->home_regions));
+}
+
 bool may_run_in(const region_name& region, const plan_route& route, const plan_customer* customer)
 {
-    if (!route.home_regions.empty() && !contains(route.home_regions, region)) {
-        return false;
-    }
-    return customer == nullptr || customer->home_regions.empty() || contains(customer->home_regions, region);
+    return residency{&route, customer}.permits(region);
 }
 
 bool plan_in_force::offer(std::shared_ptr<const service_plan> candidate)
