--- a/src/request/dispatch/dispatcher.cpp
+++ b/src/request/dispatch/dispatcher.cpp
@@ -11,6 +11,13 @@
 
 namespace cardamomstream {
 
+namespace {
+
+/// A request that comes again is admitted by the rules in force.
+constexpr std::chrono::milliseconds retry_after_rules_changed{100};
+
+} // namespace
+
 class dispatcher::impl {
 public:
     impl(region_name home, dispatcher_settings settings, std::uint64_t seed)
@@ -40,6 +47,7 @@
     router& router_of(const region_name& region, time_point now);
     pool_queue& queue_of(const pool_key& key);
     std::optional<result<dispatch_grant>> try_grant(const dispatch_query& query, time_point now);
+    result<route_query> bound_by_rules(const dispatch_query& query) const;
     std::variant<result<dispatch_grant>, std::shared_ptr<waiting_request>>
     grant_or_queue(const dispatch_query& query, time_point now);
     void grant_waiting(const pool_key& key, time_point now);
@@ -127,7 +135,11 @@
 {
     const auto region = query.direct_region.value_or(m_home);
     auto& routing = router_of(region, now);
-    auto choice = routing.choose(query.route, now, m_random);
+    const auto bound = bound_by_rules(query);
+    if (!bound) {
+        return result<dispatch_grant>(bound.error());
+    }
+    auto choice = routing.choose(bound.value(), now, m_random);
     if (!choice) {
         return result<dispatch_grant>(choice.error());
     }
@@ -142,6 +154,32 @@
     return result<dispatch_grant>(std::move(grant));
 }
 
+/// The query with the regions that both the rules of its admission and those in force permit: it may have
+/// waited, or be repeated, since its admission. Error: no_permitted_region if there is none.
+result<route_query> dispatcher::impl::bound_by_rules(const dispatch_query& query) const
+{
+    auto bound = query.route;
+    if (!m_view.rules) {
+        return bound;
+    }
+    const auto rule = m_view.rules->customers.find(query.customer);
+    if (rule == m_view.rules->customers.end() || rule->second.regions.empty()) {
+        return bound;
+    }
+    const auto& in_force = rule->second.regions;
+    if (bound.permitted.empty()) {
+        bound.permitted = in_force;
+        return bound;
+    }
+    std::erase_if(bound.permitted, [&](const region_name& region) { return !in_force.contains(region); });
+    if (bound.permitted.empty()) {
+        return error{error_kind::no_permitted_region,
+                     "the customer's regions have changed since the request came", "send it again",
+                     run_outcome::not_run, retry_after_rules_changed};
+    }
+    return bound;
+}
+
 std::variant<result<dispatch_grant>, std::shared_ptr<waiting_request>>
 dispatcher::impl::grant_or_queue(const dispatch_query& query, time_point now)
 {
--- a/src/request/dispatch/tests/dispatcher_test.cpp
+++ b/src/request/dispatch/tests/dispatcher_test.cpp
@@ -16,13 +16,13 @@
 const region_name home{"riga"};
 const pool_name pool{"drafting"};
 
-routing_view view_with(std::uint32_t slots)
+routing_view view_with(std::uint32_t slots, const std::set<region_name>& customer_regions = {})
 {
     rules published;
     published.regions[home] = {};
     published.pools[pool] = {};
     published.vms[vm_name{"riga-a"}] = {home, {}, {}, {}};
-    published.customers[customer_name{"carrier"}] = {};
+    published.customers[customer_name{"carrier"}].regions = customer_regions;
     vm_list list;
     list.version = 1;
     list.upstreams[upstream_name{"w1"}] = {pool,  home, {}, {"127.0.0.1", 9}, listed_state::live,
@@ -103,3 +103,55 @@
         dispatch.finish(granted.value(), boot_clock::now());
     }
 }
+
+// A request was granted an upstream by the regions of its admission after these had changed.
+TEST_CASE("regions of a customer that change after a request's admission bind its placement")
+{
+    dispatcher dispatch(home, one_at_a_time(), 1);
+    dispatch.update(view_with(1), boot_clock::now());
+    traffic_thread thread;
+    cancellation cancel;
+    const auto acquire = [&](dispatch_query query) {
+        std::promise<result<dispatch_grant>> done;
+        thread.spawn([&] { done.set_value(dispatch.acquire(query, cancel)); });
+        return done.get_future().get();
+    };
+
+    SECTION("of a repeat")
+    {
+        dispatch.update(view_with(1, {region_name{"kurzeme"}}), boot_clock::now());
+        auto query = query_of("repeat", 1s);
+        const auto unbound = acquire(query);
+        REQUIRE_FALSE(unbound);
+        CHECK(unbound.error().kind == error_kind::no_permitted_region);
+        query.route.permitted = {home};
+        const auto refused = acquire(query);
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().kind == error_kind::no_permitted_region);
+        CHECK(refused.error().outcome == run_outcome::not_run);
+        CHECK(refused.error().retry_after);
+    }
+    SECTION("of one that has waited")
+    {
+        const auto granted = acquire(query_of("first", 1s));
+        REQUIRE(granted);
+        std::promise<result<dispatch_grant>> second;
+        auto answer = second.get_future();
+        thread.spawn([&] { second.set_value(dispatch.acquire(query_of("second", 5s), cancel)); });
+        CHECK(answer.wait_for(50ms) == std::future_status::timeout);
+        dispatch.update(view_with(1, {region_name{"kurzeme"}}), boot_clock::now());
+        dispatch.finish(granted.value(), boot_clock::now());
+        const auto refused = answer.get();
+        REQUIRE_FALSE(refused);
+        CHECK(refused.error().kind == error_kind::no_permitted_region);
+    }
+    SECTION("but only the placement of requests that they exclude")
+    {
+        dispatch.update(view_with(1, {region_name{"kurzeme"}, home}), boot_clock::now());
+        auto query = query_of("repeat", 1s);
+        query.route.permitted = {home};
+        const auto granted = acquire(query);
+        REQUIRE(granted);
+        dispatch.finish(granted.value(), boot_clock::now());
+    }
+}
