--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -206,6 +206,8 @@
     std::optional<error> admit_caller();
     std::optional<error> admit_hop(const hop_details& hop);
     error missing_in_plan(error reason) const;
+    static error plan_outdated();
+    std::optional<error> check_homes_known();
     std::optional<error> check_stopping() const;
     std::optional<error> require_origin();
     void await_list_read(const pool_name& service);
@@ -215,6 +217,7 @@
     void init_placing_request(const pool_name& service, int urgency);
     void serve();
     void run_attempts();
+    void end_without_send(const error& reason, std::string_view no_retry);
     placement place_next();
     void apply_plan_in_force();
     static bool is_placed(const placement& where);
@@ -473,14 +476,12 @@
     m_waited_before = m_placing_request.waited;
     while (true) {
         std::optional<trials> trial;
+        if (const auto refused = check_homes_known()) {
+            end_without_send(*refused, "plan_outdated");
+            return;
+        }
         if (const auto refused = check_quarantine(trial)) {
-            m_last_failure = refused->message;
-            m_no_retry = "quarantined";
-            if (m_may_have_run || m_stream_started || m_held_failure) {
-                give_up(send_result::may_have_run);
-                return;
-            }
-            refuse(*refused);
+            end_without_send(*refused, "quarantined");
             return;
         }
         if (const auto reason = why_stream_ends(); !reason.empty()) {
@@ -521,6 +522,19 @@
     }
 }
 
+/// Ends a request that may not be sent, or not once more. `no_retry`: why; for the log.
+template <gateway_wire Wire>
+void request_flow<Wire>::end_without_send(const error& reason, std::string_view no_retry)
+{
+    m_last_failure = reason.message;
+    m_no_retry = no_retry;
+    if (m_may_have_run || m_stream_started || m_held_failure) {
+        give_up(send_result::may_have_run);
+        return;
+    }
+    refuse(reason);
+}
+
 template <gateway_wire Wire>
 placement request_flow<Wire>::place_next()
 {
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -107,15 +107,30 @@
 /// Refuses a request for good only under a plan that is current, as far as is known.
 template <gateway_wire Wire>
 error request_flow<Wire>::missing_in_plan(error reason) const
+{
+    return m_state.plan_may_be_outdated(m_started) ? plan_outdated() : std::move(reason);
+}
+
+template <gateway_wire Wire>
+error request_flow<Wire>::plan_outdated()
 {
     using namespace std::chrono_literals;
-    if (!m_state.plan_may_be_outdated(m_started)) {
-        return reason;
-    }
     return {error_kind::platform_unavailable, "other VMs know a newer plan than this one",
             "send it again, to another VM", run_outcome::not_run, 500ms};
 }
 
+/// Refuses a request that has homes while the plan may be outdated: they may be elsewhere by now.
+template <gateway_wire Wire>
+std::optional<error> request_flow<Wire>::check_homes_known()
+{
+    if (!m_state.plan_may_be_outdated(boot_clock::now())) {
+        return std::nullopt;
+    }
+    apply_plan_in_force();
+    const bool bound = residency{m_route, m_customer}.binds() || m_placing_request.newer_homes.binds();
+    return bound ? std::optional(plan_outdated()) : std::nullopt;
+}
+
 /// Refuses a request that a stopping process could not answer completely.
 template <gateway_wire Wire>
 std::optional<error> request_flow<Wire>::check_stopping() const
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -152,7 +152,7 @@
     if (!why_stream_ends().empty() || !m_state.answers_before_end(*m_route, time_left(), now)) {
         return false;
     }
-    if (quarantine_decisions().verdict() != quarantine_verdict::allowed) {
+    if (check_homes_known() || quarantine_decisions().verdict() != quarantine_verdict::allowed) {
         return false;
     }
     apply_plan_in_force();
--- a/include/cardamomstream/version/service_plan/service_plan.h
+++ b/include/cardamomstream/version/service_plan/service_plan.h
@@ -45,6 +45,9 @@
 
     /// True when both let a request be served in the region.
     bool permits(const region_name& region) const;
+
+    /// True when either names homes.
+    bool binds() const;
 };
 
 /// True when both the route and the customer let a request be served in the region.
--- a/src/version/service_plan/service_plan.cpp
+++ b/src/version/service_plan/service_plan.cpp
@@ -85,6 +85,12 @@
            !(customer != nullptr && bound_elsewhere(customer->home_regions));
 }
 
+bool residency::binds() const
+{
+    return (route != nullptr && !route->home_regions.empty()) ||
+           (customer != nullptr && !customer->home_regions.empty());
+}
+
 bool may_run_in(const region_name& region, const plan_route& route, const plan_customer* customer)
 {
     return residency{&route, customer}.permits(region);
