--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -56,6 +56,12 @@
 constexpr std::size_t body_memory_divisor = 4;
 constexpr std::size_t answer_memory_divisor = 10;
 constexpr std::size_t read_memory_divisor = 32; ///< of each listener, and of the connections to upstreams
+constexpr std::size_t question_memory_divisor = 128; ///< of each listener for questions
+
+/// Questions have no body; for one that is sent all the same.
+constexpr std::uint64_t max_question_body_bytes = 4 * 1024;
+constexpr std::chrono::milliseconds question_idle_timeout{10'000};
+constexpr std::size_t question_connections_divisor = 8; ///< of the descriptors for connections
 
 /// Where no plan states others.
 http_limits default_limits(const node_settings& settings)
@@ -83,6 +89,18 @@
     return limits;
 }
 
+/// Of questions for readiness, entries and metrics.
+http_limits question_limits(const node_settings& settings)
+{
+    http_limits limits;
+    limits.max_body_bytes = max_question_body_bytes;
+    limits.idle_timeout = question_idle_timeout;
+    limits.max_buffered_bytes = settings.memory_bytes / question_memory_divisor;
+    limits.max_connections =
+        (settings.max_descriptors - descriptors_for_files) / question_connections_divisor;
+    return limits;
+}
+
 http_client_settings upstream_connections(const node_settings& node)
 {
     http_client_settings settings;
@@ -234,10 +252,12 @@
 
 result<void> node_process::impl::listen_for_questions(const endpoint& address)
 {
-    questions.push_back(
-        std::make_unique<http_server>(traffic, http_limits{},
-                                      [this](const http_request& request, std::size_t /*thread*/,
-                                             response_writer& writer) { serve_question(request, writer); }));
+    questions.push_back(std::make_unique<http_server>(
+        traffic, question_limits(settings),
+        [this](const http_request& request, std::size_t /*thread*/, response_writer& writer) {
+            serve_question(request, writer);
+        },
+        bodies));
     BOOST_OUTCOME_TRY(questions.back()->listen(address));
     return boost::outcome_v2::success();
 }
