A VM that receives a hop looks up the homes by host and path in its own plan (HOME; found by the review)

The receiver judged by the route's name as the sender's plan had it. With a longer prefix added, an older sender's hop was run in a region that the receiver's own plan excludes. Besides: on routes open to all no customer is looked up by a key that happens to be sent; whether the plan is outdated is checked after the wait of a quarantine's trial, not before it.

--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -476,14 +476,14 @@
     m_waited_before = m_placing_request.waited;
     while (true) {
         std::optional<trials> trial;
-        if (const auto refused = check_homes_known()) {
-            end_without_send(*refused, "plan_outdated");
-            return;
-        }
         if (const auto refused = check_quarantine(trial)) {
             end_without_send(*refused, "quarantined");
             return;
         }
+        if (const auto refused = check_homes_known()) {
+            end_without_send(*refused, "plan_outdated");
+            return;
+        }
         if (const auto reason = why_stream_ends(); !reason.empty()) {
             m_last_failure += "; the stream can't go on: ";
             m_last_failure += reason;
@@ -558,7 +558,8 @@
     if (route == nullptr) {
         route = plan->find_route(m_route->name);
     }
-    const auto* customer = plan->find_customer_by_key(m_caller_request.key);
+    const bool open_to_all = route == nullptr ? m_route->open_to_all : route->open_to_all;
+    const auto* customer = open_to_all ? nullptr : plan->find_customer_by_key(m_caller_request.key);
     if (customer == nullptr && m_customer != nullptr) {
         customer = plan->find_customer(m_customer->name);
     }
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -85,6 +85,8 @@
                      {},
                      300ms};
     }
+    // The sender may have an older plan, without a route that this one has for the path.
+    m_placing_request.newer_homes.route = m_plan->find_route(m_caller_request.host, m_request.path());
     if (!permits(m_state.settings.region)) {
         return error{error_kind::no_permitted_region,
                      "the request may not be served in this region",
