--- a/include/cardamomstream/process/deployment/change_lag.h
+++ b/include/cardamomstream/process/deployment/change_lag.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <deque>
 #include <optional>
 
 namespace cardamomstream {
@@ -28,14 +29,20 @@
     /// Since when another VM has known of a change that this one misses; empty: of none.
     std::optional<time_point> behind_since() const
     {
-        return m_known < m_peer_change ? std::optional(m_behind_since) : std::nullopt;
+        return m_missed.empty() ? std::nullopt : std::optional(m_missed.front().first_told_at);
     }
 
     /// All changes up to here are known to this VM.
     store_position known() const noexcept { return m_known; }
 
 private:
+    struct missed_change {
+        store_position change;
+        time_point first_told_at;
+    };
+
     store_position m_known;
+    std::deque<missed_change> m_missed; ///< told by other VMs and not known here, oldest first
     store_position m_peer_change;
     time_point m_behind_since; ///< valid while `m_peer_change` is newer than `m_known`
     time_point m_restarted_at; ///< epoch: never
--- a/src/process/deployment/change_lag.cpp
+++ b/src/process/deployment/change_lag.cpp
@@ -13,11 +13,17 @@
 /// Gives a slow store time to respond before the watch is restarted again.
 constexpr std::chrono::milliseconds min_restart_interval{2'500};
 
+/// More changes than come within the time for which it matters how long one has been missed.
+constexpr std::size_t max_missed = 256;
+
 } // namespace
 
 void change_lag::record_known(store_position position)
 {
     m_known = std::max(m_known, position);
+    while (!m_missed.empty() && m_missed.front().change <= m_known) {
+        m_missed.pop_front();
+    }
 }
 
 bool change_lag::accept_changes(store_changes& changes)
@@ -39,6 +45,12 @@
     if (m_peer_change <= m_known) {
         m_behind_since = now;
     }
+    if (m_missed.empty() || m_missed.back().change < change) {
+        if (m_missed.size() == max_missed) {
+            m_missed.pop_back();
+        }
+        m_missed.push_back({change, now});
+    }
     m_peer_change = std::max(m_peer_change, change);
     const bool restarted_recently =
         m_restarted_at != time_point{} && now - m_restarted_at < min_restart_interval;
--- a/src/process/deployment/tests/change_lag_test.cpp
+++ b/src/process/deployment/tests/change_lag_test.cpp
@@ -119,3 +119,18 @@
     lag.record_peer_change({1, 15}, start + 5s);
     CHECK(lag.behind_since() == start + 5s);
 }
+
+// A VM that was always half a second late counted as late for as long as changes kept coming.
+TEST_CASE("a VM that knows of a missed change by now misses only the later ones")
+{
+    const time_point start{1h};
+    change_lag lag;
+    lag.record_known({1, 10});
+    lag.record_peer_change({1, 12}, start);
+    lag.record_peer_change({1, 14}, start + 1s);
+    lag.record_peer_change({1, 14}, start + 2s);
+    lag.record_known({1, 12});
+    CHECK(lag.behind_since() == start + 1s);
+    lag.record_known({1, 14});
+    CHECK_FALSE(lag.behind_since());
+}
