Ends of upstreams that other VMs have seen outlive the loss of this VM's own links (FAILBACK)

When its links were back, a VM discarded what it had noticed of upstreams' ends while they were lost, and with it what other VMs had reported of the same upstreams: it took them for warm until the next report or entry. Class of fault: evidence of others discarded with one's own.

Now only its own part of a sign is discarded if another VM has seen the end, too.

--- a/include/cardamomstream/request/placing/upstream_ends.h
+++ b/include/cardamomstream/request/placing/upstream_ends.h
@@ -54,7 +54,7 @@
     /// Signs that this VM has seen itself, for its report.
     std::vector<upstream_end> own_ends(time_point now);
 
-    /// Discards the signs that this VM has noticed itself since then.
+    /// Discards what this VM has noticed itself since then, and keeps what other VMs have seen.
     void discard_own(time_point since);
 
     /// Ends the signs of an earlier process.
@@ -74,6 +74,7 @@
         time_point ended_at;                    ///< newest sign
         std::optional<time_point> own_ended_at; ///< as this VM has seen it
         std::optional<time_point> answered_at;  ///< first answer of what runs since
+        bool reported = false;                  ///< another VM has seen it
     };
 
     /// A process that took the place of one whose end was noticed.
--- a/src/request/placing/tests/placer_test.cpp
+++ b/src/request/placing/tests/placer_test.cpp
@@ -1004,6 +1004,19 @@
         fixture.load.set_links_lost(false, true, fixture.now);
         CHECK_FALSE(may_be_cold());
     }
+    SECTION("what others have seen stays known; a VM forgot it with what it had seen itself")
+    {
+        known_vm other;
+        other.received_at = fixture.now;
+        other.report.upstream_ends = {
+            {upstream_name("a"), fixture.load.find(upstream_name("a"))->view.record.started_unix_ms, 0ms}};
+        fixture.load.apply_reported_ends(other);
+        fixture.load.set_links_lost(true, true, fixture.now);
+        fixture.now += 1s;
+        fixture.load.set_links_lost(false, true, fixture.now);
+        CHECK(may_be_cold());
+        CHECK(fixture.load.own_ends(fixture.now).empty());
+    }
     SECTION("an end that was seen long before stays one")
     {
         fixture.now += 10s;
--- a/src/request/placing/upstream_ends.cpp
+++ b/src/request/placing/upstream_ends.cpp
@@ -48,7 +48,7 @@
     const bool is_other = !known.end || known.end->started_unix_ms < started_unix_ms ||
                           (known.end->answered_at && at - *known.end->answered_at > answered_ttl);
     if (is_other) {
-        known.end = sign{started_unix_ms, ran_at, at, at, {}, {}};
+        known.end = sign{started_unix_ms, ran_at, at, at, {}, {}, false};
     }
     auto& end = *known.end;
     end.ran_at = std::min(end.ran_at, ran_at);
@@ -75,7 +75,9 @@
 void upstream_ends::record_reported(const upstream_name& upstream, std::int64_t started_unix_ms,
                                     time_point at)
 {
-    (void)add_sign(upstream, started_unix_ms, at, at - reported_lateness);
+    if (auto* end = add_sign(upstream, started_unix_ms, at, at - reported_lateness)) {
+        end->reported = true;
+    }
 }
 
 void upstream_ends::record_answer(const upstream_name& upstream, const received_bytes& received)
@@ -149,7 +151,13 @@
 void upstream_ends::discard_own(time_point since)
 {
     for (auto& [upstream, known] : m_upstreams) {
-        if (known.end && known.end->own_ended_at && known.end->first_at >= since) {
+        if (!known.end || !known.end->own_ended_at || known.end->first_at < since) {
+            continue;
+        }
+        if (known.end->reported) {
+            known.end->own_ended_at.reset();
+        }
+        else {
             known.end.reset();
         }
     }
