--- a/src/request/dispatch/dispatcher.cpp
+++ b/src/request/dispatch/dispatcher.cpp
@@ -5,7 +5,9 @@
 #include "cardamomstream/request/admission_slot_gate.h"
 
 #include <mutex>
+#include <optional>
 #include <random>
+#include <set>
 #include <utility>
 #include <variant>
 
@@ -47,7 +49,7 @@
     router& router_of(const region_name& region, time_point now);
     pool_queue& queue_of(const pool_key& key);
     std::optional<result<dispatch_grant>> try_grant(const dispatch_query& query, time_point now);
-    result<route_query> bound_by_rules(const dispatch_query& query) const;
+    std::optional<std::set<region_name>> narrowed_regions(const dispatch_query& query) const;
     std::variant<result<dispatch_grant>, std::shared_ptr<waiting_request>>
     grant_or_queue(const dispatch_query& query, time_point now);
     void grant_waiting(const pool_key& key, time_point now);
@@ -135,11 +137,18 @@
 {
     const auto region = query.direct_region.value_or(m_home);
     auto& routing = router_of(region, now);
-    const auto bound = bound_by_rules(query);
-    if (!bound) {
-        return result<dispatch_grant>(bound.error());
+    auto regions = narrowed_regions(query);
+    if (regions && regions->empty()) {
+        return result<dispatch_grant>(error{
+            error_kind::no_permitted_region, "the customer's regions have changed since the request came",
+            "send it again", run_outcome::not_run, retry_after_rules_changed});
     }
-    auto choice = routing.choose(bound.value(), now, m_random);
+    std::optional<route_query> narrowed;
+    if (regions) {
+        narrowed = query.route;
+        narrowed->permitted = std::move(*regions);
+    }
+    auto choice = routing.choose(narrowed ? *narrowed : query.route, now, m_random);
     if (!choice) {
         return result<dispatch_grant>(choice.error());
     }
@@ -154,30 +163,25 @@
     return result<dispatch_grant>(std::move(grant));
 }
 
-/// The query with the regions that both the rules of its admission and those in force permit: it may have
-/// waited, or be repeated, since its admission. Error: no_permitted_region if there is none.
-result<route_query> dispatcher::impl::bound_by_rules(const dispatch_query& query) const
+/// Regions that both the rules of the request's admission and those in force permit: it may have waited, or
+/// be repeated, since then. Empty optional: the rules in force exclude none of its regions.
+std::optional<std::set<region_name>> dispatcher::impl::narrowed_regions(const dispatch_query& query) const
 {
-    auto bound = query.route;
     if (!m_view.rules) {
-        return bound;
+        return std::nullopt;
     }
     const auto rule = m_view.rules->customers.find(query.customer);
     if (rule == m_view.rules->customers.end() || rule->second.regions.empty()) {
-        return bound;
+        return std::nullopt;
     }
     const auto& in_force = rule->second.regions;
-    if (bound.permitted.empty()) {
-        bound.permitted = in_force;
-        return bound;
-    }
-    std::erase_if(bound.permitted, [&](const region_name& region) { return !in_force.contains(region); });
-    if (bound.permitted.empty()) {
-        return error{error_kind::no_permitted_region,
-                     "the customer's regions have changed since the request came", "send it again",
-                     run_outcome::not_run, retry_after_rules_changed};
+    auto regions = query.route.permitted;
+    if (regions.empty()) {
+        return in_force;
     }
-    return bound;
+    const auto excluded =
+        std::erase_if(regions, [&](const region_name& region) { return !in_force.contains(region); });
+    return excluded == 0 ? std::nullopt : std::optional(std::move(regions));
 }
 
 std::variant<result<dispatch_grant>, std::shared_ptr<waiting_request>>
