--- a/include/cardamomstream/request/gateway/gateway_metrics.h
+++ b/include/cardamomstream/request/gateway/gateway_metrics.h
@@ -39,6 +39,9 @@
     counter_family<pool_name, std::string> runs_left;
     counter_family<pool_name> hedges; ///< second runs of idempotent calls whose upstream is silent
     counter_family<std::string> store_restorations; ///< eras of the store that began, by part
+    /// Sizes of the datagrams between VMs, by direction ("sent", "received") and kind ("report", "summary",
+    /// "changes" of the store).
+    counter_family<std::string, std::string> report_bytes;
     duration_family<pool_name> first_byte; ///< from a request's arrival to the first byte of its answer
     duration_family<pool_name> predicted_first_byte; ///< as predicted when the request was placed
     gauge_family<> in_flight;
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -66,6 +66,15 @@
                        [](const upstream_end& end) { return end.age < report_interval; });
 }
 
+/// Label of the metric that counts datagrams.
+std::string kind_of(const vm_report& report)
+{
+    if (report.changes) {
+        return "changes";
+    }
+    return report.summary ? "summary" : "report";
+}
+
 http_client_settings store_connection()
 {
     http_client_settings settings;
@@ -373,6 +382,7 @@
             m_log.write(log_weight::state, "report_refused", {{"reason", report.error().message}});
             continue;
         }
+        m_state.counters.report_bytes.add(length, "received", kind_of(report.value()));
         const auto now = boot_clock::now();
         if (report.value().changes && report.value().data_centre == m_settings.data_centre) {
             auto& follower = report.value().changes->part == store_part::operators ? m_operator_entries
@@ -544,6 +554,7 @@
             continue;
         }
         const auto text = encode_report(report);
+        m_state.counters.report_bytes.add(text.size() * receivers.size(), "sent", kind_of(report));
         for (const auto& address : receivers) {
             boost::system::error_code ec;
             const auto ip = boost::asio::ip::make_address(address.address, ec);
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -51,6 +51,9 @@
     , store_restorations(m_registry, {"cardamomstream_gateway_store_restorations_total",
                                       "Times that the store was found restored from an older copy, by part.",
                                       {"part"}})
+    , report_bytes(m_registry, {"cardamomstream_gateway_report_bytes_total",
+                                "Bytes of datagrams between VMs, by direction and kind.",
+                                {"direction", "kind"}})
     , first_byte(m_registry,
                  {"cardamomstream_gateway_first_byte_seconds", "Time to the first byte.", {"service"}},
                  first_byte_bounds())
