--- a/include/cardamomstream/process/deployment/data_centre_totals.h
+++ b/include/cardamomstream/process/deployment/data_centre_totals.h
@@ -19,8 +19,11 @@
     void add(const vm_report& report, const vm_report* previous);
 
     /// Fills in the totals of a summary. `alive` holds the last reports of the live VMs, including this
-    /// VM's own. Prompt parts and lateness are reported once and then discarded.
-    void fill_summary(vm_report& summary, const std::vector<const vm_report*>& alive);
+    /// VM's own.
+    void fill_summary(vm_report& summary, const std::vector<const vm_report*>& alive) const;
+
+    /// Adds prompt parts and lateness, which are reported once, to a summary that is filled in.
+    void move_recent_to(vm_report& summary);
 
     /// Discards prompt parts and lateness while another VM sends the summaries of this data centre.
     void discard_recent();
--- a/include/cardamomstream/process/deployment/report_exchange.h
+++ b/include/cardamomstream/process/deployment/report_exchange.h
@@ -40,7 +40,8 @@
 /// Keeps the cost of reports low in a fleet of hundreds of VMs. The VMs of one data centre report to each
 /// other. Two of them send summaries to each other data centre, each to one VM there, which relays them.
 /// All four are selected by rendezvous hashing over the live VMs, so that the summaries take two paths that
-/// share no VM, and no VM has a fixed role. No I/O; not thread-safe.
+/// share no VM, and no VM has a fixed role. No I/O;
+/// not thread-safe.
 class report_exchange {
 public:
     report_exchange(vm_identity self, std::map<data_centre_name, region_name> data_centres);
@@ -61,6 +62,10 @@
     /// Creates the summaries that this VM sends to other data centres; call once every `summary_interval`.
     std::vector<outgoing_report> summarise(time_point now);
 
+    /// Creates extra summaries to the other data centres of the region, between two calls of `summarise`.
+    /// What is reported once is left to the regular summaries.
+    std::vector<outgoing_report> summarise_for_region(time_point now);
+
     /// Time between two regular reports.
     std::chrono::milliseconds interval() const;
 
@@ -85,6 +90,8 @@
     /// Receivers of this VM's summary in another data centre; empty when other VMs send to that one.
     std::vector<endpoint> summary_receivers(const data_centre_name& other,
                                             const std::vector<endpoint>& candidates, time_point now) const;
+    /// The other data centres that this VM sends summaries to, with their receivers.
+    std::map<data_centre_name, std::vector<endpoint>> summary_links(bool other_regions, time_point now) const;
     vm_report make_summary(time_point now);
 
     vm_identity m_self;
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -403,7 +403,7 @@
         }
         if (new_end && !report.value().summary && now - m_summarised_at >= m_exchange.min_interval()) {
             m_summarised_at = now;
-            send(m_exchange.summarise(now));
+            send(m_exchange.summarise_for_region(now));
         }
     }
 }
--- a/src/process/deployment/data_centre_totals.cpp
+++ b/src/process/deployment/data_centre_totals.cpp
@@ -45,7 +45,7 @@
     }
 }
 
-void data_centre_totals::fill_summary(vm_report& summary, const std::vector<const vm_report*>& alive)
+void data_centre_totals::fill_summary(vm_report& summary, const std::vector<const vm_report*>& alive) const
 {
     std::map<upstream_name, upstream_load> loads;
     for (const auto* report : alive) {
@@ -56,9 +56,6 @@
             sum.memory_tokens += load.memory_tokens;
         }
     }
-    for (auto& [id, parts] : m_new_parts) {
-        loads[id].new_parts = std::move(parts);
-    }
     summary.loads.clear();
     for (auto& [id, sum] : loads) {
         sum.upstream = id;
@@ -69,6 +66,19 @@
         summary.uses.push_back({customer, admitted});
     }
     summary.lateness.clear();
+}
+
+void data_centre_totals::move_recent_to(vm_report& summary)
+{
+    for (auto& [id, parts] : m_new_parts) {
+        auto load = std::find_if(summary.loads.begin(), summary.loads.end(),
+                                 [&](const upstream_load& known) { return known.upstream == id; });
+        if (load == summary.loads.end()) {
+            load = summary.loads.insert(load, upstream_load{});
+            load->upstream = id;
+        }
+        load->new_parts = std::move(parts);
+    }
     for (const auto& [key, sum] : m_lateness) {
         const auto mean = static_cast<std::int64_t>(sum.ms / std::max(sum.samples, 1U));
         summary.lateness.push_back({key.first, key.second, std::chrono::milliseconds(mean), sum.samples});
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -3,7 +3,6 @@
 #include "cardamomstream/process/rendezvous.h"
 
 #include <algorithm>
-#include <optional>
 #include <utility>
 
 namespace cardamomstream {
@@ -415,33 +414,53 @@
     return summary;
 }
 
+std::map<data_centre_name, std::vector<endpoint>> report_exchange::summary_links(bool other_regions,
+                                                                                 time_point now) const
+{
+    std::map<data_centre_name, std::vector<endpoint>> links;
+    const auto candidates = summary_sender_candidates(now);
+    for (const auto& [other, region] : m_other_data_centres) {
+        if (region != m_self.region && !other_regions) {
+            continue;
+        }
+        if (auto receivers = summary_receivers(other, candidates, now); !receivers.empty()) {
+            links.emplace(other, std::move(receivers));
+        }
+    }
+    return links;
+}
+
 std::vector<outgoing_report> report_exchange::summarise(time_point now)
 {
     if (m_last_report.vm.empty()) {
         return {};
     }
     m_summary_rounds += 1;
+    const auto links = summary_links(m_summary_rounds % rounds_per_inter_region_summary == 0, now);
+    if (links.empty()) {
+        m_totals.discard_recent();
+        return {};
+    }
+    auto summary = make_summary(now);
+    m_totals.move_recent_to(summary);
     std::vector<outgoing_report> out;
-    std::optional<vm_report> summary;
-    const auto candidates = summary_sender_candidates(now);
-    for (const auto& [other, region] : m_other_data_centres) {
-        if (region != m_self.region && m_summary_rounds % rounds_per_inter_region_summary != 0) {
-            continue;
-        }
-        auto receivers = summary_receivers(other, candidates, now);
-        if (receivers.empty()) {
-            continue;
-        }
-        if (!summary) {
-            summary = make_summary(now);
-        }
-        out.push_back({*summary, std::move(receivers)});
+    for (const auto& [other, receivers] : links) {
+        out.push_back({summary, receivers});
         if (m_summary_rounds % reports_per_vm_list == 0) {
             add_known_vms(out.back().report, other);
         }
     }
-    if (!summary) {
-        m_totals.discard_recent();
+    return out;
+}
+
+std::vector<outgoing_report> report_exchange::summarise_for_region(time_point now)
+{
+    if (m_last_report.vm.empty()) {
+        return {};
+    }
+    std::vector<outgoing_report> out;
+    for (const auto& [other, receivers] : summary_links(false, now)) {
+        out.push_back({out.empty() ? make_summary(now) : out.front().report, receivers});
     }
     return out;
 }
--- a/src/process/deployment/tests/report_exchange_test.cpp
+++ b/src/process/deployment/tests/report_exchange_test.cpp
@@ -431,6 +431,49 @@
     CHECK(answering_vm.vms().known_in(remote).empty());
 }
 
+// They went to all regions, and each was relayed to a whole data centre: links filled up.
+TEST_CASE("an extra summary goes to the region's other data centres")
+{
+    const region_name here("here");
+    const data_centre_name local("dc-0");
+    const data_centre_name near("dc-1");
+    const data_centre_name far("dc-2");
+    const time_point start{1'000s};
+    report_exchange exchange({vm_name("a"), {1}, here, local, {}, {"10.0.0.1", 7'000}},
+                             {{local, here}, {near, here}, {far, region_name("elsewhere")}});
+    const endpoint near_vm{"10.1.0.1", 7'000};
+    for (const auto& [data_centre, inner] :
+         {std::pair{near, near_vm}, std::pair{far, endpoint{"10.2.0.1", 7'000}}}) {
+        vm_report other;
+        other.vm = vm_name(inner.address);
+        other.process = {2};
+        other.sequence = 1;
+        other.data_centre = data_centre;
+        other.inner = inner;
+        exchange.receive(other, start);
+    }
+    vm_report own;
+    own.loads = {{engine, 1, 0ms, 0, {77}}};
+    own.lateness = {{pool_name("s"), 0, 40ms, 3}};
+    (void)exchange.report(own, start);
+
+    const auto extra = exchange.summarise_for_region(start);
+    REQUIRE(extra.size() == 1);
+    CHECK(extra.front().receivers == std::vector{near_vm});
+    CHECK(extra.front().report.loads.front().running == 1);
+
+    SECTION("and leaves what is reported once to the regular ones")
+    {
+        CHECK(extra.front().report.loads.front().new_parts.empty());
+        CHECK(extra.front().report.lateness.empty());
+        const auto regular = exchange.summarise(start);
+        REQUIRE(regular.size() == 1);
+        CHECK(regular.front().report.loads.front().new_parts == std::vector<std::uint64_t>{77});
+        CHECK(regular.front().report.lateness.size() == 1);
+        CHECK(exchange.summarise(start).size() == 2);
+    }
+}
+
 TEST_CASE("connections that break at one upstream are told apart in a summary")
 {
     const data_centre_name local("dc-0");
