--- a/include/cardamomstream/process/deployment/report_exchange.h
+++ b/include/cardamomstream/process/deployment/report_exchange.h
@@ -40,7 +40,7 @@
 /// Keeps the cost of reports low in a fleet of hundreds of VMs. The VMs of one data centre report to each
 /// other. Two of them send summaries to each other data centre, each to one VM there, which relays them.
 /// All four are selected by rendezvous hashing over the live VMs, so that the summaries take two paths that
-/// share no VM, and no VM has a fixed role. No I/O;
+/// share no VM, and no VM has a fixed role. Those that relay are selected among the larger machines. No I/O;
 /// not thread-safe.
 class report_exchange {
 public:
--- a/include/cardamomstream/process/deployment/vm_table.h
+++ b/include/cardamomstream/process/deployment/vm_table.h
@@ -82,9 +82,8 @@
     /// Inner addresses of which not even the data centre is known.
     const std::set<endpoint>& unidentified_addresses() const noexcept { return m_unidentified; }
 
-    /// Inner addresses of the live VMs of another data centre, by its last summary; empty while it does not
-    /// report.
-    std::vector<endpoint> alive_in(const data_centre_name& other, time_point now) const;
+    /// The live VMs of another data centre, by its last summary; empty while it does not report.
+    std::vector<vm_member> alive_in(const data_centre_name& other, time_point now) const;
 
     /// All inner addresses ever known of a data centre.
     const std::set<endpoint>& known_in(const data_centre_name& data_centre) const;
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -3,6 +3,7 @@
 #include "cardamomstream/process/rendezvous.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace cardamomstream {
@@ -59,6 +60,26 @@
     return selected;
 }
 
+/// The VMs whose machines are to relay summaries to a whole data centre: those with at least half the
+/// capacity of the second largest, so that two paths share no VM.
+std::vector<endpoint> relay_candidates(const std::vector<vm_member>& members)
+{
+    std::vector<std::uint32_t> capacities;
+    for (const auto& member : members) {
+        capacities.push_back(member.capacity);
+    }
+    std::sort(capacities.begin(), capacities.end(), std::greater<>());
+    const auto least =
+        capacities.size() < paths_between_data_centres ? 0 : capacities[paths_between_data_centres - 1] / 2;
+    std::vector<endpoint> candidates;
+    for (const auto& member : members) {
+        if (member.capacity >= least) {
+            candidates.push_back(member.inner);
+        }
+    }
+    return candidates;
+}
+
 std::vector<endpoint> inner_addresses(const known_vms& vms)
 {
     std::vector<endpoint> all;
@@ -362,7 +383,7 @@
     if (position == senders.end()) {
         return {};
     }
-    auto receivers = select_for_link(m_self.data_centre, m_vms.alive_in(other, now));
+    auto receivers = select_for_link(m_self.data_centre, relay_candidates(m_vms.alive_in(other, now)));
     if (receivers.empty()) {
         // No VM there reports: tries the known addresses in rotation, since some may be running.
         return rotating_subset(m_vms.known_in(other), paths_between_data_centres, m_summary_rounds);
--- a/src/process/deployment/tests/report_exchange_test.cpp
+++ b/src/process/deployment/tests/report_exchange_test.cpp
@@ -1,3 +1,4 @@
+#include "cardamomstream/process/deployment/entry_weights.h"
 #include "cardamomstream/process/deployment/report_exchange.h"
 #include "cardamomstream/process/deployment/vm_report_codec.h"
 
@@ -23,7 +24,9 @@
 /// tick.
 class virtual_fleet {
 public:
-    virtual_fleet(std::size_t vms, std::size_t data_centres)
+    /// `large_vms`: in each data centre, on larger machines than the others.
+    virtual_fleet(std::size_t vms, std::size_t data_centres, std::size_t large_vms = 0)
+        : m_large_vms(large_vms)
     {
         for (std::size_t index = 0; index < data_centres; ++index) {
             m_data_centres.emplace(data_centre_name("dc-" + std::to_string(index)),
@@ -46,7 +49,8 @@
                          data_centre->second,
                          data_centre->first,
                          {inner.address, 80},
-                         inner};
+                         inner,
+                         vm_capacity(0.12, is_large(index) ? 200 : 10)};
         if (index >= m_vms.size()) {
             m_vms.resize(index + 1);
         }
@@ -59,6 +63,7 @@
     }
 
     void stop(std::size_t index) { m_vms[index].reset(); }
+    bool is_large(std::size_t index) const { return index / m_data_centres.size() < m_large_vms; }
 
     /// While isolated, the VM neither sends nor receives datagrams.
     void set_isolated(std::size_t index, bool isolated)
@@ -114,6 +119,7 @@
     {
         m_inter_data_centre_bytes = 0;
         m_datagrams_sent.clear();
+        m_relayed.clear();
         m_counted_from = m_now;
     }
     /// Bytes per second between data centres, averaged over the VMs.
@@ -131,6 +137,9 @@
         return static_cast<double>(max_sent) / seconds();
     }
 
+    /// VMs that have relayed summaries.
+    const std::set<std::size_t>& relays() const { return m_relayed; }
+
     /// The smallest number of VMs that any running VM knows to be alive, including itself.
     std::size_t min_known_vms() const
     {
@@ -208,6 +217,9 @@
             }
             const auto bytes = m_counted_from == time_point{} ? 0 : encode_report(report).size();
             const auto shared = std::make_shared<const vm_report>(report);
+            if (report.summary && report.summary->relayed) {
+                m_relayed.insert(from);
+            }
             for (const auto& receiver : receivers) {
                 m_datagrams_sent[from] += 1;
                 const auto to = m_by_address.find(receiver);
@@ -239,6 +251,8 @@
     std::deque<datagram> m_in_flight;
     std::set<std::size_t> m_isolated;
     std::map<std::size_t, std::size_t> m_datagrams_sent;
+    std::set<std::size_t> m_relayed;
+    std::size_t m_large_vms = 0;
     std::size_t m_inter_data_centre_bytes = 0;
     std::uint64_t m_processes = 0;
     time_point m_now{1'000s};
@@ -431,6 +445,33 @@
     CHECK(answering_vm.vms().known_in(remote).empty());
 }
 
+// A relay on a link of 10 Mbit/s had to send 3 MB in a second when many upstreams ended.
+TEST_CASE("summaries are relayed by VMs on larger machines")
+{
+    virtual_fleet fleet(60, 6, 2);
+    fleet.run(3s);
+    fleet.reset_counts();
+    fleet.run(2s);
+    for (std::size_t index = 0; index < fleet.size(); ++index) {
+        CAPTURE(index);
+        CHECK(fleet.relays().contains(index) == fleet.is_large(index));
+    }
+
+    SECTION("and by the others when all of these have stopped")
+    {
+        for (std::size_t index = 0; index < fleet.size(); ++index) {
+            if (fleet.is_large(index)) {
+                fleet.stop(index);
+            }
+        }
+        fleet.run(4s);
+        fleet.reset_counts();
+        fleet.run(2s);
+        CHECK(fleet.min_known_vms() == 48);
+        CHECK(fleet.relays().size() >= 12);
+    }
+}
+
 // They went to all regions, and each was relayed to a whole data centre: links filled up.
 TEST_CASE("an extra summary goes to the region's other data centres")
 {
--- a/src/process/deployment/vm_table.cpp
+++ b/src/process/deployment/vm_table.cpp
@@ -150,20 +150,17 @@
     return silent;
 }
 
-std::vector<endpoint> vm_table::alive_in(const data_centre_name& other, time_point now) const
+std::vector<vm_member> vm_table::alive_in(const data_centre_name& other, time_point now) const
 {
-    std::vector<endpoint> addresses;
     const auto found = m_others.find(other);
     if (found == m_others.end()) {
-        return addresses;
+        return {};
     }
     const auto selected = found->second.summaries.find(found->second.selected_sender);
-    if (selected != found->second.summaries.end() && is_alive(*selected->second, now)) {
-        for (const auto& member : selected->second->report.summary->members) {
-            addresses.push_back(member.inner);
-        }
+    if (selected == found->second.summaries.end() || !is_alive(*selected->second, now)) {
+        return {};
     }
-    return addresses;
+    return selected->second->report.summary->members;
 }
 
 const std::set<endpoint>& vm_table::known_in(const data_centre_name& data_centre) const
