--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -185,6 +185,8 @@
     std::optional<data_centre_summary_part> summary;
     bool asks_for_members = false; ///< asks the receiver which VMs of the sender's data centre it knows
     bool reads_store = false;      ///< the VM watches the store itself
+    /// VMs on larger machines are the first to read the store; false in reports of earlier versions.
+    bool ranks_readers_by_capacity = false;
     std::vector<upstream_load> loads;
     std::vector<customer_use> uses;
     std::vector<lateness_sample> lateness;
--- a/include/cardamomstream/process/deployment/entry_weights.h
+++ b/include/cardamomstream/process/deployment/entry_weights.h
@@ -13,6 +13,10 @@
 /// runs out of first depends on what its callers send.
 std::uint32_t vm_capacity(double processor_cores, double link_mbps);
 
+/// The capacity from which on a machine counts as a large one among these: half that of the one that is
+/// `place` in descending order, from 1 on; 0 when there are fewer.
+std::uint32_t least_large_capacity(std::vector<std::uint32_t> capacities, std::size_t place);
+
 /// An address that an entry answer may name.
 struct weighted_entry {
     endpoint address;
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -216,7 +216,8 @@
         return known.size() == store_part_count && (known[0].era < m_operator_entries.read_up_to().era ||
                                                     known[1].era < m_upstream_entries.read_up_to().era);
     });
-    const bool reads = m_reader.should_read(m_settings.inner_listener, answered, neighbours, now);
+    const bool reads = m_reader.should_read(m_settings.inner_listener, m_exchange.self().capacity, answered,
+                                            neighbours, now);
     m_operator_entries.set_reads(reads);
     m_upstream_entries.set_reads(reads);
     const auto readers = static_cast<int>(m_exchange.vms().store_readers(now)) + 1;
@@ -516,6 +517,7 @@
     report.leaving = m_leaving;
     report.plan_version = m_plan.get() ? m_plan.get()->version() : 0;
     report.known_changes = {m_operator_entries.newest_change(), m_upstream_entries.newest_change()};
+    report.ranks_readers_by_capacity = true;
     report.reads_store = m_operator_entries.answered() && m_upstream_entries.answered();
     report.read_up_to = {m_operator_entries.read_up_to(), m_upstream_entries.read_up_to()};
     report.read_from = {m_operator_entries.read_from(), m_upstream_entries.read_from()};
--- a/src/process/deployment/entry_weights.cpp
+++ b/src/process/deployment/entry_weights.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 #include <numeric>
 
 namespace cardamomstream {
@@ -31,6 +32,16 @@
         std::clamp(std::sqrt(processor_cores * link_mbps) * capacity_scale, 1.0, max_capacity));
 }
 
+std::uint32_t least_large_capacity(std::vector<std::uint32_t> capacities, std::size_t place)
+{
+    if (place == 0 || capacities.size() < place) {
+        return 0;
+    }
+    const auto nth = capacities.begin() + static_cast<std::ptrdiff_t>(place - 1);
+    std::nth_element(capacities.begin(), nth, capacities.end(), std::greater<>());
+    return *nth / 2;
+}
+
 std::vector<endpoint> weigh_entries(const std::vector<weighted_entry>& entries, std::size_t max_addresses)
 {
     std::uint32_t smallest = 0;
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -1,9 +1,9 @@
 #include "cardamomstream/process/deployment/report_exchange.h"
 
+#include "cardamomstream/process/deployment/entry_weights.h"
 #include "cardamomstream/process/rendezvous.h"
 
 #include <algorithm>
-#include <functional>
 #include <utility>
 
 namespace cardamomstream {
@@ -68,9 +68,7 @@
     for (const auto& member : members) {
         capacities.push_back(member.capacity);
     }
-    std::sort(capacities.begin(), capacities.end(), std::greater<>());
-    const auto least =
-        capacities.size() < paths_between_data_centres ? 0 : capacities[paths_between_data_centres - 1] / 2;
+    const auto least = least_large_capacity(std::move(capacities), paths_between_data_centres);
     std::vector<endpoint> candidates;
     for (const auto& member : members) {
         if (member.capacity >= least) {
--- a/src/process/deployment/store_reader_choice.cpp
+++ b/src/process/deployment/store_reader_choice.cpp
@@ -1,7 +1,9 @@
 #include "cardamomstream/process/deployment/store_reader_choice.h"
 
+#include "cardamomstream/process/deployment/entry_weights.h"
 #include "cardamomstream/process/rendezvous.h"
 
+#include <algorithm>
 #include <map>
 
 namespace cardamomstream {
@@ -18,20 +20,31 @@
 
 } // namespace
 
-bool store_reader_choice::should_read(const endpoint& self, bool answered, const known_vms& neighbours,
-                                      time_point now)
+bool store_reader_choice::should_read(const endpoint& self, std::uint32_t capacity, bool answered,
+                                      const known_vms& neighbours, time_point now)
 {
     const vm_name own(self.str());
     std::map<vm_name, const vm_report*> by_name;
     std::vector<vm_name> names{own};
+    std::vector<std::uint32_t> capacities{capacity};
+    // VMs that rank each other differently would stop reading for each other.
+    bool by_capacity = true;
     for (const auto& vm : neighbours) {
         if (!vm->report.leaving) {
             names.emplace_back(vm->report.inner.str());
             by_name.emplace(names.back(), &vm->report);
+            capacities.push_back(vm->report.capacity);
+            by_capacity = by_capacity && vm->report.ranks_readers_by_capacity;
         }
     }
     std::int64_t rank = 0;
-    const auto ranked = rank_by_rendezvous(rank_key, std::move(names));
+    auto ranked = rank_by_rendezvous(rank_key, std::move(names));
+    if (by_capacity) {
+        const auto least = least_large_capacity(std::move(capacities), 1);
+        std::stable_partition(ranked.begin(), ranked.end(), [&](const vm_name& name) {
+            return (name == own ? capacity : by_name.at(name)->capacity) >= least;
+        });
+    }
     for (auto name = ranked.begin(); *name != own; ++name) {
         const auto& other = *by_name.at(*name);
         if (other.reads_store && !other.store_failing) {
--- a/src/process/deployment/tests/store_reader_choice_test.cpp
+++ b/src/process/deployment/tests/store_reader_choice_test.cpp
@@ -38,9 +38,9 @@
                 auto neighbours = known_reports;
                 std::erase_if(neighbours,
                               [&](const auto& other) { return other->report.inner == one.inner; });
-                const bool starts_reading =
-                    !std::exchange(one.reads, one.choice.should_read(one.inner, one.reads && one.answered,
-                                                                     neighbours, m_now));
+                const bool starts_reading = !std::exchange(
+                    one.reads, one.choice.should_read(one.inner, one.capacity, one.reads && one.answered,
+                                                      neighbours, m_now));
                 if (one.reads && (starts_reading || one.rejected)) {
                     m_calls += 1;
                     concurrent_calls += 1;
@@ -75,10 +75,15 @@
     }
     void set_rejected(std::size_t index, bool rejected) { m_vms[index].rejected = rejected; }
     void leave(std::size_t index) { m_vms[index].leaving = true; }
+    void set_large(std::size_t index) { m_vms[index].capacity = large; }
+    /// The VM runs a version that ranks all VMs alike.
+    void set_earlier_version(std::size_t index) { m_vms[index].ranks_by_capacity = false; }
 
 private:
     static constexpr auto step = 200ms;
     static constexpr auto outage_memory = 2'500ms;
+    static constexpr std::uint32_t small = 1'000;
+    static constexpr std::uint32_t large = 10'000;
 
     struct vm {
         endpoint inner;
@@ -88,6 +93,8 @@
         bool down = false;
         bool rejected = false;
         bool leaving = false;
+        std::uint32_t capacity = small;
+        bool ranks_by_capacity = true;
         time_point failed_at;
         time_point down_since;
     };
@@ -103,6 +110,8 @@
             known.report.vm = vm_name(one.inner.str());
             known.report.inner = one.inner;
             known.report.leaving = one.leaving;
+            known.report.capacity = one.capacity;
+            known.report.ranks_readers_by_capacity = one.ranks_by_capacity;
             known.report.reads_store = one.reads && one.answered;
             known.report.store_failing = m_now - one.failed_at < outage_memory;
             all.push_back(std::make_shared<const known_vm>(std::move(known)));
@@ -179,3 +188,45 @@
         CHECK(data_centre.readers().size() == 1);
     }
 }
+
+// A reader on a link of 10 Mbit/s sent 2 MB of changes to its data centre in one second.
+TEST_CASE("a VM on a larger machine reads the store")
+{
+    constexpr std::size_t vms = 12;
+    virtual_data_centre data_centre(vms);
+    data_centre.run(2s);
+    REQUIRE(data_centre.readers().size() == 1);
+    const auto first = data_centre.readers().front();
+    const auto large = (first + 1) % vms;
+    const auto other_large = (first + 2) % vms;
+    data_centre.set_large(large);
+    data_centre.set_large(other_large);
+
+    SECTION("and another one of these when it stops")
+    {
+        data_centre.run(3s);
+        REQUIRE(data_centre.readers().size() == 1);
+        const auto reader = data_centre.readers().front();
+        CHECK((reader == large || reader == other_large));
+        data_centre.set_down(reader, true);
+        data_centre.run(3s);
+        CHECK(data_centre.readers() == std::vector<std::size_t>{reader == large ? other_large : large});
+
+        SECTION("and one on a small machine when all of these have stopped")
+        {
+            data_centre.set_down(reader == large ? other_large : large, true);
+            data_centre.run(3s);
+            CHECK(data_centre.readers() == std::vector<std::size_t>{first});
+        }
+    }
+    SECTION("only when no VM of an earlier version, which ranks all alike, is there")
+    {
+        data_centre.set_earlier_version((first + 3) % vms);
+        data_centre.run(10s);
+        CHECK(data_centre.readers() == std::vector<std::size_t>{first});
+        data_centre.set_down((first + 3) % vms, true);
+        data_centre.run(4s);
+        REQUIRE(data_centre.readers().size() == 1);
+        CHECK(data_centre.readers().front() != first);
+    }
+}
--- a/src/process/deployment/tests/vm_report_codec_test.cpp
+++ b/src/process/deployment/tests/vm_report_codec_test.cpp
@@ -95,12 +95,14 @@
 {
     auto report = plain_report();
     report.capacity = 1'095;
+    report.ranks_readers_by_capacity = true;
     report.works = {{upstream_name("i-1"), 7, 250, 40ms}};
     report.summary.emplace();
     report.summary->members = {{{"10.2.0.1", 7000}, {"10.2.0.2", 80}, true, false, 10'000},
                                {{"10.2.0.3", 7000}, {"10.2.0.4", 80}, true, false, 0}};
     auto read = sent_and_received(report);
     CHECK(read.capacity == 1'095);
+    CHECK(read.ranks_readers_by_capacity);
     CHECK(read.summary->members == report.summary->members);
     REQUIRE(read.works.size() == 1);
     CHECK(read.works[0].upstream == upstream_name("i-1"));
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -411,6 +411,7 @@
     }
     message.set_asks_for_members(report.asks_for_members);
     message.set_reads_store(report.reads_store);
+    message.set_ranks_readers_by_capacity(report.ranks_readers_by_capacity);
     for (const auto& vm : report.known_vms) {
         encode_endpoint(vm, *message.add_known_vms());
     }
@@ -475,6 +476,7 @@
     }
     report.asks_for_members = message.asks_for_members();
     report.reads_store = message.reads_store();
+    report.ranks_readers_by_capacity = message.ranks_readers_by_capacity();
     for (const auto& vm : message.known_vms()) {
         report.known_vms.push_back(decode_endpoint(vm));
     }
