A VM that holds no allowance doesn't say that it is ready

The VM's part of the allowance comes later, with the applied versions of all other VMs, in heartbeats of one second that take two rounds between regions; until then each request that costs tokens is refused (429, allowance_exhausted). OPERATIONS.md said as much ("can say ready before that"), and the tests waited 2.5 s and hoped. Class of fault: readiness that doesn't cover all that an answer needs.

The waits of the tests stay as they are.

--- a/include/cardamomstream/process/allowance_book.h
+++ b/include/cardamomstream/process/allowance_book.h
@@ -62,6 +62,10 @@
     /// The newest version into whose parts this VM fits, to be sent to the other VMs. Zero: none yet.
     version_number applied_version(time_point now);
 
+    /// False while this VM holds nothing: from its start, or from a skipped version on, until it knows which
+    /// versions the other VMs run.
+    bool holds_parts() const;
+
     /// Versions that give every VM the same parts as the current one, to be sent to the other VMs.
     unchanged_parts_range unchanged_parts() const;
 
--- a/src/app/operators_handler.cpp
+++ b/src/app/operators_handler.cpp
@@ -44,7 +44,7 @@
         return text_answer(unavailable, "waiting for rules and the list of VMs\n");
     }
     const bool holds_parts = parts.allowance.with_lock([](allowance_book& book) {
-        return !book.restarting() && book.applied_version(boot_clock::now()) > 0;
+        return !book.restarting() && book.holds_parts() && book.applied_version(boot_clock::now()) > 0;
     });
     if (!holds_parts) {
         return text_answer(unavailable, "waiting for the other VMs to tell their loans and versions\n");
--- a/src/process/allowance/tests/allowance_book_test.cpp
+++ b/src/process/allowance/tests/allowance_book_test.cpp
@@ -383,13 +383,16 @@
         CHECK(burst(fresh, later) == 0);
         fresh.apply(published, seen({{"a1", 3}, {"a2", 2}, {"a3", 0}}), later);
         CHECK(burst(fresh, later) == 0);
+        CHECK_FALSE(fresh.holds_parts());
         fresh.apply(published, seen({{"a1", 2}, {"a2", 2}, {"a3", 0}}), later);
         CHECK(burst(fresh, later) == Approx(400));
+        CHECK(fresh.holds_parts());
     }
     SECTION("a VM that skipped a version holds nothing while another may run it")
     {
         book.apply(roster(3, {"a1", "a2"}), seen({{"a1", 3}, {"a2", 1}}), later);
         CHECK(burst(book, later) == 0);
+        CHECK_FALSE(book.holds_parts());
         applied_versions others = seen({{"a1", 3}, {"a2", 1}});
         others.unchanged = {{1, 3}};
         SECTION("unless a peer reports that no part changed in between")
--- a/tests/integration/partition_test.cpp
+++ b/tests/integration/partition_test.cpp
@@ -53,6 +53,21 @@
     }
 }
 
+// A VM said so while it held no allowance yet, and refused its callers.
+TEST_CASE("a VM that says that it is ready serves its callers")
+{
+    fleet_plan plan = two_regions(programs());
+    plan.settle_time = std::chrono::milliseconds{0};
+    const fleet fleet(plan);
+    for (const auto& vm : all_vms) {
+        CAPTURE(vm);
+        const auto answered = send_once(fleet.entry(vm), chat_call(keys::carrier, "herd", 2, false));
+        REQUIRE(answered);
+        CAPTURE(answered.value().body);
+        CHECK(answered.value().status == 200);
+    }
+}
+
 TEST_CASE("a customer receives no more than its rate and burst over all VMs")
 {
     constexpr double rate = 100;
