A stream that isn't resumable and whose caller leaves is counted once

Operators saw such a request as `cut` and as `caller_gone`, in the log and in requests_total. Cause: the run ends because the caller's end cancels it, and the broken answer was logged as cut before the reason was looked at. What callers get is the same.

Evidence: request_flow_test, "a stream that isn't resumable and whose caller leaves is counted once": `cut` 1 before, 0 with the change.

--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -449,10 +449,13 @@
     m_connection_broke = true;
 }
 
-/// Cuts a stream that can't be resumed.
+/// Cuts a stream that can't be resumed, unless its caller has left.
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result request_flow<Wire>::end_broken_stream()
 {
+    if (m_stream_started && m_cancel.cancelled()) {
+        return send_result::caller_left;
+    }
     if (m_stream_started && !m_route->resumable) {
         m_writer.abort_stream();
         log_end("cut", m_last_failure);
