--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -60,13 +60,6 @@
             settings.link_mbps};
 }
 
-/// True when the report is among the first that tell of an upstream's end.
-bool has_new_end(const vm_report& report)
-{
-    return std::any_of(report.upstream_ends.begin(), report.upstream_ends.end(),
-                       [](const upstream_end& end) { return end.age < report_interval; });
-}
-
 /// Label of the metric that counts datagrams.
 std::string kind_of(const vm_report& report)
 {
@@ -398,12 +391,14 @@
             continue;
         }
         // Loads on the upstreams of this region are placed on at once.
-        const bool new_end = has_new_end(report.value());
+        const bool new_end = m_reported_ends.record(report.value().upstream_ends, now);
         if (report.value().region == m_settings.region &&
             (now - m_vms_published_at >= least_publish_interval || new_end)) {
             publish_vms(now);
         }
-        if (new_end && !report.value().summary && now - m_summarised_at >= m_exchange.min_interval()) {
+        m_end_to_summarise = m_end_to_summarise || (new_end && !report.value().summary);
+        if (m_end_to_summarise && now - m_summarised_at >= m_exchange.min_interval()) {
+            m_end_to_summarise = false;
             m_summarised_at = now;
             send(m_exchange.summarise_for_region(now));
         }
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -6,6 +6,7 @@
 
 #include "cardamomstream/connection/traffic_thread.h"
 #include "cardamomstream/process/deployment/report_exchange.h"
+#include "cardamomstream/process/deployment/reported_ends.h"
 #include "cardamomstream/process/deployment/store_reader_choice.h"
 #include "cardamomstream/process/deployment/upstream_registry.h"
 #include "cardamomstream/request/gateway/gateway_state.h"
@@ -96,7 +97,9 @@
     time_point m_reported_at;
     bool m_early_report_waits = false; ///< a fiber makes it once the least interval is over
     time_point m_vms_published_at;
-    time_point m_summarised_at; ///< beside the regular summaries
+    reported_ends m_reported_ends;
+    bool m_end_to_summarise = false; ///< a neighbour has reported an end since the last extra summary
+    time_point m_summarised_at;      ///< beside the regular summaries
     bool m_leaving = false;
     bool m_confirmation_wanted = false;
     bool m_confirming = false;         ///< the fiber that reads the list anew is running
