--- a/src/process/deployment/store_reader_choice.cpp
+++ b/src/process/deployment/store_reader_choice.cpp
@@ -1,9 +1,9 @@
 #include "cardamomstream/process/deployment/store_reader_choice.h"
 
-#include "cardamomstream/process/deployment/entry_weights.h"
 #include "cardamomstream/process/rendezvous.h"
 
 #include <algorithm>
+#include <bit>
 #include <map>
 
 namespace cardamomstream {
@@ -26,23 +26,24 @@
     const vm_name own(self.str());
     std::map<vm_name, const vm_report*> by_name;
     std::vector<vm_name> names{own};
-    std::vector<std::uint32_t> capacities{capacity};
     // VMs that rank each other differently would stop reading for each other.
     bool by_capacity = true;
     for (const auto& vm : neighbours) {
         if (!vm->report.leaving) {
             names.emplace_back(vm->report.inner.str());
             by_name.emplace(names.back(), &vm->report);
-            capacities.push_back(vm->report.capacity);
             by_capacity = by_capacity && vm->report.ranks_readers_by_capacity;
         }
     }
     std::int64_t rank = 0;
     auto ranked = rank_by_rendezvous(rank_key, std::move(names));
     if (by_capacity) {
-        const auto least = least_large_capacity(std::move(capacities), 1);
-        std::stable_partition(ranked.begin(), ranked.end(), [&](const vm_name& name) {
-            return (name == own ? capacity : by_name.at(name)->capacity) >= least;
+        // By class, so that the order of two VMs doesn't depend on which others a VM knows.
+        const auto class_of = [&](const vm_name& name) {
+            return std::bit_width(name == own ? capacity : by_name.at(name)->capacity);
+        };
+        std::stable_sort(ranked.begin(), ranked.end(), [&](const vm_name& one, const vm_name& other) {
+            return class_of(one) > class_of(other);
         });
     }
     for (auto name = ranked.begin(); *name != own; ++name) {
--- a/src/process/deployment/tests/store_reader_choice_test.cpp
+++ b/src/process/deployment/tests/store_reader_choice_test.cpp
@@ -230,3 +230,29 @@
         CHECK(data_centre.readers().front() != first);
     }
 }
+
+TEST_CASE("the order of two VMs that may read the store doesn't depend on the others that each knows")
+{
+    const auto vm = [](std::uint32_t number, std::uint32_t capacity, bool reads) {
+        known_vm known;
+        known.report.inner = {"10.0.0." + std::to_string(number), 7'000};
+        known.report.vm = vm_name(known.report.inner.str());
+        known.report.capacity = capacity;
+        known.report.ranks_readers_by_capacity = true;
+        known.report.reads_store = reads;
+        return std::make_shared<const known_vm>(std::move(known));
+    };
+    // Of two VMs that read, one goes on, whether or not one of them knows a third one on a larger machine.
+    for (std::uint32_t number = 2; number < 40; ++number) {
+        const auto one = vm(1, 60, true);
+        const auto other = vm(number, 40, true);
+        const auto largest = vm(100, 100, false);
+        store_reader_choice choice_of_one;
+        store_reader_choice choice_of_other;
+        const time_point now{1'000s};
+        CHECK((choice_of_one.should_read(one->report.inner, 60, true, {other}, now) ||
+               choice_of_other.should_read(other->report.inner, 40, true, {one, largest}, now)));
+        CHECK((choice_of_one.should_read(one->report.inner, 60, true, {other, largest}, now) ||
+               choice_of_other.should_read(other->report.inner, 40, true, {one}, now)));
+    }
+}
