Reports come 500 ms apart at most on a full link (found by the review)

Two times 700 ms left 100 ms until a VM counts as gone, on just those VMs whose datagrams are lost, and the VM's housekeeping runs at the same interval.

--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -21,6 +21,7 @@
 
 /// Of a machine's link, for its reports. They grow with trouble, just when callers need the link as well.
 constexpr double max_link_share = 0.25;
+constexpr std::chrono::milliseconds max_interval_of_link{500}; ///< the VM counts as alive when one is lost
 constexpr double bits_per_ms_and_mbps = 1'000;
 constexpr double bits_per_byte = 8;
 
@@ -245,7 +246,7 @@
     const auto time = std::chrono::duration<double, std::milli>(static_cast<double>(m_report_bytes) *
                                                                 bits_per_byte / bits_per_ms);
     return std::chrono::ceil<std::chrono::milliseconds>(
-        std::min<std::chrono::duration<double, std::milli>>(time, max_report_interval));
+        std::min<std::chrono::duration<double, std::milli>>(time, max_interval_of_link));
 }
 
 std::chrono::milliseconds report_exchange::summary_interval() const
