--- a/include/cardamomstream/process/allowance_book.h
+++ b/include/cardamomstream/process/allowance_book.h
@@ -62,9 +62,9 @@
     /// The newest version into whose parts this VM fits, to be sent to the other VMs. Zero: none yet.
     version_number applied_version(time_point now);
 
-    /// False while this VM holds nothing: from its start, or from a skipped version on, until it knows which
-    /// versions the other VMs run.
-    bool holds_parts() const;
+    /// False from the start, when this VM holds nothing yet, until it knows which versions the other VMs run;
+    /// at most for the longest loan and the longest answer.
+    bool knows_versions(time_point now) const;
 
     /// Versions that give every VM the same parts as the current one, to be sent to the other VMs.
     unchanged_parts_range unchanged_parts() const;
--- a/src/app/operators_handler.cpp
+++ b/src/app/operators_handler.cpp
@@ -43,8 +43,9 @@
     if (!parts.views.load()->confirmed) {
         return text_answer(unavailable, "waiting for rules and the list of VMs\n");
     }
-    const bool holds_parts = parts.allowance.with_lock([](allowance_book& book) {
-        return !book.restarting() && book.holds_parts() && book.applied_version(boot_clock::now()) > 0;
+    const auto now = boot_clock::now();
+    const bool holds_parts = parts.allowance.with_lock([now](allowance_book& book) {
+        return !book.restarting() && book.knows_versions(now) && book.applied_version(now) > 0;
     });
     if (!holds_parts) {
         return text_answer(unavailable, "waiting for the other VMs to tell their loans and versions\n");
--- a/src/process/allowance/allowance_book.cpp
+++ b/src/process/allowance/allowance_book.cpp
@@ -102,7 +102,10 @@
     customer_share* find(const customer_name& customer, time_point now);
     restart_query make_restart_query() const { return {m_self, m_process}; }
     bool restarting() const { return m_restarting; }
-    bool holds_parts() const { return m_all_versions_known && m_skipped.empty(); }
+    bool knows_versions(time_point now) const
+    {
+        return m_all_versions_known || now >= m_started + restart_wait();
+    }
     unchanged_parts_range unchanged_parts() const { return m_unchanged_parts; }
     std::vector<loan_return> take_returns() { return std::exchange(m_returns, {}); }
 
@@ -262,7 +265,8 @@
     for (auto& [customer, share] : m_customers) {
         share.bucket.advance(now);
         share.history.forget_before(m_oldest_in_force);
-        bucket_share part = holds_parts() ? share.history.minimum() : bucket_share{};
+        bucket_share part =
+            m_all_versions_known && m_skipped.empty() ? share.history.minimum() : bucket_share{};
         part.rate.per_second *= held_fraction;
         part.burst *= held_fraction;
         share.bucket.set_own_part(part);
@@ -703,9 +707,9 @@
     m_state->apply(published, others, now);
 }
 
-bool allowance_book::holds_parts() const
+bool allowance_book::knows_versions(time_point now) const
 {
-    return m_state->holds_parts();
+    return m_state->knows_versions(now);
 }
 
 unchanged_parts_range allowance_book::unchanged_parts() const
