--- a/src/process/deployment/data_centre_totals.cpp
+++ b/src/process/deployment/data_centre_totals.cpp
@@ -70,14 +70,14 @@
 
 void data_centre_totals::move_recent_to(vm_report& summary)
 {
-    for (auto& [id, parts] : m_new_parts) {
+    for (auto& recent : m_new_parts) {
         auto load = std::find_if(summary.loads.begin(), summary.loads.end(),
-                                 [&](const upstream_load& known) { return known.upstream == id; });
+                                 [&](const upstream_load& known) { return known.upstream == recent.first; });
         if (load == summary.loads.end()) {
             load = summary.loads.insert(load, upstream_load{});
-            load->upstream = id;
+            load->upstream = recent.first;
         }
-        load->new_parts = std::move(parts);
+        load->new_parts = std::move(recent.second);
     }
     for (const auto& [key, sum] : m_lateness) {
         const auto mean = static_cast<std::int64_t>(sum.ms / std::max(sum.samples, 1U));
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -71,6 +71,7 @@
 std::vector<endpoint> relay_candidates(const std::vector<vm_member>& members)
 {
     std::vector<std::uint32_t> capacities;
+    capacities.reserve(members.size());
     for (const auto& member : members) {
         capacities.push_back(member.capacity);
     }
