--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -266,6 +266,7 @@
     bool permitted_anywhere() const;
     bool permits(const region_name& region) const;
     version_number plan_in_force_version() const;
+    version_number homes_plan_version() const;
     std::string shared_parts_text() const;
     std::optional<error> check_quarantine(std::optional<trials>& trial);
     static error quarantined(std::string_view reason, std::chrono::milliseconds retry_after);
@@ -800,6 +801,9 @@
 template <gateway_wire Wire>
 std::string request_flow<Wire>::permitted_regions() const
 {
+    if (!residency{m_route, m_customer}.binds() && !m_placing_request.newer_homes.binds()) {
+        return {};
+    }
     std::set<region_name> regions;
     bool bound = false;
     for (const auto& [data_centre, region] : m_state.settings.regions) {
@@ -842,6 +846,16 @@
     return deployment && deployment->plan ? deployment->plan->version() : 0;
 }
 
+/// Version of the newest plan whose homes were looked up for the request; 0 before any.
+template <gateway_wire Wire>
+version_number request_flow<Wire>::homes_plan_version() const
+{
+    if (m_newer_plan) {
+        return m_newer_plan->version();
+    }
+    return m_plan && m_route != nullptr ? m_plan->version() : 0;
+}
+
 /// Ids of the prompt's parts without the last one, in hexadecimal, separated by spaces.
 template <gateway_wire Wire>
 std::string request_flow<Wire>::shared_parts_text() const
@@ -908,7 +922,8 @@
          {"no_retry", m_no_retry},
          {"route", m_route == nullptr ? std::string_view{} : std::string_view(m_route->name.str())},
          {"customer", m_customer == nullptr ? std::string_view{} : std::string_view(m_customer->name.str())},
-         {"homes", ordinary ? std::string{} : permitted_regions()},
+         {"homes", permitted_regions()},
+         {"homes_plan", static_cast<std::int64_t>(homes_plan_version())},
          {"hop", std::int64_t{m_placing_request.own_region_only ? 1 : 0}},
          {"upstream", m_last_upstream},
          {"region", m_sent_region.str()},
