--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -198,7 +198,10 @@
     std::vector<part_trial> part_trials;
     std::vector<reported_origins> stream_origins; ///< begun lately; while several versions are known
     std::vector<store_position> known_changes;    ///< newest change known in each `store_part`
-    bool store_failing = false;                   ///< the store has recently failed to answer this VM
+    /// Since the store itself last confirmed the operator's entries to the VM, when the report was made. In a
+    /// summary, the least of its VMs.
+    std::optional<std::chrono::milliseconds> store_answer_age;
+    bool store_failing = false; ///< the store has recently failed to answer this VM
     /// Position up to which each `store_part` is known, of the same era as the newest change.
     std::vector<store_position> read_up_to;
     /// Position of the listing with which the VM began to read each `store_part`. It may not know of changes
--- a/include/cardamomstream/process/deployment/node_settings.h
+++ b/include/cardamomstream/process/deployment/node_settings.h
@@ -18,8 +18,9 @@
     double retry_ratio = 0.2;                    ///< additional sends allowed for each request to a service
     double retry_extra = 0; ///< additional sends allowed on top of these in each `retry_window`
     std::chrono::milliseconds retry_window{10'000};
-    double cold_factor = 1; ///< a cold upstream may get its published rate times this
-    double cold_slack = 0;  ///< requests per second on top of that
+    std::chrono::milliseconds change_time{4'000}; ///< within which a change by the operator is in force
+    double cold_factor = 1;                       ///< a cold upstream may get its published rate times this
+    double cold_slack = 0;                        ///< requests per second on top of that
 };
 
 struct node_settings {
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -74,12 +74,10 @@
     /// True when requests can be served: a plan is known and the process is not stopping.
     bool ready() const { return deployment && deployment->plan && !stopping(); }
 
-    /// True when other VMs have known of something newer from the operator for longer than news usually take:
-    /// what this VM's plan doesn't have may be in theirs.
-    bool plan_may_be_outdated(time_point now) const
-    {
-        return plan_behind_since && now - *plan_behind_since >= usual_news_lag;
-    }
+    /// True when other VMs have known of something newer from the operator for longer than news usually take,
+    /// or the plan has been unconfirmed for as long as a change may take to be in force: what this VM's plan
+    /// doesn't have may be in theirs.
+    bool plan_may_be_outdated(time_point now) const;
 
     bool stopping() const { return m_stop_deadline.load() != time_point::max(); }
 
@@ -120,9 +118,13 @@
     std::function<void(const service_plan&)> on_plan; ///< called with each plan that comes into force
     time_point list_read_failed_at;                   ///< the last such read without an answer
     std::optional<time_point> plan_behind_since;      ///< empty: no other VM knows of anything newer
+    /// When the plan was last known to be the newest; empty: it has just been read for the first time.
+    std::optional<time_point> plan_confirmed_at;
 
 private:
     static constexpr std::chrono::milliseconds usual_news_lag{2'000};
+    /// Reports of other regions and answers of a slow store need so long.
+    static constexpr std::chrono::milliseconds min_confirmation_time{2'000};
 
     struct service_retries {
         retry_budget budget;
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -117,7 +117,7 @@
 error request_flow<Wire>::plan_outdated()
 {
     using namespace std::chrono_literals;
-    return {error_kind::platform_unavailable, "other VMs know a newer plan than this one",
+    return {error_kind::platform_unavailable, "other VMs may know a newer plan than this one",
             "send it again, to another VM", run_outcome::not_run, 500ms};
 }
 
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -46,6 +46,9 @@
 constexpr std::chrono::milliseconds confirmation_pause{20};
 constexpr std::chrono::milliseconds confirmation_limit{400};
 
+/// Between two questions whether the plan is the newest.
+constexpr std::chrono::milliseconds plan_confirmation_pause{1'000};
+
 constexpr std::size_t max_report_bytes = 60'000; ///< below the largest datagram
 
 vm_identity identity_of(const node_settings& settings, incarnation process)
@@ -200,6 +203,48 @@
     m_upstream_entries.record_peer(report.known_changes[1], reading_of(1), now);
 }
 
+void node_control::record_confirmation(const vm_report& report, time_point now)
+{
+    constexpr auto part = static_cast<std::size_t>(store_part::operators);
+    if (report.known_changes.size() != store_part_count ||
+        m_operator_entries.read_up_to() < report.known_changes[part]) {
+        return;
+    }
+    if (report.region != m_settings.region) {
+        m_plan_confirmation.record_region(report.region, now);
+    }
+    if (report.store_answer_age) {
+        m_plan_confirmation.record_store_answer(now - *report.store_answer_age);
+    }
+}
+
+void node_control::confirm_plan(time_point now)
+{
+    // VMs that read the store ask first; their reports confirm the plan to the others.
+    const auto wait = m_settings.bounds.change_time * (m_operator_entries.answered() ? 2 : 3) / 4;
+    if (m_confirming_plan || now - m_plan_confirmation.confirmed_at(now) < wait ||
+        now - m_plan_asked_at < plan_confirmation_pause) {
+        return;
+    }
+    m_confirming_plan = true;
+    m_plan_asked_at = now;
+    m_thread.spawn([this] {
+        m_operator_entries.confirm(confirmation_limit);
+        m_confirming_plan = false;
+    });
+}
+
+void node_control::log_confirmation(time_point confirmed_at, time_point now)
+{
+    const auto age = std::chrono::floor<std::chrono::milliseconds>(now - confirmed_at);
+    const bool unconfirmed = age >= m_settings.bounds.change_time;
+    if (std::exchange(m_plan_unconfirmed, unconfirmed) != unconfirmed) {
+        m_log.write(log_weight::state, unconfirmed ? "plan_unconfirmed" : "plan_confirmed",
+                    {{"version", static_cast<std::int64_t>(m_plan.get() ? m_plan.get()->version() : 0)},
+                     {"age_ms", std::int64_t{age.count()}}});
+    }
+}
+
 void node_control::choose_reader(time_point now)
 {
     const bool answered = m_operator_entries.answered() && m_upstream_entries.answered();
@@ -385,6 +430,7 @@
             follower.take(*report.value().changes);
         }
         record_peer_changes(report.value(), now);
+        record_confirmation(report.value(), now);
         const auto received = m_exchange.receive(report.value(), now);
         send(received.outgoing);
         if (!received.is_new) {
@@ -412,6 +458,7 @@
         const auto now = boot_clock::now();
         m_exchange.expire(now);
         choose_reader(now);
+        confirm_plan(now);
         const auto opened = m_upstreams.expire_evacuations(now);
         for (const auto& data_centre : opened) {
             log_evacuation(data_centre, false);
@@ -477,14 +524,19 @@
     const auto& vms = m_exchange.vms();
     const bool confirmed =
         m_upstreams_listed && now - m_upstream_entries.confirmed_at() < list_confirmation_ttl;
-    boost::asio::post(m_traffic.io(), [this, alive = vms.alive(now), sharers = vms.sharers(now), confirmed,
-                                       now, known_since = m_upstream_entries.known_since(now),
-                                       behind_since = m_operator_entries.behind_since()]() mutable {
-        m_state.set_vms(std::move(alive), sharers);
-        m_state.load.set_list_known_since(known_since);
-        m_state.plan_behind_since = behind_since;
-        m_state.origins.set_list_confirmed(confirmed, now);
-    });
+    m_plan_confirmation.record_store_answer(m_operator_entries.answered_at());
+    const auto plan_confirmed_at = m_plan_confirmation.confirmed_at(now);
+    log_confirmation(plan_confirmed_at, now);
+    boost::asio::post(m_traffic.io(),
+                      [this, alive = vms.alive(now), sharers = vms.sharers(now), confirmed, now,
+                       known_since = m_upstream_entries.known_since(now),
+                       behind_since = m_operator_entries.behind_since(), plan_confirmed_at]() mutable {
+                          m_state.set_vms(std::move(alive), sharers);
+                          m_state.load.set_list_known_since(known_since);
+                          m_state.plan_behind_since = behind_since;
+                          m_state.plan_confirmed_at = plan_confirmed_at;
+                          m_state.origins.set_list_confirmed(confirmed, now);
+                      });
 }
 
 void node_control::report_from_traffic()
@@ -518,6 +570,9 @@
     report.read_up_to = {m_operator_entries.read_up_to(), m_upstream_entries.read_up_to()};
     report.read_from = {m_operator_entries.read_from(), m_upstream_entries.read_from()};
     report.store_failing = store_failed_lately(now);
+    if (const auto answered_at = m_operator_entries.answered_at(); answered_at != time_point{}) {
+        report.store_answer_age = std::chrono::ceil<std::chrono::milliseconds>(now - answered_at);
+    }
     return report;
 }
 
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -5,6 +5,7 @@
 #include "store_follower.h"
 
 #include "cardamomstream/connection/traffic_thread.h"
+#include "cardamomstream/process/deployment/plan_confirmation.h"
 #include "cardamomstream/process/deployment/report_exchange.h"
 #include "cardamomstream/process/deployment/reported_ends.h"
 #include "cardamomstream/process/deployment/store_reader_choice.h"
@@ -73,6 +74,11 @@
     void report_from_traffic();
     void report_here();
     void confirm_upstreams();
+    void record_confirmation(const vm_report& report, time_point now);
+    /// Asks the store whether the plan is the newest, when neither it nor the other regions have confirmed
+    /// it.
+    void confirm_plan(time_point now);
+    void log_confirmation(time_point confirmed_at, time_point now);
     void publish_vms(time_point now);
     void report(traffic_figures traffic);
     vm_report describe(time_point now) const;
@@ -93,6 +99,10 @@
     upstream_registry m_upstreams;
     report_exchange m_exchange;
     store_reader_choice m_reader;
+    plan_confirmation m_plan_confirmation;
+    bool m_confirming_plan = false;
+    time_point m_plan_asked_at;
+    bool m_plan_unconfirmed = false; ///< for longer than a change may take; for the log
     boost::asio::ip::udp::socket m_socket;
     time_point m_reported_at;
     bool m_early_report_waits = false; ///< a fiber makes it once the least interval is over
--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -100,7 +100,8 @@
 
 bool store_follower::confirm(std::chrono::milliseconds limit)
 {
-    const auto until = boot_clock::now() + limit;
+    const auto began = boot_clock::now();
+    const auto until = began + limit;
     if (!m_listed) {
         return false;
     }
@@ -121,7 +122,11 @@
         want_watch();
         boost::this_fiber::sleep_for(confirmation_poll);
     }
-    return m_listed && m_lag.known() >= newest;
+    if (!m_listed || m_lag.known() < newest) {
+        return false;
+    }
+    m_answered_at = std::max(m_answered_at, began);
+    return true;
 }
 
 void store_follower::take(store_changes changes)
@@ -194,6 +199,7 @@
         m_listed_at = all.position; // of what was removed before, this VM may know nothing
     }
     m_lag.record_known(all.position);
+    m_answered_at = boot_clock::now();
     m_newest_change = std::max(m_newest_change, newest_of(all.position.era, all.items));
     m_listed = true;
     m_on_listing(all);
@@ -264,6 +270,7 @@
     // Before the last listing, changes may be unknown to this VM that others have missed.
     const auto after = std::max(m_newest_change, m_listed_at);
     m_lag.record_known(position);
+    m_answered_at = boot_clock::now();
     if (changes.value().items.empty()) {
         return true;
     }
--- a/src/app/node/store_follower.h
+++ b/src/app/node/store_follower.h
@@ -88,6 +88,9 @@
 
     store_position newest_change() const noexcept { return m_newest_change; }
 
+    /// When the store itself last confirmed this part; epoch: never.
+    time_point answered_at() const noexcept { return m_answered_at; }
+
     /// When this part was last known to be up to date; epoch: never.
     time_point confirmed_at() const noexcept { return m_confirmed_at; }
 
@@ -129,6 +132,7 @@
     store_position m_listed_at;
     std::uint64_t m_newest_era = 0; ///< of which this VM has learnt, also from others
     time_point m_confirmed_at;
+    time_point m_answered_at; ///< by the store, of the era that is followed
     std::optional<time_point> m_known_since;
     bool m_listed = false;
     bool m_reads = true;
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -120,6 +120,16 @@
     }
 }
 
+/// Lowers the age to that of another VM's answer from the store, if that is known.
+void merge_store_answer(std::optional<std::chrono::milliseconds>& age,
+                        const std::optional<std::chrono::milliseconds>& other, boot_clock::duration more)
+{
+    if (other) {
+        const auto now = *other + std::chrono::ceil<std::chrono::milliseconds>(more);
+        age = std::min(age.value_or(now), now);
+    }
+}
+
 constexpr std::size_t max_summary_streams = 4'000;
 constexpr std::size_t max_summary_crashes = 192; ///< in the summary of a data centre
 
@@ -430,6 +440,8 @@
     summary.part_successes.clear();
     summary.part_trials.clear();
     add_part_findings(summary, m_last_report, now - m_last_report_at);
+    summary.store_answer_age.reset();
+    merge_store_answer(summary.store_answer_age, m_last_report.store_answer_age, now - m_last_report_at);
     summary.summary.emplace();
     auto& part = *summary.summary;
     std::vector<const vm_report*> alive{&m_last_report};
@@ -437,6 +449,7 @@
     for (const auto& vm : neighbours) {
         alive.push_back(&vm->report);
         merge_newest(summary.known_changes, vm->report.known_changes);
+        merge_store_answer(summary.store_answer_age, vm->report.store_answer_age, now - vm->received_at);
         add_newest(summary.limits, vm->report.limits, now - vm->received_at);
         add_newest(summary.works, vm->report.works, now - vm->received_at);
         add_newest(summary.upstream_ends, vm->report.upstream_ends, now - vm->received_at);
--- a/src/process/deployment/tests/vm_report_codec_test.cpp
+++ b/src/process/deployment/tests/vm_report_codec_test.cpp
@@ -116,3 +116,15 @@
         CHECK(sent_and_received(report).works.empty());
     }
 }
+
+TEST_CASE("a VM tells when the store last confirmed the operator's entries")
+{
+    auto report = plain_report();
+    CHECK_FALSE(sent_and_received(report).store_answer_age);
+    for (const auto age : {0ms, 1ms, 1'234ms}) {
+        report.store_answer_age = age;
+        CHECK(sent_and_received(report).store_answer_age == age);
+    }
+    report.store_answer_age = std::chrono::milliseconds::max(); // beyond all bounds: as good as unknown
+    CHECK_FALSE(sent_and_received(report).store_answer_age);
+}
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -439,6 +439,9 @@
     encode_origins(report, message);
     encode_positions(report, message);
     message.set_store_failing(report.store_failing);
+    if (report.store_answer_age) {
+        message.set_store_answer_age_ms(encode_age(*report.store_answer_age) + 1);
+    }
     if (report.changes) {
         encode_changes(*report.changes, *message.mutable_store_changes());
     }
@@ -489,6 +492,9 @@
     decode_origins(message, report);
     report.known_changes = decode_positions(message, message.known_changes());
     report.store_failing = message.store_failing();
+    if (const auto age = message.store_answer_age_ms(); age > 0 && age <= max_age_ms) {
+        report.store_answer_age = std::chrono::milliseconds(age - 1);
+    }
     report.read_up_to = decode_positions(message, message.read_up_to());
     report.read_from = decode_positions(message, message.read_from());
     if (message.has_store_changes() && message.store_changes().part() < store_part_count) {
