--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -235,6 +235,9 @@
     if (era <= m_newest_era) {
         return;
     }
+    if (!behind_era()) {
+        m_newer_era_since = boot_clock::now();
+    }
     m_newest_era = era;
     if (m_waiting != nullptr) {
         m_waiting->cancel();
--- a/src/app/node/store_follower.h
+++ b/src/app/node/store_follower.h
@@ -7,6 +7,7 @@
 #include "cardamomstream/process/deployment/change_lag.h"
 #include "cardamomstream/process/deployment/recent_changes.h"
 
+#include <algorithm>
 #include <functional>
 #include <optional>
 #include <random>
@@ -83,8 +84,12 @@
     /// Position of the listing with which this VM began to know the part in its present era.
     store_position read_from() const noexcept { return m_listed_at; }
 
-    /// Since when other VMs have known of a change of this part that this one misses; empty: of none.
-    std::optional<time_point> behind_since() const { return m_lag.behind_since(); }
+    /// Since when this VM has known of a change, or of a restored store, that it hasn't read; empty: of none.
+    std::optional<time_point> behind_since() const
+    {
+        const auto missed = m_lag.behind_since();
+        return behind_era() ? std::min(m_newer_era_since, missed.value_or(m_newer_era_since)) : missed;
+    }
 
     store_position newest_change() const noexcept { return m_newest_change; }
 
@@ -131,6 +136,7 @@
     store_position m_newest_change;    ///< that this VM knows of
     store_position m_listed_at;
     std::uint64_t m_newest_era = 0; ///< of which this VM has learnt, also from others
+    time_point m_newer_era_since;   ///< valid while the newest era isn't the one that is followed
     time_point m_confirmed_at;
     time_point m_answered_at; ///< by the store, of the era that is followed
     std::optional<time_point> m_known_since;
