--- a/include/cardamomstream/request/gateway/gateway_types.h
+++ b/include/cardamomstream/request/gateway/gateway_types.h
@@ -63,6 +63,9 @@
     {
         Wire::upstream_headers(request, call)
         } -> std::same_as<std::vector<http_header>>;
+    {
+        Wire::vm_headers(request, call)
+        } -> std::same_as<std::vector<http_header>>;
     {
         Wire::origin_of(head)
         } -> std::same_as<answer_origin>;
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -85,8 +85,13 @@
                      {},
                      300ms};
     }
-    // The sender may have an older plan, without a route that this one has for the path.
-    m_placing_request.newer_homes.route = m_plan->find_route(m_caller_request.host, m_request.path());
+    // The sender may have an older plan, without a route that this one has for the path, or with the key at
+    // another customer.
+    auto& homes = m_placing_request.newer_homes;
+    homes.route = m_plan->find_route(m_caller_request.host, m_request.path());
+    if (homes.route == nullptr ? !m_route->open_to_all : !homes.route->open_to_all) {
+        homes.customer = m_plan->find_customer_by_key(m_caller_request.key);
+    }
     if (!permits(m_state.settings.region)) {
         return error{error_kind::no_permitted_region,
                      "the request may not be served in this region",
--- a/include/cardamomstream/request/gateway/request_flow/sending.h
+++ b/include/cardamomstream/request/gateway/request_flow/sending.h
@@ -422,7 +422,7 @@
     call.address = where.address;
     call.method = m_request.method;
     call.target = m_request.target;
-    call.headers = Wire::upstream_headers(m_request, details);
+    call.headers = Wire::vm_headers(m_request, details);
     remove_hop_headers(call.headers);
     write_hop_headers(call.headers,
                       {m_route->name, m_placing_request.service, details.customer, m_placing_request.urgency,
