Hosts are compared without regard to case

HTTP's hosts are; a caller of A.Example got 404 for a route of a.example, and the entry answers counted no route for it.

--- a/include/cardamomstream/version/service_plan/service_plan.h
+++ b/include/cardamomstream/version/service_plan/service_plan.h
@@ -4,21 +4,27 @@
 #include "cardamomstream/version/service_plan/service_plan_types.h"
 
 #include <memory>
+#include <string>
 #include <string_view>
 #include <unordered_map>
 #include <vector>
 
 namespace cardamomstream {
 
+/// The host in lower case, in which hosts are compared.
+std::string canonical_host(std::string_view host);
+
 /// Immutable; shared by the requests that were admitted under it.
 class service_plan {
 public:
     explicit service_plan(service_plan_document document);
 
     version_number version() const noexcept { return m_document.version; }
+    /// The hosts of its routes are canonical.
     const service_plan_document& document() const noexcept { return m_document; }
 
-    /// The route of that host with the longest prefix of the path; null when there is none.
+    /// The route of that host with the longest prefix of the path; null when there is none. Letters of the host
+    /// count as equal in either case.
     const plan_route* find_route(std::string_view host, std::string_view path) const;
     const plan_route* find_route(const route_name& name) const;
 
--- a/src/process/deployment/entry_directory.cpp
+++ b/src/process/deployment/entry_directory.cpp
@@ -52,7 +52,7 @@
 std::vector<weighted_entry> entries_elsewhere(const entry_query& query, const node_settings& self,
                                               const directory_view& known, const entries_by_region& regions)
 {
-    auto counts = count_served_routes(known.plan, query.host, self);
+    auto counts = count_served_routes(known.plan, canonical_host(query.host), self);
     std::ptrdiff_t most = 0;
     for (const auto& [region, count] : counts) {
         most = std::max(most, count);
--- a/src/version/service_plan/service_plan.cpp
+++ b/src/version/service_plan/service_plan.cpp
@@ -14,10 +14,21 @@
 
 } // namespace
 
+std::string canonical_host(std::string_view host)
+{
+    std::string canonical(host);
+    std::transform(canonical.begin(), canonical.end(), canonical.begin(), [](char letter) {
+        constexpr char to_lower = 'a' - 'A';
+        return letter >= 'A' && letter <= 'Z' ? static_cast<char>(letter + to_lower) : letter;
+    });
+    return canonical;
+}
+
 service_plan::service_plan(service_plan_document document)
     : m_document(std::move(document))
 {
-    for (const auto& route : m_document.routes) {
+    for (auto& route : m_document.routes) {
+        route.host = canonical_host(route.host);
         m_routes_by_host[route.host].push_back(&route);
     }
     for (auto& [host, routes] : m_routes_by_host) {
@@ -37,7 +48,7 @@
 
 const plan_route* service_plan::find_route(std::string_view host, std::string_view path) const
 {
-    const auto found = m_routes_by_host.find(std::string(host));
+    const auto found = m_routes_by_host.find(canonical_host(host));
     if (found == m_routes_by_host.end()) {
         return nullptr;
     }
--- a/src/version/service_plan/tests/service_plan_test.cpp
+++ b/src/version/service_plan/tests/service_plan_test.cpp
@@ -44,6 +44,11 @@
         CHECK(plan.find_route("h.example", "/ab") == nullptr);
         CHECK(plan.find_route("other.example", "/a/b/x") == nullptr);
     }
+    SECTION("a host in other letters is the same host; a path isn't the same path")
+    {
+        CHECK(plan.find_route("H.Example", "/a/x")->name == route_name("short"));
+        CHECK(plan.find_route("h.example", "/A/x") == nullptr);
+    }
     SECTION("either key of the customer names it, another does not")
     {
         CHECK(plan.find_customer_by_key("two")->name == customer_name("c"));
@@ -51,6 +56,44 @@
     }
 }
 
+TEST_CASE("a plan writes a host in capital letters")
+{
+    service_plan_document document;
+    document.routes = {route_of("r", "/a/")};
+    document.routes.front().host = "H.Example";
+    const service_plan plan(document);
+    CHECK(plan.find_route("h.example", "/a/x") != nullptr);
+    CHECK(plan.document().routes.front().host == "h.example");
+}
+
+// Of three routes that look alike, the homes of another one would send a request to a region that is none.
+TEST_CASE("routes with the same path at two hosts, and one below it, keep to their own homes as they swap them")
+{
+    const region_name riga("riga");
+    const region_name kurzeme("kurzeme");
+    const auto plan_with = [&](const region_name& first, const region_name& second) {
+        service_plan_document document;
+        document.routes = {route_of("below", "/x/y/"), route_of("path", "/x/"), route_of("other", "/x/")};
+        document.routes[2].host = "g.example";
+        document.routes[0].home_regions = {second};
+        document.routes[1].home_regions = {first};
+        document.routes[2].home_regions = {second};
+        return service_plan(document);
+    };
+    const auto homes_of = [](const service_plan& plan, const char* host, const char* path) {
+        return plan.find_route(host, path)->home_regions.front();
+    };
+    for (const auto& [first, second] : {std::pair{riga, kurzeme}, std::pair{kurzeme, riga}}) {
+        const auto plan = plan_with(first, second);
+        CHECK(homes_of(plan, "h.example", "/x/1") == first);
+        CHECK(homes_of(plan, "h.example", "/x/y") == first); // without the slash that ends a prefix
+        CHECK(homes_of(plan, "h.example", "/x/y/") == second);
+        CHECK(homes_of(plan, "h.example", "/x/y/z/1") == second);
+        CHECK(homes_of(plan, "g.example", "/x/1") == second);
+        CHECK(homes_of(plan, "g.example", "/x/y/1") == second);
+    }
+}
+
 TEST_CASE("homes of the route and of the customer both bind")
 {
     auto route = route_of("r", "/");
