--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -205,6 +205,7 @@
 
     std::optional<error> admit_caller();
     std::optional<error> admit_hop(const hop_details& hop);
+    static error unknown_here();
     error missing_in_plan(error reason) const;
     static error plan_outdated();
     std::optional<error> check_homes_known();
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -69,28 +69,39 @@
     return std::nullopt;
 }
 
+/// Another VM has passed on a request of which this VM's plan doesn't know the homes.
 template <gateway_wire Wire>
-std::optional<error> request_flow<Wire>::admit_hop(const hop_details& hop)
+error request_flow<Wire>::unknown_here()
 {
     using namespace std::chrono_literals;
+    return {error_kind::stale_version,
+            "this VM's plan has no such route or customer",
+            "try another VM",
+            {},
+            300ms};
+}
+
+template <gateway_wire Wire>
+std::optional<error> request_flow<Wire>::admit_hop(const hop_details& hop)
+{
     if (m_state.deployment && m_state.deployment->plan) {
         m_plan = m_state.deployment->plan;
         m_route = m_plan->find_route(hop.route);
         m_customer = hop.customer.empty() ? nullptr : m_plan->find_customer(hop.customer);
     }
     if (m_route == nullptr || (m_customer == nullptr && !hop.customer.empty())) {
-        return error{error_kind::stale_version,
-                     "this VM's plan has no such route or customer",
-                     "try another VM",
-                     {},
-                     300ms};
+        return unknown_here();
     }
     // The sender may have an older plan, without a route that this one has for the path, or with the key at
     // another customer.
     auto& homes = m_placing_request.newer_homes;
     homes.route = m_plan->find_route(m_caller_request.host, m_request.path());
-    if (homes.route == nullptr ? !m_route->open_to_all : !homes.route->open_to_all) {
+    const auto& route = homes.route == nullptr ? *m_route : *homes.route;
+    if (m_plan->has_customers() && !route.open_to_all) {
         homes.customer = m_plan->find_customer_by_key(m_caller_request.key);
+        if (homes.customer == nullptr && m_customer == nullptr) {
+            return unknown_here();
+        }
     }
     if (!permits(m_state.settings.region)) {
         return error{error_kind::no_permitted_region,
