--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -28,7 +28,8 @@
 /// After a connection could not be accepted, as when the process has no descriptor left.
 constexpr std::chrono::milliseconds accept_retry_pause{100};
 
-/// A connection that has brought no whole head for this long makes room for another one when all are taken.
+/// A connection that has brought a part of a head only makes room for another one after this time, when all
+/// are taken; one that has brought nothing does so at once.
 constexpr std::chrono::milliseconds min_wait_for_first_request{1'000};
 
 std::shared_ptr<body_memory> own_body_memory(const http_limits& limits)
@@ -63,7 +64,7 @@
     void start_session(tcp::socket socket, std::size_t thread);
 
     /// Closes the connection of a thread that has waited longest for the head of its first request. False
-    /// when there is none that has waited for some time.
+    /// when there is none that may be closed for another one.
     bool close_without_request(std::size_t thread);
 
     /// Calls `visit` with each session, on the session's thread.
@@ -183,8 +184,12 @@
     const auto now = boot_clock::now();
     http_session* longest = nullptr;
     for (const auto& session : sessions[thread]) {
-        if (session->waits_for_first_request() && now - session->began_at() >= min_wait_for_first_request &&
-            (longest == nullptr || session->began_at() < longest->began_at())) {
+        if (longest != nullptr && longest->began_at() <= session->began_at()) {
+            continue;
+        }
+        const bool waited_long =
+            session->waits_for_first_request() && now - session->began_at() >= min_wait_for_first_request;
+        if (waited_long || session->has_brought_nothing()) {
             longest = session.get();
         }
     }
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -49,6 +49,8 @@
 
     /// True on an open connection until the head of its first request has come; call on the socket's thread.
     bool waits_for_first_request() const { return m_waits_for_first_request && m_stream.socket().is_open(); }
+    /// True while not even a byte of that request has come; call on the socket's thread.
+    bool has_brought_nothing() { return waits_for_first_request() && m_idle && !has_unread_bytes(); }
     /// When the connection was accepted.
     time_point began_at() const { return m_began_at; }
 
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <ctime>
 #include <future>
+#include <list>
 #include <memory>
 #include <stdexcept>
 #include <string>
@@ -689,6 +690,42 @@
     CHECK(contains(waiting.read_until("\r\n"), " 200 "));
 }
 
+// With all connections taken by silent callers, others were refused until the silent ones had waited for 1 s.
+TEST_CASE("silent connections that came just before a call don't keep it out")
+{
+    http_limits limits;
+    limits.max_connections = 4;
+    running_server running(echo, limits);
+    std::list<raw_caller> callers;
+
+    SECTION("of those that have sent nothing, one makes room at once")
+    {
+        for (int silent = 0; silent < 12; ++silent) {
+            callers.emplace_back(running.address);
+        }
+        raw_caller caller(running.address);
+        caller.send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        CHECK(contains(caller.read_all(), "200"));
+    }
+    SECTION("one that has begun to send is given time")
+    {
+        const auto began = boot_clock::now();
+        for (int slow = 0; slow < 4; ++slow) {
+            callers.emplace_back(running.address).send("GET /a HTTP/1.1\r\nHost");
+        }
+        std::this_thread::sleep_for(100ms);
+        raw_caller caller(running.address);
+        const auto answer = caller.read_all();
+        if (boot_clock::now() - began < 1s) { // after that, one of them makes room
+            CHECK(contains(answer, "429"));
+            for (auto& slow : callers) {
+                slow.send(": h\r\nConnection: close\r\n\r\n");
+                CHECK(contains(slow.read_all(), "200"));
+            }
+        }
+    }
+}
+
 // A field of 64 KiB threw outside of every handler, which ended the process.
 TEST_CASE("a long head ends no process, whatever the limits")
 {
