--- a/include/cardamomstream/process/deployment/plan_confirmation.h
+++ b/include/cardamomstream/process/deployment/plan_confirmation.h
@@ -1,30 +1,50 @@
-/// Until when this VM's plan is known to have been the newest.
+/// When this VM's plan was last known to be the newest.
 #pragma once
 
 #include "cardamomstream/core/boot_clock.h"
 #include "cardamomstream/core/core_types.h"
 
 #include <map>
+#include <set>
+#include <utility>
 
 namespace cardamomstream {
 
-/// A plan is confirmed by an answer of the store, or when every other region has reported no change that this
-/// VM misses. While only the store is away, the regions confirm each other's plan; a region that is cut off
-/// from the store and from another region can't tell whether that one has a newer plan. Not thread-safe.
+/// A plan is confirmed by an answer of the store, or by all other data centres together when none of them
+/// knows of a change that this VM misses. While only the store is away, the data centres confirm each other's
+/// plan; a VM that is cut off from the store and from one of them can't exclude that this one has a newer
+/// plan. Not thread-safe.
 class plan_confirmation {
 public:
-    /// The operator's entries of the store were then known up to their newest change.
+    /// `other_regions`: those of the deployment in which this VM isn't.
+    explicit plan_confirmation(std::set<region_name> other_regions)
+        : m_other_regions(std::move(other_regions))
+    {
+    }
+
+    /// The store's answer showed that nothing newer was published up to then.
     void record_store_answer(time_point at);
 
-    /// A VM of another region then knew of no change that this VM misses.
-    void record_region(const region_name& region, time_point at);
+    /// Another data centre reported this VM's plan, and no change that this VM misses.
+    void record_data_centre(const data_centre_name& data_centre, const region_name& region, time_point at);
+
+    /// All VMs of the data centre leave: it isn't waited for any more.
+    void forget_data_centre(const data_centre_name& data_centre) { m_data_centres.erase(data_centre); }
 
-    /// `now` while no other region has ever reported: none can have a newer plan.
+    /// `now` in a deployment of one region. Epoch: never.
     time_point confirmed_at(time_point now) const;
 
 private:
+    struct last_report {
+        region_name region;
+        time_point at;
+    };
+
+    time_point confirmed_by_data_centres(time_point now) const;
+
+    std::set<region_name> m_other_regions;
+    std::map<data_centre_name, last_report> m_data_centres; ///< that have reported so, ever
     time_point m_store_answered_at;
-    std::map<region_name, time_point> m_regions; ///< all that have ever reported, and when they last did
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -75,8 +75,8 @@
     bool ready() const { return deployment && deployment->plan && !stopping(); }
 
     /// True when other VMs have known of something newer from the operator for longer than news usually take,
-    /// or the plan has been unconfirmed for as long as a change may take to be in force: what this VM's plan
-    /// doesn't have may be in theirs.
+    /// or nobody has confirmed the plan for as long as a change may take: what this VM's plan doesn't have may be
+    /// in theirs.
     bool plan_may_be_outdated(time_point now) const;
 
     bool stopping() const { return m_stop_deadline.load() != time_point::max(); }
@@ -123,8 +123,6 @@
 
 private:
     static constexpr std::chrono::milliseconds usual_news_lag{2'000};
-    /// Reports of other regions and answers of a slow store need so long.
-    static constexpr std::chrono::milliseconds min_confirmation_time{2'000};
 
     struct service_retries {
         retry_budget budget;
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -3,6 +3,7 @@
 #include "platform/store_values.h"
 #include "platform/wire_names.h"
 
+#include "cardamomstream/connection/contained_call.h"
 #include "cardamomstream/connection/use_fiber.h"
 #include "cardamomstream/process/deployment/entry_weights.h"
 #include "cardamomstream/process/deployment/vm_report_codec.h"
@@ -49,6 +50,13 @@
 /// Between two questions whether the plan is the newest.
 constexpr std::chrono::milliseconds plan_confirmation_pause{1'000};
 
+/// Fractions of the time for which an unconfirmed plan is trusted, after which a VM asks the store.
+constexpr double asked_by_reader_after = 0.375;
+constexpr double asked_after = 0.5;
+
+/// For the datagrams that came while the process stood still to be read.
+constexpr std::chrono::milliseconds drain_time{500};
+
 constexpr std::size_t max_report_bytes = 60'000; ///< below the largest datagram
 
 vm_identity identity_of(const node_settings& settings, incarnation process)
@@ -63,6 +71,16 @@
             settings.link_mbps};
 }
 
+std::set<region_name> other_regions(const node_settings& settings)
+{
+    std::set<region_name> regions;
+    for (const auto& [data_centre, region] : settings.regions) {
+        regions.insert(region);
+    }
+    regions.erase(settings.region);
+    return regions;
+}
+
 /// Label of the metric that counts datagrams.
 std::string kind_of(const vm_report& report)
 {
@@ -96,6 +114,7 @@
                          m_contact, log, process.value + 1)
     , m_upstreams(settings.regions)
     , m_exchange(identity_of(settings, process), settings.regions)
+    , m_plan_confirmation(other_regions(settings))
     , m_socket(control.io())
 {
 }
@@ -207,21 +226,34 @@
 {
     constexpr auto part = static_cast<std::size_t>(store_part::operators);
     if (report.known_changes.size() != store_part_count ||
-        m_operator_entries.read_up_to() < report.known_changes[part]) {
+        m_operator_entries.read_up_to() < report.known_changes[part] || !receives_in_time(now)) {
         return;
     }
-    if (report.region != m_settings.region) {
-        m_plan_confirmation.record_region(report.region, now);
-    }
     if (report.store_answer_age) {
         m_plan_confirmation.record_store_answer(now - *report.store_answer_age);
     }
+    if (!report.summary) {
+        return;
+    }
+    const auto& members = report.summary->members;
+    if (std::none_of(members.begin(), members.end(), [](const vm_member& vm) { return vm.ready; })) {
+        m_plan_confirmation.forget_data_centre(report.data_centre);
+    }
+    else if (m_plan.get() && report.plan_version == m_plan.get()->version()) {
+        m_plan_confirmation.record_data_centre(report.data_centre, report.region, now);
+    }
+}
+
+bool node_control::receives_in_time(time_point now) const
+{
+    return now >= m_drained_at && now - m_tended_at < vm_alive_timeout;
 }
 
 void node_control::confirm_plan(time_point now)
 {
     // VMs that read the store ask first; their reports confirm the plan to the others.
-    const auto wait = m_settings.bounds.change_time * (m_operator_entries.answered() ? 2 : 3) / 4;
+    const auto share = m_operator_entries.answered() ? asked_by_reader_after : asked_after;
+    const std::chrono::duration<double, std::milli> wait = m_settings.bounds.plan_trust_time() * share;
     if (m_confirming_plan || now - m_plan_confirmation.confirmed_at(now) < wait ||
         now - m_plan_asked_at < plan_confirmation_pause) {
         return;
@@ -229,7 +261,7 @@
     m_confirming_plan = true;
     m_plan_asked_at = now;
     m_thread.spawn([this] {
-        m_operator_entries.confirm(confirmation_limit);
+        run_contained("the plan isn't confirmed", [this] { m_operator_entries.confirm(confirmation_limit); });
         m_confirming_plan = false;
     });
 }
@@ -237,7 +269,7 @@
 void node_control::log_confirmation(time_point confirmed_at, time_point now)
 {
     const auto age = std::chrono::floor<std::chrono::milliseconds>(now - confirmed_at);
-    const bool unconfirmed = age >= m_settings.bounds.change_time;
+    const bool unconfirmed = age >= m_settings.bounds.plan_trust_time();
     if (std::exchange(m_plan_unconfirmed, unconfirmed) != unconfirmed) {
         m_log.write(log_weight::state, unconfirmed ? "plan_unconfirmed" : "plan_confirmed",
                     {{"version", static_cast<std::int64_t>(m_plan.get() ? m_plan.get()->version() : 0)},
@@ -430,12 +462,12 @@
             follower.take(*report.value().changes);
         }
         record_peer_changes(report.value(), now);
-        record_confirmation(report.value(), now);
         const auto received = m_exchange.receive(report.value(), now);
         send(received.outgoing);
         if (!received.is_new) {
             continue;
         }
+        record_confirmation(report.value(), now);
         // Loads on the upstreams of this region are placed on at once.
         const bool new_end = m_reported_ends.record(report.value().upstream_ends, now);
         if (report.value().region == m_settings.region &&
@@ -456,6 +488,10 @@
     while (true) {
         boost::this_fiber::sleep_for(m_exchange.interval());
         const auto now = boot_clock::now();
+        if (now - m_tended_at >= vm_alive_timeout) {
+            m_drained_at = now + drain_time;
+        }
+        m_tended_at = now;
         m_exchange.expire(now);
         choose_reader(now);
         confirm_plan(now);
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -75,6 +75,8 @@
     void report_here();
     void confirm_upstreams();
     void record_confirmation(const vm_report& report, time_point now);
+    /// False after the process stood still: datagrams of that time are read as if they came now.
+    bool receives_in_time(time_point now) const;
     /// Asks the store whether the plan is the newest, when neither it nor the other regions have confirmed
     /// it.
     void confirm_plan(time_point now);
@@ -102,7 +104,9 @@
     plan_confirmation m_plan_confirmation;
     bool m_confirming_plan = false;
     time_point m_plan_asked_at;
-    bool m_plan_unconfirmed = false; ///< for longer than a change may take; for the log
+    bool m_plan_unconfirmed = false; ///< for longer than it is trusted; for the log
+    time_point m_tended_at;          ///< the last round of `report_periodically`
+    time_point m_drained_at;         ///< of datagrams that came while the process stood still
     boost::asio::ip::udp::socket m_socket;
     time_point m_reported_at;
     bool m_early_report_waits = false; ///< a fiber makes it once the least interval is over
--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -160,6 +160,7 @@
 bool store_follower::list()
 {
     cancellation cancel;
+    const auto began = boot_clock::now();
     auto all = m_store.list(m_prefix, cancel);
     if (!all) {
         note_failure(all.error());
@@ -170,6 +171,7 @@
         log_outdated(all.value().position);
         return false;
     }
+    m_answered_at = std::max(m_answered_at, began);
     apply_listing(std::move(all.value()));
     return true;
 }
@@ -199,7 +201,6 @@
         m_listed_at = all.position; // of what was removed before, this VM may know nothing
     }
     m_lag.record_known(all.position);
-    m_answered_at = boot_clock::now();
     m_newest_change = std::max(m_newest_change, newest_of(all.position.era, all.items));
     m_listed = true;
     m_on_listing(all);
@@ -250,6 +251,7 @@
     cancellation cancel;
     m_waiting = &cancel;
     const auto wait = m_reads ? next_wait() : question_wait;
+    const auto began = boot_clock::now();
     auto changes = m_store.watch(m_prefix, m_lag.known().revision, wait, cancel);
     m_waiting = nullptr;
     if (!changes && cancel.cancelled()) {
@@ -273,7 +275,8 @@
     // Before the last listing, changes may be unknown to this VM that others have missed.
     const auto after = std::max(m_newest_change, m_listed_at);
     m_lag.record_known(position);
-    m_answered_at = boot_clock::now();
+    // The process may have stood still since the store answered.
+    m_answered_at = std::max(m_answered_at, std::min(boot_clock::now(), began + wait));
     if (changes.value().items.empty()) {
         return true;
     }
--- a/src/app/node/store_follower.h
+++ b/src/app/node/store_follower.h
@@ -93,7 +93,7 @@
 
     store_position newest_change() const noexcept { return m_newest_change; }
 
-    /// When the store itself last confirmed this part; epoch: never.
+    /// When the store itself last confirmed this part to this VM, unlike `confirmed_at`; epoch: never.
     time_point answered_at() const noexcept { return m_answered_at; }
 
     /// When this part was last known to be up to date; epoch: never.
--- a/src/process/deployment/plan_confirmation.cpp
+++ b/src/process/deployment/plan_confirmation.cpp
@@ -9,19 +9,30 @@
     m_store_answered_at = std::max(m_store_answered_at, at);
 }
 
-void plan_confirmation::record_region(const region_name& region, time_point at)
+void plan_confirmation::record_data_centre(const data_centre_name& data_centre, const region_name& region,
+                                           time_point at)
 {
-    auto& reported_at = m_regions[region];
-    reported_at = std::max(reported_at, at);
+    auto& last = m_data_centres[data_centre];
+    last = {region, std::max(last.at, at)};
 }
 
 time_point plan_confirmation::confirmed_at(time_point now) const
 {
-    auto by_regions = now;
-    for (const auto& [region, reported_at] : m_regions) {
-        by_regions = std::min(by_regions, reported_at);
+    return std::max(m_store_answered_at, confirmed_by_data_centres(now));
+}
+
+time_point plan_confirmation::confirmed_by_data_centres(time_point now) const
+{
+    if (m_other_regions.empty()) {
+        return now;
+    }
+    auto oldest = now;
+    auto missing = m_other_regions;
+    for (const auto& [data_centre, last] : m_data_centres) {
+        oldest = std::min(oldest, last.at);
+        missing.erase(last.region);
     }
-    return std::max(m_store_answered_at, by_regions);
+    return missing.empty() ? oldest : time_point{};
 }
 
 } // namespace cardamomstream
--- a/src/process/deployment/tests/plan_confirmation_test.cpp
+++ b/src/process/deployment/tests/plan_confirmation_test.cpp
@@ -7,51 +7,73 @@
 
 // A VM that was cut off from the store and the other regions served by the homes of its last plan without
 // end.
-TEST_CASE("a plan counts as confirmed by the store, or by all other regions together")
+TEST_CASE("a plan counts as confirmed by the store, or by all other data centres together")
 {
     const time_point start{1'000s};
     const region_name riga("riga");
     const region_name latgale("latgale");
-    plan_confirmation plan;
+    const data_centre_name riga_a("riga-a");
+    const data_centre_name riga_b("riga-b");
+    const data_centre_name latgale_a("latgale-a");
 
     SECTION("a deployment of one region: nobody else can have a newer plan")
     {
+        plan_confirmation plan({});
         plan.record_store_answer(start);
         CHECK(plan.confirmed_at(start + 1min) == start + 1min);
     }
-    SECTION("with other regions")
+    SECTION("before every other region has reported, only the store confirms it")
     {
+        plan_confirmation plan({riga, latgale});
+        plan.record_data_centre(latgale_a, latgale, start + 1s);
+        CHECK(plan.confirmed_at(start + 1s) == time_point{});
         plan.record_store_answer(start);
-        plan.record_region(riga, start);
-        plan.record_region(latgale, start);
+        CHECK(plan.confirmed_at(start + 1min) == start);
+    }
+    SECTION("all have reported")
+    {
+        plan_confirmation plan({riga, latgale});
+        plan.record_store_answer(start);
+        plan.record_data_centre(riga_a, riga, start);
+        plan.record_data_centre(riga_b, riga, start);
+        plan.record_data_centre(latgale_a, latgale, start);
 
         SECTION("the store alone is away: they confirm it")
         {
-            plan.record_region(riga, start + 10s);
-            plan.record_region(latgale, start + 9s);
+            plan.record_data_centre(riga_a, riga, start + 10s);
+            plan.record_data_centre(riga_b, riga, start + 9s);
+            plan.record_data_centre(latgale_a, latgale, start + 10s);
             CHECK(plan.confirmed_at(start + 10s) == start + 9s);
+            SECTION("an older report that arrives later takes nothing back")
+            {
+                plan.record_data_centre(riga_b, riga, start + 8s);
+                CHECK(plan.confirmed_at(start + 10s) == start + 9s);
+            }
         }
         SECTION("cut off from everything: the last confirmation stands")
         {
             CHECK(plan.confirmed_at(start + 1min) == start);
         }
-        SECTION("cut off from the store and from one region, which may have a newer plan")
+        SECTION("cut off from the store and from one data centre, which may have a newer plan")
         {
-            plan.record_region(latgale, start + 10s);
+            plan.record_data_centre(riga_b, riga, start + 10s);
+            plan.record_data_centre(latgale_a, latgale, start + 10s);
             CHECK(plan.confirmed_at(start + 10s) == start);
+            SECTION("that has left is not waited for")
+            {
+                plan.forget_data_centre(riga_a);
+                CHECK(plan.confirmed_at(start + 10s) == start + 10s);
+            }
         }
-        SECTION("one region is lost while the store answers")
+        SECTION("one data centre is lost while the store answers")
         {
-            plan.record_region(latgale, start + 10s);
             plan.record_store_answer(start + 10s);
             CHECK(plan.confirmed_at(start + 11s) == start + 10s);
-        }
-        SECTION("an answer that is told late takes nothing back")
-        {
-            plan.record_store_answer(start + 5s);
-            plan.record_store_answer(start + 3s);
-            plan.record_region(riga, start - 3s);
-            CHECK(plan.confirmed_at(start + 6s) == start + 5s);
+            SECTION("an older answer that is reported later takes nothing back")
+            {
+                plan.record_store_answer(start + 3s);
+                CHECK(plan.confirmed_at(start + 11s) == start + 10s);
+            }
         }
     }
 }
--- a/src/process/deployment/tests/report_exchange_test.cpp
+++ b/src/process/deployment/tests/report_exchange_test.cpp
@@ -602,3 +602,42 @@
         CHECK(summary.part_crashes.size() == 2);
     }
 }
+
+TEST_CASE("a summary says when the store last answered any VM of the data centre")
+{
+    const data_centre_name here("riga-a");
+    const data_centre_name there("riga-b");
+    const region_name riga("riga");
+    const auto report_of = [&](const char* vm, const data_centre_name& data_centre, const char* address) {
+        vm_report report;
+        report.vm = vm_name(vm);
+        report.process = {1};
+        report.sequence = 1;
+        report.region = riga;
+        report.data_centre = data_centre;
+        report.inner = {address, 7'000};
+        return report;
+    };
+    report_exchange exchange(
+        vm_identity{vm_name("self"), {1}, riga, here, {"10.0.0.1", 80}, {"10.0.0.1", 7'000}, 1, 0},
+        {{here, riga}, {there, riga}});
+    const time_point now{1'000s};
+    (void)exchange.receive(report_of("beyond", there, "10.0.0.3"), now);
+    auto neighbour = report_of("neighbour", here, "10.0.0.2");
+    const auto age_in_summary = [&](std::optional<std::chrono::milliseconds> own) {
+        vm_report state;
+        state.store_answer_age = own;
+        (void)exchange.report(std::move(state), now);
+        (void)exchange.receive(neighbour, now);
+        const auto out = exchange.summarise(now + 50ms);
+        REQUIRE_FALSE(out.empty());
+        return out.front().report.store_answer_age;
+    };
+
+    CHECK_FALSE(age_in_summary({}));
+    CHECK(age_in_summary(300ms) == 350ms);
+    neighbour.sequence = 2;
+    neighbour.store_answer_age = 100ms;
+    CHECK(age_in_summary(300ms) == 150ms);
+    CHECK(age_in_summary({}) == 150ms);
+}
--- a/src/process/deployment/tests/vm_report_codec_test.cpp
+++ b/src/process/deployment/tests/vm_report_codec_test.cpp
@@ -117,7 +117,7 @@
     }
 }
 
-TEST_CASE("a VM tells when the store last confirmed the operator's entries")
+TEST_CASE("a report says when the store last confirmed the operator's entries")
 {
     auto report = plain_report();
     CHECK_FALSE(sent_and_received(report).store_answer_age);
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -125,8 +125,7 @@
     if (plan_behind_since && now - *plan_behind_since >= usual_news_lag) {
         return true;
     }
-    return plan_confirmed_at &&
-           now - *plan_confirmed_at >= std::max(settings.bounds.change_time, min_confirmation_time);
+    return plan_confirmed_at && now - *plan_confirmed_at >= settings.bounds.plan_trust_time();
 }
 
 void gateway_state::note_link_failure(const upstream_name& upstream)
