--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -75,8 +75,8 @@
     bool ready() const { return deployment && deployment->plan && !stopping(); }
 
     /// True when other VMs have known of something newer from the operator for longer than news usually take,
-    /// or nobody has confirmed the plan for as long as a change may take: what this VM's plan doesn't have may be
-    /// in theirs.
+    /// or nobody has confirmed the plan for as long as a change may take: what this VM's plan doesn't have
+    /// may be in theirs.
     bool plan_may_be_outdated(time_point now) const;
 
     bool stopping() const { return m_stop_deadline.load() != time_point::max(); }
--- a/include/cardamomstream/version/service_plan/service_plan.h
+++ b/include/cardamomstream/version/service_plan/service_plan.h
@@ -23,8 +23,8 @@
     /// The hosts of its routes are canonical.
     const service_plan_document& document() const noexcept { return m_document; }
 
-    /// The route of that host with the longest prefix of the path; null when there is none. Letters of the host
-    /// count as equal in either case.
+    /// The route of that host with the longest prefix of the path; null when there is none. Letters of the
+    /// host count as equal in either case.
     const plan_route* find_route(std::string_view host, std::string_view path) const;
     const plan_route* find_route(const route_name& name) const;
 
--- a/src/version/service_plan/tests/service_plan_test.cpp
+++ b/src/version/service_plan/tests/service_plan_test.cpp
@@ -67,7 +67,8 @@
 }
 
 // Of three routes that look alike, the homes of another one would send a request to a region that is none.
-TEST_CASE("routes with the same path at two hosts, and one below it, keep to their own homes as they swap them")
+TEST_CASE(
+    "routes with the same path at two hosts, and one below it, keep to their own homes as they swap them")
 {
     const region_name riga("riga");
     const region_name kurzeme("kurzeme");
