--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -132,9 +132,8 @@
 template <gateway_wire Wire>
 error request_flow<Wire>::plan_outdated()
 {
-    using namespace std::chrono_literals;
     return {error_kind::platform_unavailable, "other VMs may know a newer plan than this one",
-            "send it again, to another VM", run_outcome::not_run, 500ms};
+            "send it again, to another VM", run_outcome::not_run, other_vm_delay};
 }
 
 /// Refuses a request that has homes while the plan may be outdated: they may be elsewhere by now.
