--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -268,11 +268,14 @@
 
 void node_control::log_confirmation(time_point confirmed_at, time_point now)
 {
+    if (!m_plan.get()) {
+        return;
+    }
     const auto age = std::chrono::floor<std::chrono::milliseconds>(now - confirmed_at);
     const bool unconfirmed = age >= m_settings.bounds.plan_trust_time();
     if (std::exchange(m_plan_unconfirmed, unconfirmed) != unconfirmed) {
         m_log.write(log_weight::state, unconfirmed ? "plan_unconfirmed" : "plan_confirmed",
-                    {{"version", static_cast<std::int64_t>(m_plan.get() ? m_plan.get()->version() : 0)},
+                    {{"version", static_cast<std::int64_t>(m_plan.get()->version())},
                      {"age_ms", std::int64_t{age.count()}}});
     }
 }
