--- a/include/cardamomstream/connection/http_server.h
+++ b/include/cardamomstream/connection/http_server.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "cardamomstream/connection/body_memory.h"
+#include "cardamomstream/connection/connection_limit.h"
 #include "cardamomstream/connection/http_types.h"
 #include "cardamomstream/connection/response_writer.h"
 #include "cardamomstream/connection/traffic_group.h"
@@ -21,9 +22,11 @@
 class http_server {
 public:
     /// The threads must outlive the server. `bodies`: memory that other listeners share; null: the listener
-    /// has its own, of `max_body_memory` or what a single body of these limits needs.
+    /// has its own, of `max_body_memory` or what a single body of these limits needs. `connections`: limit
+    /// that other listeners share, beside the listener's own; may be null.
     http_server(traffic_group& threads, http_limits limits, request_handler handler,
-                std::shared_ptr<body_memory> bodies = nullptr);
+                std::shared_ptr<body_memory> bodies = nullptr,
+                std::shared_ptr<connection_limit> connections = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/src/app/node/node_process.cpp
+++ b/src/app/node/node_process.cpp
@@ -62,6 +62,23 @@
 constexpr std::uint64_t max_question_body_bytes = 4 * 1024;
 constexpr std::chrono::milliseconds question_idle_timeout{10'000};
 constexpr std::size_t question_connections_divisor = 8; ///< of the descriptors for connections
+constexpr std::size_t max_question_listeners = 3;       ///< for readiness, entries and metrics
+
+std::size_t descriptors_for_connections(const node_settings& settings)
+{
+    return settings.max_descriptors - descriptors_for_files;
+}
+
+std::size_t question_connections(const node_settings& settings)
+{
+    return descriptors_for_connections(settings) / question_connections_divisor;
+}
+
+/// Of callers and other VMs together: what the listeners for questions leave.
+std::size_t request_connections(const node_settings& settings)
+{
+    return descriptors_for_connections(settings) - max_question_listeners * question_connections(settings);
+}
 
 /// Where no plan states others.
 http_limits default_limits(const node_settings& settings)
@@ -75,7 +92,7 @@
     limits.write_timeout = std::chrono::milliseconds{10'000};
     limits.max_buffered_bytes = settings.memory_bytes / read_memory_divisor;
     // Each request may need a connection to an upstream beside the caller's.
-    limits.max_connections = (settings.max_descriptors - descriptors_for_files) / 2;
+    limits.max_connections = descriptors_for_connections(settings) / 2;
     return limits;
 }
 
@@ -96,8 +113,7 @@
     limits.max_body_bytes = max_question_body_bytes;
     limits.idle_timeout = question_idle_timeout;
     limits.max_buffered_bytes = settings.memory_bytes / question_memory_divisor;
-    limits.max_connections =
-        (settings.max_descriptors - descriptors_for_files) / question_connections_divisor;
+    limits.max_connections = question_connections(settings);
     return limits;
 }
 
@@ -134,19 +150,20 @@
         , control(settings, control_thread, traffic.front(), state, log, incarnation{random_number()})
         , bodies(std::make_shared<body_memory>(
               body_memory_settings{settings.memory_bytes / body_memory_divisor}))
+        , connections(std::make_shared<connection_limit>(request_connections(settings)))
         , limits(default_limits(settings))
         , entry(
               traffic, limits.at(started_at),
               [this](const http_request& request, std::size_t /*thread*/, response_writer& writer) {
                   request_flow<platform::message_format>(state, request, writer).serve_caller();
               },
-              bodies)
+              bodies, connections)
         , inner(
               traffic, hop_limits(settings),
               [this](const http_request& request, std::size_t /*thread*/, response_writer& writer) {
                   serve_inner(request, writer);
               },
-              bodies)
+              bodies, connections)
     {
         state.on_plan = [this](const service_plan& plan) { apply_limits(plan); };
         entry.on_unserved([this](std::string_view reason) {
@@ -166,8 +183,9 @@
     http_client client;
     gateway_state state;
     node_control control;
-    std::shared_ptr<body_memory> bodies; ///< of the requests of callers and other VMs
-    entry_limits limits;                 ///< used on the traffic thread
+    std::shared_ptr<body_memory> bodies;           ///< of the requests of callers and other VMs
+    std::shared_ptr<connection_limit> connections; ///< of callers and other VMs
+    entry_limits limits;                           ///< used on the traffic thread
     http_server entry;
     http_server inner;
     std::vector<std::unique_ptr<http_server>> questions; ///< restarts, entry answers and metrics
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -7,6 +7,7 @@
 #include "cardamomstream/connection/use_fiber.h"
 
 #include <chrono>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -45,7 +46,7 @@
     using session_set = std::set<std::shared_ptr<http_session>>;
 
     state(traffic_group& traffic, http_limits limits, request_handler handler,
-          std::shared_ptr<body_memory> bodies)
+          std::shared_ptr<body_memory> bodies, std::shared_ptr<connection_limit> connections)
         : threads(traffic)
         , sessions(threads.size())
         , acceptor(threads.front().io())
@@ -55,6 +56,7 @@
         context->read_memory = std::make_shared<memory_limit>(limits.max_buffered_bytes);
         context->bodies = bodies ? std::move(bodies) : own_body_memory(limits);
         context->handler = std::move(handler);
+        shared_limit = std::move(connections);
     }
 
     result<endpoint> bind(const endpoint& address);
@@ -63,10 +65,14 @@
     std::size_t take_thread() { return std::exchange(next_thread, (next_thread + 1) % threads.size()); }
     void start_session(tcp::socket socket, std::size_t thread);
 
-    /// Closes the connection of a thread that has waited longest for the head of its first request. False
-    /// when there is none that may be closed for another one.
+    /// The session of a thread that has waited longest for the head of its first request. Null when there is
+    /// none that may be closed for another connection.
+    http_session* longest_without_request(std::size_t thread) const;
     bool close_without_request(std::size_t thread);
 
+    /// Lets connections of this listener make room for those of others that share the limit.
+    void make_replaceable();
+
     /// Calls `visit` with each session, on the session's thread.
     template <class Visitor>
     void for_each_session(Visitor visit);
@@ -76,6 +82,7 @@
     tcp::acceptor acceptor;
     std::size_t next_thread = 0; ///< of the next session
     std::shared_ptr<session_context> context = std::make_shared<session_context>();
+    std::shared_ptr<connection_limit> shared_limit; ///< may be null
     std::atomic<std::size_t> open = 0;
     std::atomic<bool> accepting = false;
 };
@@ -159,12 +166,17 @@
         return;
     }
     auto session = std::make_shared<http_session>(std::move(socket), thread, context);
-    const auto count = ++open;
+    const bool beyond_own_limit = ++open > context->max_connections;
+    const bool beyond_shared_limit = shared_limit && !shared_limit->add();
     boost::asio::dispatch(threads[thread].io(), [self = shared_from_this(), session, thread] {
         self->sessions[thread].insert(session);
     });
-    threads[thread].spawn([self = shared_from_this(), session, thread, count] {
-        if (count > self->context->max_connections && !self->close_without_request(thread)) {
+    threads[thread].spawn([self = shared_from_this(), session, thread, beyond_own_limit,
+                           beyond_shared_limit] {
+        const bool has_room = beyond_own_limit
+                                  ? self->close_without_request(thread)
+                                  : !beyond_shared_limit || self->shared_limit->close_one(thread);
+        if (!has_room) {
             (void)session->send(error_response(
                 {error_kind::too_many_connections, "this VM has too many open connections",
                  "try again, or another VM of GET /v1/entry", run_outcome::not_run, std::chrono::seconds{1}},
@@ -176,10 +188,13 @@
         }
         self->sessions[thread].erase(session);
         --self->open;
+        if (self->shared_limit) {
+            self->shared_limit->remove();
+        }
     });
 }
 
-bool http_server::state::close_without_request(std::size_t thread)
+http_session* http_server::state::longest_without_request(std::size_t thread) const
 {
     const auto now = boot_clock::now();
     http_session* longest = nullptr;
@@ -193,10 +208,28 @@
             longest = session.get();
         }
     }
-    if (longest != nullptr) {
-        longest->close();
+    return longest;
+}
+
+bool http_server::state::close_without_request(std::size_t thread)
+{
+    auto* session = longest_without_request(thread);
+    if (session != nullptr) {
+        session->close();
     }
-    return longest != nullptr;
+    return session != nullptr;
+}
+
+void http_server::state::make_replaceable()
+{
+    shared_limit->add_listener([weak = weak_from_this()](std::size_t thread) {
+        std::optional<replaceable_connection> found;
+        const auto self = weak.lock();
+        if (auto* session = self ? self->longest_without_request(thread) : nullptr) {
+            found = {session->began_at(), [session = session->shared_from_this()] { session->close(); }};
+        }
+        return found;
+    });
 }
 
 template <class Visitor>
@@ -212,9 +245,13 @@
 }
 
 http_server::http_server(traffic_group& threads, http_limits limits, request_handler handler,
-                         std::shared_ptr<body_memory> bodies)
-    : m_state(std::make_shared<state>(threads, limits, std::move(handler), std::move(bodies)))
+                         std::shared_ptr<body_memory> bodies, std::shared_ptr<connection_limit> connections)
+    : m_state(std::make_shared<state>(threads, limits, std::move(handler), std::move(bodies),
+                                      std::move(connections)))
 {
+    if (m_state->shared_limit) {
+        m_state->make_replaceable();
+    }
 }
 
 http_server::~http_server()
--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -27,7 +27,7 @@
 
 namespace {
 
-/// A caller that sends raw bytes, whole or malformed.
+/// A caller that sends raw bytes, well-formed or malformed.
 class raw_caller {
 public:
     enum when { connect_now, connect_later };
@@ -125,7 +125,7 @@
     (void)writer.send({{200, {{"Content-Type", "text/plain"}}}, request.method + " " + request.body});
 }
 
-/// Of the whole process.
+/// Of all threads of the process.
 std::chrono::nanoseconds processor_time()
 {
     timespec used{};
@@ -220,12 +220,12 @@
     CHECK(contains(other.read_all(), "200 OK"));
 }
 
-TEST_CASE("a stream tells whether it is whole")
+TEST_CASE("a stream tells whether it is complete")
 {
     running_server running([](const http_request& request, std::size_t, response_writer& writer) {
         (void)writer.begin_stream({200, {}});
         (void)writer.write_chunk("part");
-        if (request.path() == "/whole") {
+        if (request.path() == "/complete") {
             (void)writer.end_stream();
         }
         else {
@@ -234,9 +234,9 @@
     });
     raw_caller caller(running.address);
 
-    SECTION("a whole stream ends with the last chunk")
+    SECTION("a complete stream ends with the last chunk")
     {
-        caller.send("GET /whole HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        caller.send("GET /complete HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
         CHECK(contains(caller.read_all(), "0\r\n\r\n"));
     }
     SECTION("an aborted stream does not")
@@ -248,13 +248,13 @@
     }
 }
 
-TEST_CASE("a stream tells a caller of HTTP/1.0, which knows no chunks, whether it is whole")
+TEST_CASE("a stream tells a caller of HTTP/1.0, which knows no chunks, whether it is complete")
 {
     running_server running([](const http_request& request, std::size_t, response_writer& writer) {
         (void)writer.begin_stream({200, {}});
         (void)writer.write_chunk("first ");
         (void)writer.write_chunk("second");
-        if (request.path() == "/whole") {
+        if (request.path() == "/complete") {
             (void)writer.end_stream();
         }
         else {
@@ -264,9 +264,9 @@
     });
     raw_caller caller(running.address);
 
-    SECTION("a whole stream is closed in order, without chunks")
+    SECTION("a complete stream is closed in order, without chunks")
     {
-        caller.send("GET /whole HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
+        caller.send("GET /complete HTTP/1.0\r\nConnection: keep-alive\r\n\r\n");
         const auto answer = caller.read_all();
         CHECK(answer.ends_with("\r\n\r\nfirst second"));
         CHECK_FALSE(contains(answer, "chunked"));
@@ -321,9 +321,9 @@
     }
 }
 
-TEST_CASE("the handler hears of a caller that leaves")
+TEST_CASE("the handler learns of a caller that leaves")
 {
-    std::promise<void> gone;
+    std::promise<void> noticed;
     running_server running([&](const http_request&, std::size_t, response_writer& writer) {
         (void)writer.begin_stream({200, {}});
         auto left = std::make_shared<bool>(false);
@@ -332,13 +332,13 @@
             boost::this_fiber::sleep_for(10ms);
         }
         if (*left) {
-            gone.set_value();
+            noticed.set_value();
         }
     });
     raw_caller caller(running.address);
     caller.send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
     caller.close();
-    CHECK(gone.get_future().wait_for(5s) == std::future_status::ready);
+    CHECK(noticed.get_future().wait_for(5s) == std::future_status::ready);
 }
 
 TEST_CASE("a stream that is aborted while its caller is watched ends the connection only")
@@ -726,6 +726,60 @@
     }
 }
 
+// Each listener had a limit of its own: their connections together exceeded the descriptors of the process.
+TEST_CASE("listeners that share a limit of connections")
+{
+    traffic_group threads{1};
+    const auto shared = std::make_shared<connection_limit>(4);
+    http_limits limits;
+    limits.max_connections = 3;
+    http_server first(threads, limits, echo, nullptr, shared);
+    http_server second(threads, limits, echo, nullptr, shared);
+    const auto first_address = first.listen({"127.0.0.1", 0}).value();
+    const auto second_address = second.listen({"127.0.0.1", 0}).value();
+    std::list<raw_caller> callers;
+    const auto status_at = [](const endpoint& address) {
+        raw_caller caller(address);
+        caller.send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        return caller.read_all().substr(0, std::string_view("HTTP/1.1 200").size());
+    };
+
+    SECTION("silent connections are kept up to the limit, and keep no caller of either out")
+    {
+        for (int silent = 0; silent < 12; ++silent) {
+            callers.emplace_back(first_address);
+            callers.emplace_back(second_address);
+        }
+        CHECK(status_at(first_address) == "HTTP/1.1 200");
+        CHECK(status_at(second_address) == "HTTP/1.1 200");
+        CHECK(first.open_connections() + second.open_connections() <= 4);
+    }
+    SECTION("connections that have brought a request make no room, and leave some to the other listener")
+    {
+        const auto keep_one_at = [&](const endpoint& address) {
+            auto& caller = callers.emplace_back(address);
+            caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+            CHECK(contains(caller.read_until("\r\n"), " 200 "));
+        };
+        for (int kept = 0; kept < 3; ++kept) {
+            keep_one_at(first_address);
+        }
+        CHECK(status_at(first_address) == "HTTP/1.1 429");
+        keep_one_at(second_address);
+        CHECK(status_at(second_address) == "HTTP/1.1 429");
+
+        callers.clear();
+        while (first.open_connections() + second.open_connections() > 0) {
+            std::this_thread::sleep_for(5ms);
+        }
+        CHECK(status_at(second_address) == "HTTP/1.1 200");
+    }
+    for (auto* server : {&first, &second}) {
+        server->stop_accepting();
+        server->close_all();
+    }
+}
+
 // A field of 64 KiB threw outside of every handler, which ended the process.
 TEST_CASE("a long head ends no process, whatever the limits")
 {
