--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -50,13 +50,13 @@
         : threads(traffic)
         , sessions(threads.size())
         , acceptor(threads.front().io())
+        , shared_limit(std::move(connections))
     {
         context->limits = std::make_shared<const http_limits>(limits);
         context->max_connections = limits.max_connections;
         context->read_memory = std::make_shared<memory_limit>(limits.max_buffered_bytes);
         context->bodies = bodies ? std::move(bodies) : own_body_memory(limits);
         context->handler = std::move(handler);
-        shared_limit = std::move(connections);
     }
 
     result<endpoint> bind(const endpoint& address);
