Test: the check of the shared limit's silent connections fails without it

Two listeners with 3 connections each kept no more than the shared 4 once two calls had closed theirs, so that the section passed without a shared limit. It now has 4 each and 5 together. Trial with a shared limit of 100: both sections fail (6 open, 5 allowed; 200 where 429 is due), twice of two; before this change only the second did.

--- a/src/connection/http/tests/http_server_test.cpp
+++ b/src/connection/http/tests/http_server_test.cpp
@@ -729,15 +729,26 @@
 // Each listener had a limit of its own: their connections together exceeded the descriptors of the process.
 TEST_CASE("listeners that share a limit of connections")
 {
+    constexpr std::size_t own_connections = 4;
+    constexpr std::size_t shared_connections = 5;
+    constexpr auto end_limit = 1s; ///< for connections that are being closed
     traffic_group threads{1};
-    const auto shared = std::make_shared<connection_limit>(4);
+    const auto shared = std::make_shared<connection_limit>(shared_connections);
     http_limits limits;
-    limits.max_connections = 3;
+    limits.max_connections = own_connections;
     http_server first(threads, limits, echo, nullptr, shared);
     http_server second(threads, limits, echo, nullptr, shared);
     const auto first_address = first.listen({"127.0.0.1", 0}).value();
     const auto second_address = second.listen({"127.0.0.1", 0}).value();
     std::list<raw_caller> callers;
+    const auto open = [&] { return first.open_connections() + second.open_connections(); };
+    const auto wait_for_at_most = [&](std::size_t connections) {
+        const auto until = boot_clock::now() + end_limit;
+        while (open() > connections && boot_clock::now() < until) {
+            std::this_thread::sleep_for(5ms);
+        }
+        CHECK(open() <= connections);
+    };
     const auto status_at = [](const endpoint& address) {
         raw_caller caller(address);
         caller.send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
@@ -752,7 +763,7 @@
         }
         CHECK(status_at(first_address) == "HTTP/1.1 200");
         CHECK(status_at(second_address) == "HTTP/1.1 200");
-        CHECK(first.open_connections() + second.open_connections() <= 4);
+        wait_for_at_most(shared_connections);
     }
     SECTION("connections that have brought a request make no room, and leave some to the other listener")
     {
@@ -761,7 +772,7 @@
             caller.send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
             CHECK(contains(caller.read_until("\r\n"), " 200 "));
         };
-        for (int kept = 0; kept < 3; ++kept) {
+        for (std::size_t kept = 0; kept < own_connections; ++kept) {
             keep_one_at(first_address);
         }
         CHECK(status_at(first_address) == "HTTP/1.1 429");
@@ -769,9 +780,7 @@
         CHECK(status_at(second_address) == "HTTP/1.1 429");
 
         callers.clear();
-        while (first.open_connections() + second.open_connections() > 0) {
-            std::this_thread::sleep_for(5ms);
-        }
+        wait_for_at_most(0);
         CHECK(status_at(second_address) == "HTTP/1.1 200");
     }
     for (auto* server : {&first, &second}) {
