--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -85,12 +85,14 @@
     return candidates;
 }
 
-std::vector<endpoint> inner_addresses(const known_vms& vms)
+/// `turn` selects with which VM to begin: what a full link drops are the last datagrams of a burst, which
+/// should not always be those to the same VMs.
+std::vector<endpoint> inner_addresses(const known_vms& vms, std::uint64_t turn)
 {
     std::vector<endpoint> all;
     all.reserve(vms.size());
-    for (const auto& vm : vms) {
-        all.push_back(vm->report.inner);
+    for (std::size_t index = 0; index < vms.size(); ++index) {
+        all.push_back(vms[(index + turn) % vms.size()]->report.inner);
     }
     return all;
 }
@@ -319,7 +321,7 @@
 
 outgoing_report report_exchange::relay(const vm_report& summary, time_point now) const
 {
-    outgoing_report forwarded{summary, inner_addresses(m_vms.neighbours(now))};
+    outgoing_report forwarded{summary, inner_addresses(m_vms.neighbours(now), summary.sequence)};
     forwarded.report.summary->relayed = true;
     return forwarded;
 }
@@ -369,7 +371,7 @@
         const auto silent = m_vms.silent_neighbours(now);
         out.push_back({state, {silent.begin(), silent.end()}});
     }
-    out.push_back({std::move(state), inner_addresses(neighbours)});
+    out.push_back({std::move(state), inner_addresses(neighbours, m_sequence)});
     return out;
 }
 
@@ -387,7 +389,7 @@
     m_last_report = state;
     m_last_report_at = now;
     m_last_report.changes.reset();
-    return {std::move(state), inner_addresses(m_vms.neighbours(now))};
+    return {std::move(state), inner_addresses(m_vms.neighbours(now), m_sequence)};
 }
 
 std::vector<endpoint> report_exchange::summary_sender_candidates(time_point now) const
--- a/src/process/deployment/tests/report_exchange_test.cpp
+++ b/src/process/deployment/tests/report_exchange_test.cpp
@@ -641,3 +641,50 @@
     CHECK(age_in_summary(300ms) == 150ms);
     CHECK(age_in_summary({}) == 150ms);
 }
+
+// A full link dropped the last datagrams of each burst, always those to the same VMs: they knew too few
+// neighbours.
+TEST_CASE("each neighbour is the first to get a report in its turn")
+{
+    const data_centre_name here("riga-a");
+    const region_name riga("riga");
+    report_exchange exchange(
+        vm_identity{vm_name("self"), {1}, riga, here, {"10.0.0.1", 80}, {"10.0.0.1", 7'000}, 1, 0},
+        {{here, riga}});
+    const time_point now{1'000s};
+    constexpr std::size_t neighbours = 5;
+    for (std::size_t number = 0; number < neighbours; ++number) {
+        vm_report report;
+        report.vm = vm_name("vm-" + std::to_string(number));
+        report.process = {1};
+        report.sequence = 1;
+        report.region = riga;
+        report.data_centre = here;
+        report.inner = {"10.0.0." + std::to_string(10 + number), 7'000};
+        (void)exchange.receive(report, now);
+    }
+
+    SECTION("of regular reports")
+    {
+        std::map<endpoint, std::size_t> first;
+        std::map<endpoint, std::size_t> last;
+        for (std::size_t round = 0; round < 2 * neighbours; ++round) {
+            const auto receivers = exchange.report({}, now).back().receivers;
+            REQUIRE(receivers.size() == neighbours);
+            first[receivers.front()] += 1;
+            last[receivers.back()] += 1;
+        }
+        CHECK(first.size() == neighbours);
+        CHECK(last.size() == neighbours);
+    }
+    SECTION("of changes of the store")
+    {
+        std::set<endpoint> first;
+        for (std::size_t round = 0; round < neighbours; ++round) {
+            const auto receivers = exchange.announce({}, now).receivers;
+            REQUIRE(receivers.size() == neighbours);
+            first.insert(receivers.front());
+        }
+        CHECK(first.size() == neighbours);
+    }
+}
