A listener's own limit of connections is a connection_limit too

The listener counted its connections and closed one that waits for a request by code of its own, beside connection_limit, which does both for listeners that share a limit. Each listener now has a list of limits, its own first; what happens when one is exceeded is one piece of code. No change of behaviour: the limits are looked at in the same order.

--- a/include/cardamomstream/connection/connection_limit.h
+++ b/include/cardamomstream/connection/connection_limit.h
@@ -1,4 +1,4 @@
-/// Limit on the connections that several listeners have open together.
+/// Limit on the connections that one or several listeners have open.
 #pragma once
 
 #include "cardamomstream/core/boot_clock.h"
@@ -18,8 +18,8 @@
     std::function<void()> close;
 };
 
-/// Counts the connections of listeners that share the descriptors of a process. All of them run on one
-/// traffic group, and are added before the first connection is. The counts are thread safe.
+/// Counts the connections of listeners. All of them run on one traffic group, and are added before the first
+/// connection is. The counts are thread safe.
 class connection_limit {
 public:
     /// Returns the connection of a listener that is the first to be closed; called on the thread with the
@@ -36,6 +36,7 @@
     /// Counts a connection. False when it is one too many; it counts all the same.
     bool add() noexcept { return ++m_open <= m_max_connections; }
     void remove() noexcept { --m_open; }
+    std::size_t open() const noexcept { return m_open; }
 
     /// Closes the connection of all listeners, on this thread, that began first among those that may be
     /// closed. False when there is none. Call on that thread.
--- a/src/connection/http/http_server.cpp
+++ b/src/connection/http/http_server.cpp
@@ -50,10 +50,12 @@
         : threads(traffic)
         , sessions(threads.size())
         , acceptor(threads.front().io())
-        , shared_limit(std::move(connections))
+        , connection_limits{std::make_shared<connection_limit>(limits.max_connections)}
     {
+        if (connections) {
+            connection_limits.push_back(std::move(connections));
+        }
         context->limits = std::make_shared<const http_limits>(limits);
-        context->max_connections = limits.max_connections;
         context->read_memory = std::make_shared<memory_limit>(limits.max_buffered_bytes);
         context->bodies = bodies ? std::move(bodies) : own_body_memory(limits);
         context->handler = std::move(handler);
@@ -68,9 +70,8 @@
     /// The session of a thread that has waited longest for the head of its first request. Null when there is
     /// none that may be closed for another connection.
     http_session* longest_without_request(std::size_t thread) const;
-    bool close_without_request(std::size_t thread);
 
-    /// Lets connections of this listener make room for those of others that share the limit.
+    /// Lets connections of this listener make room for others, under each of its limits.
     void make_replaceable();
 
     /// Calls `visit` with each session, on the session's thread.
@@ -82,8 +83,7 @@
     tcp::acceptor acceptor;
     std::size_t next_thread = 0; ///< of the next session
     std::shared_ptr<session_context> context = std::make_shared<session_context>();
-    std::shared_ptr<connection_limit> shared_limit; ///< may be null
-    std::atomic<std::size_t> open = 0;
+    std::vector<std::shared_ptr<connection_limit>> connection_limits; ///< the own one first
     std::atomic<bool> accepting = false;
 };
 
@@ -166,17 +166,17 @@
         return;
     }
     auto session = std::make_shared<http_session>(std::move(socket), thread, context);
-    const bool beyond_own_limit = ++open > context->max_connections;
-    const bool beyond_shared_limit = shared_limit && !shared_limit->add();
+    connection_limit* exceeded = nullptr;
+    for (const auto& limit : connection_limits) {
+        if (!limit->add() && exceeded == nullptr) {
+            exceeded = limit.get();
+        }
+    }
     boost::asio::dispatch(threads[thread].io(), [self = shared_from_this(), session, thread] {
         self->sessions[thread].insert(session);
     });
-    threads[thread].spawn([self = shared_from_this(), session, thread, beyond_own_limit,
-                           beyond_shared_limit] {
-        const bool has_room = beyond_own_limit
-                                  ? self->close_without_request(thread)
-                                  : !beyond_shared_limit || self->shared_limit->close_one(thread);
-        if (!has_room) {
+    threads[thread].spawn([self = shared_from_this(), session, thread, exceeded] {
+        if (exceeded != nullptr && !exceeded->close_one(thread)) {
             (void)session->send(error_response(
                 {error_kind::too_many_connections, "this VM has too many open connections",
                  "try again, or another VM of GET /v1/entry", run_outcome::not_run, std::chrono::seconds{1}},
@@ -187,9 +187,8 @@
             session->close();
         }
         self->sessions[thread].erase(session);
-        --self->open;
-        if (self->shared_limit) {
-            self->shared_limit->remove();
+        for (const auto& limit : self->connection_limits) {
+            limit->remove();
         }
     });
 }
@@ -211,25 +210,18 @@
     return longest;
 }
 
-bool http_server::state::close_without_request(std::size_t thread)
-{
-    auto* session = longest_without_request(thread);
-    if (session != nullptr) {
-        session->close();
-    }
-    return session != nullptr;
-}
-
 void http_server::state::make_replaceable()
 {
-    shared_limit->add_listener([weak = weak_from_this()](std::size_t thread) {
-        std::optional<replaceable_connection> found;
-        const auto self = weak.lock();
-        if (auto* session = self ? self->longest_without_request(thread) : nullptr) {
-            found = {session->began_at(), [session = session->shared_from_this()] { session->close(); }};
-        }
-        return found;
-    });
+    for (const auto& limit : connection_limits) {
+        limit->add_listener([weak = weak_from_this()](std::size_t thread) {
+            std::optional<replaceable_connection> found;
+            const auto self = weak.lock();
+            if (auto* session = self ? self->longest_without_request(thread) : nullptr) {
+                found = {session->began_at(), [session = session->shared_from_this()] { session->close(); }};
+            }
+            return found;
+        });
+    }
 }
 
 template <class Visitor>
@@ -249,9 +241,7 @@
     : m_state(std::make_shared<state>(threads, limits, std::move(handler), std::move(bodies),
                                       std::move(connections)))
 {
-    if (m_state->shared_limit) {
-        m_state->make_replaceable();
-    }
+    m_state->make_replaceable();
 }
 
 http_server::~http_server()
@@ -319,7 +309,7 @@
 
 std::size_t http_server::open_connections() const
 {
-    return m_state->open;
+    return m_state->connection_limits.front()->open();
 }
 
 } // namespace cardamomstream
--- a/src/connection/http/http_session.h
+++ b/src/connection/http/http_session.h
@@ -22,7 +22,6 @@
 /// What all sessions of one listener share.
 struct session_context {
     std::atomic<std::shared_ptr<const http_limits>> limits;
-    std::size_t max_connections = 0;
     request_handler handler;
     std::function<void(std::string_view reason)> on_unserved; ///< may be empty
     std::shared_ptr<memory_limit> read_memory;                ///< of all sessions
