--- a/include/cardamomstream/process/deployment/node_settings.h
+++ b/include/cardamomstream/process/deployment/node_settings.h
@@ -20,12 +20,14 @@
     double retry_extra = 0; ///< additional sends allowed on top of these in each `retry_window`
     std::chrono::milliseconds retry_window{10'000};
     std::chrono::milliseconds change_time{4'000}; ///< within which a change by the operator is in force
+    double cold_factor = 1;                       ///< a cold upstream may get its published rate times this
+    double cold_slack = 0;                        ///< requests per second on top of that
+
     /// Reports of other regions and answers of a slow store may take as long, whatever `change_time` is.
     static constexpr std::chrono::milliseconds min_plan_trust_time{2'000};
-    double cold_factor = 1; ///< a cold upstream may get its published rate times this
+
     /// For so long the homes in a plan are trusted that nobody confirms.
     std::chrono::milliseconds plan_trust_time() const { return std::max(change_time, min_plan_trust_time); }
-    double cold_slack = 0; ///< requests per second on top of that
 };
 
 struct node_settings {
