--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -246,7 +246,7 @@
 
 bool node_control::receives_in_time(time_point now) const
 {
-    return now >= m_drained_at && now - m_tended_at < vm_alive_timeout;
+    return now >= m_drained_at && !m_pulse.is_stale(now);
 }
 
 void node_control::confirm_plan(time_point now)
@@ -491,10 +491,10 @@
     while (true) {
         boost::this_fiber::sleep_for(m_exchange.interval());
         const auto now = boot_clock::now();
-        if (now - m_tended_at >= vm_alive_timeout) {
+        if (m_pulse.is_stale(now)) {
             m_drained_at = now + drain_time;
         }
-        m_tended_at = now;
+        m_pulse.beat(now);
         m_exchange.expire(now);
         choose_reader(now);
         confirm_plan(now);
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -5,6 +5,7 @@
 #include "store_follower.h"
 
 #include "cardamomstream/connection/traffic_thread.h"
+#include "cardamomstream/process/control_pulse.h"
 #include "cardamomstream/process/deployment/plan_confirmation.h"
 #include "cardamomstream/process/deployment/report_exchange.h"
 #include "cardamomstream/process/deployment/reported_ends.h"
@@ -104,9 +105,9 @@
     plan_confirmation m_plan_confirmation;
     bool m_confirming_plan = false;
     time_point m_plan_asked_at;
-    bool m_plan_unconfirmed = false; ///< for longer than it is trusted; for the log
-    time_point m_tended_at;          ///< the last round of `report_periodically`
-    time_point m_drained_at;         ///< of datagrams that came while the process stood still
+    bool m_plan_unconfirmed = false;         ///< for longer than it is trusted; for the log
+    control_pulse m_pulse{vm_alive_timeout}; ///< of `report_periodically`
+    time_point m_drained_at;                 ///< of datagrams that came while the process stood still
     boost::asio::ip::udp::socket m_socket;
     time_point m_reported_at;
     bool m_early_report_waits = false; ///< a fiber makes it once the least interval is over
