What a report confirms is decided in plan_confirmation, and tested there

Moved as it was; new tests of what confirms a plan and what doesn't. plan_version() was written three times.

--- a/include/cardamomstream/process/deployment/plan_confirmation.h
+++ b/include/cardamomstream/process/deployment/plan_confirmation.h
@@ -3,6 +3,7 @@
 
 #include "cardamomstream/core/boot_clock.h"
 #include "cardamomstream/core/core_types.h"
+#include "cardamomstream/process/deployment/deployment_types.h"
 
 #include <map>
 #include <set>
@@ -22,6 +23,10 @@
     {
     }
 
+    /// Takes from another VM's report what confirms `plan`, the version of this VM's plan, or 0. `known`: up
+    /// to where this VM knows the operator's entries.
+    void record_report(const vm_report& report, version_number plan, store_position known, time_point now);
+
     /// The store's answer showed that nothing newer was published up to then.
     void record_store_answer(time_point at);
 
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -222,28 +222,6 @@
     m_upstream_entries.record_peer(report.known_changes[1], reading_of(1), now);
 }
 
-void node_control::record_confirmation(const vm_report& report, time_point now)
-{
-    constexpr auto part = static_cast<std::size_t>(store_part::operators);
-    if (report.known_changes.size() != store_part_count ||
-        m_operator_entries.read_up_to() < report.known_changes[part] || !receives_in_time(now)) {
-        return;
-    }
-    if (report.store_answer_age) {
-        m_plan_confirmation.record_store_answer(now - *report.store_answer_age);
-    }
-    if (!report.summary) {
-        return;
-    }
-    const auto& members = report.summary->members;
-    if (std::none_of(members.begin(), members.end(), [](const vm_member& vm) { return vm.ready; })) {
-        m_plan_confirmation.forget_data_centre(report.data_centre);
-    }
-    else if (m_plan.get() && report.plan_version == m_plan.get()->version()) {
-        m_plan_confirmation.record_data_centre(report.data_centre, report.region, now);
-    }
-}
-
 bool node_control::receives_in_time(time_point now) const
 {
     return now >= m_drained_at && !m_pulse.is_stale(now);
@@ -274,9 +252,9 @@
     const auto age = std::chrono::floor<std::chrono::milliseconds>(now - confirmed_at);
     const bool unconfirmed = age >= m_settings.bounds.plan_trust_time();
     if (std::exchange(m_plan_unconfirmed, unconfirmed) != unconfirmed) {
-        m_log.write(log_weight::state, unconfirmed ? "plan_unconfirmed" : "plan_confirmed",
-                    {{"version", static_cast<std::int64_t>(m_plan.get()->version())},
-                     {"age_ms", std::int64_t{age.count()}}});
+        m_log.write(
+            log_weight::state, unconfirmed ? "plan_unconfirmed" : "plan_confirmed",
+            {{"version", static_cast<std::int64_t>(plan_version())}, {"age_ms", std::int64_t{age.count()}}});
     }
 }
 
@@ -470,7 +448,10 @@
         if (!received.is_new) {
             continue;
         }
-        record_confirmation(report.value(), now);
+        if (receives_in_time(now)) {
+            m_plan_confirmation.record_report(report.value(), plan_version(), m_operator_entries.read_up_to(),
+                                              now);
+        }
         // Loads on the upstreams of this region are placed on at once.
         const bool new_end = m_reported_ends.record(report.value().upstream_ends, now);
         if (report.value().region == m_settings.region &&
@@ -602,7 +583,7 @@
     vm_report report;
     report.ready = m_plan.get() != nullptr && !m_leaving;
     report.leaving = m_leaving;
-    report.plan_version = m_plan.get() ? m_plan.get()->version() : 0;
+    report.plan_version = plan_version();
     report.known_changes = {m_operator_entries.newest_change(), m_upstream_entries.newest_change()};
     report.ranks_readers_by_capacity = true;
     report.reads_store = m_operator_entries.answered() && m_upstream_entries.answered();
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -75,7 +75,8 @@
     void report_from_traffic();
     void report_here();
     void confirm_upstreams();
-    void record_confirmation(const vm_report& report, time_point now);
+    /// Of the plan in force; 0 before the first.
+    version_number plan_version() const { return m_plan.get() ? m_plan.get()->version() : 0; }
     /// False after the process stood still: datagrams of that time are read as if they came now.
     bool receives_in_time(time_point now) const;
     /// Asks the store whether the plan is the newest, when neither it nor the other regions have confirmed
