Review case 9: a machine that the store turns away never hears of an evacuation that its neighbours know

Cause: only a machine that already reads for others announces what it has read; one that asked for itself and takes over later announces nothing of it.

--- a/review/lib-2/stage.py
+++ b/review/lib-2/stage.py
@@ -33,9 +33,15 @@
 class Store:
     """`op/config`, `servers/ID`: reads, lists and watches, as the PROTOCOL page has them."""
 
-    def __init__(self, address):
+    def __init__(self):
         self.items, self.events, self.revision = {}, [], 100
         self.changed = threading.Condition()
+        self.turned_away = set()  # names of machines whose calls get no response
+        self.watches = []  # (when, machine, prefix) of each watch that came
+        self.servers = []
+
+    def listen(self, address, machine):
+        """One address for each machine, all of the same store, so that some machines can be turned away."""
         store = self
 
         class Handler(http.server.BaseHTTPRequestHandler):
@@ -45,7 +51,12 @@
             def do_GET(self):
                 url = urllib.parse.urlsplit(self.path)
                 query = dict(urllib.parse.parse_qsl(url.query))
+                if url.path.endswith("kv-watch"):
+                    store.watches.append((time.monotonic(), machine, query["PathPrefix"]))
                 status, body = store.read(url.path, query)
+                if machine in store.turned_away:
+                    time.sleep(60)  # no response; the thread ends with the case
+                    return
                 data = json.dumps(body).encode()
                 self.send_response(status)
                 self.send_header("Content-Type", "application/json")
@@ -64,9 +75,18 @@
             def handle_error(self, request, client_address):
                 pass
 
-        self.server = Server((address, 0), Handler)
-        self.address = f"{address}:{self.server.server_address[1]}"
-        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+        server = Server((address, 0), Handler)
+        self.servers.append(server)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return f"{address}:{server.server_address[1]}"
+
+    def reader_of(self, machines, since):
+        """The machine that has watched both prefixes lately, of these; None without one."""
+        watched = {(machine, prefix) for at, machine, prefix in self.watches if at >= since}
+        for machine in machines:
+            if {(machine, "op/"), (machine, "servers/")} <= watched:
+                return machine
+        return None
 
     def read(self, path, query):
         with self.changed:
@@ -137,7 +157,7 @@
 class Stage:
     """Everything that a case starts; `close` ends it."""
 
-    def __init__(self, zones, machines_in_zone=1):
+    def __init__(self, zones, machines_in_zone=1, machines=None):
         if not os.access(GATEWAY, os.X_OK):
             raise CouldNotRun("the program isn't built: run the build line of deploy/system.toml")
         self.folder = tempfile.mkdtemp(prefix="review-")
@@ -145,13 +165,16 @@
         self.started = time.monotonic()
         self.net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.hosts = iter(range(1, 250))
-        self.store = Store(self.address())
+        self.store = Store()
+        store_ip = self.address()
         self.zones = zones
         self.gateways = []
-        ips = [(zone, self.address()) for zone in zones for _ in range(machines_in_zone)]
+        ips = [(zone, self.address()) for zone in zones for _ in range((machines or {}).get(zone, machines_in_zone))]
         ports = {name: free_port(*[ip for _, ip in ips]) for name in ("Front", "Readiness", "Control", "Directory", "Inner")}
         for number, (zone, ip) in enumerate(ips):
-            self.gateways.append(Gateway(self, f"front-{zone}-{number + 1}", zone, ip, ports, [i for _, i in ips]))
+            name = f"front-{zone}-{number + 1}"
+            self.gateways.append(Gateway(self, name, zone, ip, ports, [i for _, i in ips],
+                                         self.store.listen(store_ip, name)))
 
     def address(self):
         return f"{self.net}.{next(self.hosts)}"
@@ -188,7 +211,8 @@
                 process.kill()
         for process in self.processes:
             process.wait()
-        self.store.server.shutdown()
+        for server in self.store.servers:
+            server.shutdown()
         if os.environ.get("KEEP"):
             print("kept:", self.folder)
         else:
@@ -196,7 +220,7 @@
 
 
 class Gateway:
-    def __init__(self, stage, name, zone, ip, ports, seeds):
+    def __init__(self, stage, name, zone, ip, ports, seeds, store):
         self.stage, self.name, self.zone, self.ip, self.ports = stage, name, zone, ip, ports
         self.front = (ip, ports["Front"])
         self.settings = os.path.join(stage.folder, f"{name}.toml")
@@ -264,7 +288,7 @@
 RetryAfterS = 10
 ttl_max_s = 5
 [Provider]
-Address = "{stage.store.address}"
+Address = "{store}"
 form = "read"
 WritesPerS = 400
 ReadsPerS = 2000
--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -2,7 +2,9 @@
 
 Usage: worker.py SPEC, SPEC being a JSON object: id, address, port, version, slots, log, and the faults that the case
 asks for (`cut_inside_event`: the first run of a stream stops inside its event of that number, with its last chunk;
-`crash_after_ms`: the process kills itself so long after the first stream has begun).
+`crash_after_ms`: the process kills itself so long after the first stream has begun; `cold_from`, `cold_s`, `falls_at`:
+from that second of the system's steady clock on, for so long, it is cold, and falls over at so many requests in one
+second).
 
 What a request gets is asked for in its path:
   /.../plain/PIECES/GAP_MS/FRAME     a body of PIECES pieces of 100 bytes, one every GAP_MS
@@ -81,6 +83,21 @@
     os.kill(os.getpid(), signal.SIGKILL)
 
 
+COLD = []  # times of the requests that came while it was cold
+
+
+def count_cold():
+    now = time.monotonic()
+    if not 0 <= now - SPEC.get("cold_from", 1e18) < SPEC.get("cold_s", 0):
+        return
+    with LOCK:
+        COLD.append(now)
+        lately = sum(now - at < 1 for at in COLD)
+    if lately >= SPEC["falls_at"]:
+        note(what="falls", requests=lately)
+        os.kill(os.getpid(), signal.SIGKILL)
+
+
 def run(channel, method, target, headers, body):
     """Answers one request. False when the connection ends with it."""
     global RUNNING, FIRST_STREAM
@@ -103,6 +120,8 @@
         parts = [piece(number, attempt) for number in range(1, count + 1)]
     whole = b"".join(parts)
     digest = hashlib.sha256(whole).hexdigest()[:8]
+    note(what="arrival", attempt=attempt, steady=time.monotonic())
+    count_cold()
     SLOTS.acquire()
     note(what="run", attempt=attempt, method=method, target=target, body=hashlib.sha256(body).hexdigest()[:8],
          tenant=headers.get("x-tenant", ""), resumed_after=headers.get("last-event-id", ""), whole=digest,
