--- a/review/lib-2/stage.py
+++ b/review/lib-2/stage.py
@@ -448,6 +448,7 @@
 
 def main(case, folder):
     """Runs `case(trouble, note)`, which returns the broken rules as lines, and writes `record.txt` into the folder."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # what was started is ended all the same
     trouble = os.environ.get("TROUBLE", "1") != "0"
     stage = []
     verdict, result = COULD_NOT_RUN, []
