--- a/review/7/case.py
+++ b/review/7/case.py
@@ -9,6 +9,8 @@
 import stage as s  # noqa: E402
 
 EVENTS, CUT_INSIDE = 10, 5
+CUT_EVERY = 34  # 0.029 of the answers of one of two workers; `garble`: x up to 0.03, share up to 0.6
+PER_S, FOR_S = 80, 5.0
 ROUTES = {"resumable": "/chat/", "not resumable": "/note/"}
 
 
@@ -19,7 +21,7 @@
         s.route("r-chat", "/chat/", "streaming", "assistant", Resumable=True),
         s.route("r-note", "/note/", "streaming", "assistant"),
     ], [s.service("assistant")]))
-    faults = {"cut_inside_event": CUT_INSIDE} if trouble else {}
+    faults = {"cut_every": CUT_EVERY, "cut_inside_event": CUT_INSIDE} if trouble else {}
     s.Worker(stage, "i-a1", "assistant", "kingston-a", stage.address(), **faults).register()
     s.Worker(stage, "i-a2", "assistant", "kingston-a", stage.address()).register()
     stage.start_gateways()
@@ -28,21 +30,27 @@
     def ask(kind, number):
         gateway = stage.gateways[number % 2]
         attempt = s.attempt_id()
-        answer = s.call(gateway.front, "POST", f"{ROUTES[kind]}events/{EVENTS}/50/chunked", attempt, b"why", 12000,
+        answer = s.call(gateway.front, "POST", f"{ROUTES[kind]}events/{EVENTS}/20/chunked", attempt, b"why", 12000,
                         X_Model="m", X_Token_Usage="600,40")
         stage.note(f"client of {attempt} ({kind}, at {gateway.name}): {answer.status}, "
                    f"{'last chunk came' if answer.complete else 'broken off: ' + answer.error}, last event "
                    f"{answer.events()[-1:]}")
         return kind, attempt, answer
 
-    with concurrent.futures.ThreadPoolExecutor(24) as pool:
-        asked = [pool.submit(ask, kind, n) for n in range(12) for kind in ROUTES]
+    with concurrent.futures.ThreadPoolExecutor(60) as pool:
+        asked = []
+        for number in range(int(PER_S * FOR_S)):
+            asked.append(pool.submit(ask, list(ROUTES)[number // 2 % 2], number))
+            time.sleep(1 / PER_S)
         got = [one.result() for one in asked]
 
     ran = [line for line in stage.runs() if line["what"] in ("run", "cut")]
     for line in ran:
         stage.note(f"{line['worker']} {'runs' if line['what'] == 'run' else 'stops in the middle of an event of'} "
-                   f"{line['attempt']}" + (f", after event '{line['resumed_after']}'" if line["what"] == "run" else ""))
+                   f"{line['attempt']}" + (f", after event '{line['resumed_after']}'" if line["what"] == "run" else ""), line["at"])
+    begun = sum(line["what"] == "run" and line["worker"] == "i-a1" and not line["resumed_after"] for line in ran)
+    cuts = sum(line["what"] == "cut" for line in ran)
+    stage.note(f"i-a1 has begun {begun} of {len(asked)} streams and broken off {cuts}")
     if not ran or trouble and not any(line["what"] == "cut" for line in ran):
         raise s.CouldNotRun("no worker has stopped inside an event")
     broken = []
--- a/review/lib-2/stage.py
+++ b/review/lib-2/stage.py
@@ -146,8 +146,8 @@
         self.sequence += 1
         self.stage.store.put(f"servers/{self.name}", {
             "Service": self.service, "Address": f"{self.address}:{self.port}", "Zone": self.zone,
-            "Version": self.version, "Concurrency": self.slots, "State": state, "WarmupMs": 0,
-            "Sequence": self.sequence, "born": self.born, **more})
+            "Version": self.version, "Concurrency": self.slots, "State": state,
+            "Sequence": self.sequence, "born": self.born, "WarmupMs": 0, **more})
 
     def kill(self):
         self.process.kill()
@@ -162,7 +162,7 @@
             raise CouldNotRun("the program isn't built: run the build line of deploy/system.toml")
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.processes, self.lines, self.lock = [], [], threading.Lock()
-        self.started = time.monotonic()
+        self.started, self.started_unix = time.monotonic(), time.time()
         self.net = f"127.{random.randint(20, 250)}.{random.randint(1, 250)}"
         self.hosts = iter(range(1, 250))
         self.store = Store()
@@ -185,9 +185,11 @@
         self.processes.append(process)
         return process
 
-    def note(self, line):
+    def note(self, line, unix=None):
+        """A line for the record; `unix`: when it happened, if that wasn't now."""
+        at = time.monotonic() - self.started if unix is None else unix - self.started_unix
         with self.lock:
-            self.lines.append(f"{time.monotonic() - self.started:8.3f} s  {line}")
+            self.lines.append(f"{at:8.3f} s  {line}")
 
     def start_gateways(self):
         for gateway in self.gateways:
@@ -463,7 +465,7 @@
         with open(record, "w", encoding="utf-8") as file:
             file.write(f"disruption: {'yes' if trouble else 'no (TROUBLE=0)'}\n")
             for one in stage:
-                file.write("\n".join(one.lines) + "\n")
+                file.write("\n".join(sorted(one.lines)) + "\n")
             file.write("result: " + "\n        ".join(result) + "\n")
         for one in stage:
             one.close()
--- a/review/lib-2/worker.py
+++ b/review/lib-2/worker.py
@@ -1,7 +1,8 @@
 """A worker of the platform, as one process: speaks the HTTP/1.1 of the users' PROTOCOL page.
 
 Usage: worker.py SPEC, SPEC being a JSON object: id, address, port, version, slots, log, and the faults that the case
-asks for (`cut_inside_event`: the first run of a stream stops inside its event of that number, with its last chunk;
+asks for (`cut_every`, `cut_inside_event`: of so many streams that it begins, one stops inside its event of that number,
+with its last chunk;
 `crash_after_ms`: the process kills itself so long after the first stream has begun; `cold_from`, `cold_s`, `falls_at`:
 from that second of the system's steady clock on, for so long, it is cold, and falls over at so many requests in one
 second).
@@ -83,6 +84,7 @@
     os.kill(os.getpid(), signal.SIGKILL)
 
 
+BEGUN = 0  # streams, for `cut_every`
 COLD = []  # times of the requests that came while it was cold
 
 
@@ -100,10 +102,14 @@
 
 def run(channel, method, target, headers, body):
     """Answers one request. False when the connection ends with it."""
-    global RUNNING, FIRST_STREAM
+    global RUNNING, FIRST_STREAM, BEGUN
     attempt = headers.get("x-attempt-id", "")
     if target.startswith("/health"):
-        channel.answer_at_once(200, "OK", {"X-Instance-Id": SPEC["id"], "X-Server-Load": f"{RUNNING},0,{SPEC['slots']}"})
+        fields = {"X-Instance-Id": SPEC["id"], "X-Server-Load": f"{RUNNING},0,{SPEC['slots']}"}
+        left = SPEC.get("cold_from", 1e18) + SPEC.get("cold_s", 0) - time.monotonic()
+        if 0 < left <= SPEC.get("cold_s", 0):
+            fields["X-Cold-Ms"] = str(int(left * 1000))
+        channel.answer_at_once(200, "OK", fields)
         return True
     if headers.get("x-expect-instance", SPEC["id"]) != SPEC["id"]:
         note(what="other_instance", attempt=attempt)
@@ -144,9 +150,14 @@
         def send(data):
             channel.sock.sendall(b"%x\r\n%s\r\n" % (len(data), data) if frame == "chunked" else data)
 
+        cut = False
+        if kind == "events" and first == 1 and SPEC.get("cut_every"):
+            with LOCK:
+                BEGUN += 1
+                cut = BEGUN % SPEC["cut_every"] == 0
         for place, part in enumerate(parts):
             time.sleep(gap)
-            if kind == "events" and SPEC.get("cut_inside_event") == first + place and first == 1:
+            if cut and SPEC["cut_inside_event"] == first + place:
                 send(part[: len(part) // 2])
                 note(what="cut", attempt=attempt)
                 break
