A stream that ends inside an event is broken off, whatever frames its body

Callers got the half event and a complete answer, on resumable routes and on others.

Cause: whether a stream had come to its end was decided by the frame of its body. Only answers without a frame were checked; the splitter took the unfinished event of a first run for a complete one, and bytes of streams that can't be resumed weren't looked at. Ruled out: a hop losing a mark (it fails as the direct request does), the caller's framing layer (requests ended as answered).

Change: the end of a stream is that of its last event. Resumable: the half event is held back, and the stream goes on at another upstream; others are cut. The same for declared event streams on routes of plain answers, in the own interface, its hops, and the answers that it keeps for tickets. Log line stream_incomplete and a counter. A body that isn't declared to be events and has no field of one is passed on as before.

--- a/include/cardamomstream/request/gateway/answer_use.h
+++ b/include/cardamomstream/request/gateway/answer_use.h
@@ -8,6 +8,8 @@
 
 namespace cardamomstream {
 
+inline constexpr unsigned first_redirection = 300; ///< answers below it are successes
+
 enum class answer_use : std::uint8_t {
     plain,  ///< one answer, complete or not at all
     stream, ///< events, passed on as they come
--- a/include/cardamomstream/request/gateway/event_splitter.h
+++ b/include/cardamomstream/request/gateway/event_splitter.h
@@ -14,7 +14,7 @@
     without_id,       ///< an event of a resumed stream has no id
     not_after_last,   ///< its id doesn't come after that of the last event
     foreign_text,     ///< text that is no event
-    incomplete_event, ///< a resumed stream ended inside an event
+    incomplete_event, ///< the stream ended inside an event
 };
 
 std::string_view to_text(event_fault fault);
@@ -36,8 +36,13 @@
     /// there are none. After a fault it returns nothing until the next run.
     std::string feed(std::string_view bytes);
 
-    /// Returns the bytes after the last complete event of a run that has ended in order. May set the fault.
-    std::string finish();
+    /// Returns the rest of a run whose body has ended: empty lines, or text that is no event. A run that ends
+    /// inside an event has been broken off, whatever frames its body: sets the fault `incomplete_event`.
+    /// `declared`: its content type is that of events.
+    std::string finish(bool declared);
+
+    /// True when a run whose body has ended there ended inside an event.
+    bool ends_inside_event(bool declared) const;
 
     /// Returns the bytes as they are; only notes whether they end an event.
     std::string pass_over(std::string bytes);
@@ -71,6 +76,9 @@
 private:
     struct event_content;
 
+    void scan_fields(std::string_view bytes);
+    /// True when the bytes of this run are, or may be, events.
+    bool has_events() const;
     static event_content read_event(std::string_view event);
     std::string accept(std::string_view event);
     event_fault check(const event_content& content);
@@ -85,6 +93,12 @@
     bool m_continuable = true;
     bool m_line_empty = true;
     bool m_after_cr = false;
+    std::string m_field_name; ///< of the line that isn't complete, or the beginning of it
+    bool m_in_value = false;  ///< behind the colon of that line
+    bool m_has_event_field = false;
 };
 
+/// True for a stream of server-sent events that doesn't end with the empty line that completes an event.
+bool ends_inside_event(std::string_view body);
+
 } // namespace cardamomstream
--- a/include/cardamomstream/request/gateway/gateway_metrics.h
+++ b/include/cardamomstream/request/gateway/gateway_metrics.h
@@ -32,9 +32,10 @@
     counter_family<pool_name> repeats;            ///< sends of a request after the first
     /// Answers to the resumption of a begun stream, by what came of them.
     counter_family<pool_name, std::string> resumptions;
-    counter_family<pool_name> limit_statements; ///< changes of a limit that an upstream states
-    counter_family<pool_name> foreign_answers;  ///< that can't be shown to be to the request sent
-    counter_family<pool_name> upstream_ends;    ///< processes that ended while they answered
+    counter_family<pool_name> incomplete_streams; ///< that an upstream ended inside an event
+    counter_family<pool_name> limit_statements;   ///< changes of a limit that an upstream states
+    counter_family<pool_name> foreign_answers;    ///< that can't be shown to be to the request sent
+    counter_family<pool_name> upstream_ends;      ///< processes that ended while they answered
     /// Answers given up while their connection was open, by whether the caller had a part of them.
     counter_family<pool_name, std::string> runs_left;
     counter_family<pool_name> hedges; ///< second runs of idempotent calls whose upstream is silent
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -252,6 +252,7 @@
     std::string_view why_stream_ends() const;
     bool shows_orderly_end(const http_exchange& exchange) const;
     send_result end_broken_stream();
+    void note_incomplete_event(const placement& where);
     bool is_broken_end(const sent_request* sent, const placement& where);
     void set_framing(http_response_head& head) const;
     bool process_has_ended(const sent_request* sent, const placement& where);
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -203,6 +203,12 @@
         note_broken_end();
         return send_result::may_have_run;
     }
+    if (answer.head.status < first_redirection && is_declared_event_stream(exchange.head()) &&
+        ends_inside_event(answer.body)) {
+        note_incomplete_event(where);
+        m_last_failure = "the upstream's stream ended inside an event";
+        return send_result::may_have_run;
+    }
     note_completion(boot_clock::now());
     if (repeatable_failure) {
         m_last_failure = "the upstream failed with status " + std::to_string(answer.head.status);
@@ -240,7 +246,7 @@
     m_first_byte = elapsed();
     m_state.counters.first_byte.observe(m_first_byte, m_placing_request.service);
     const auto status = answer.head.status;
-    if (constexpr unsigned first_redirection = 300; status < first_redirection) {
+    if (status < first_redirection) {
         note_success(boot_clock::now());
     }
     if (!m_writer.send(answer)) {
@@ -393,13 +399,21 @@
 typename request_flow<Wire>::send_result
 request_flow<Wire>::end_stream(http_exchange& exchange, const sent_request* sent, const placement& where)
 {
+    const bool declared = is_declared_event_stream(exchange.head());
+    if (m_events.ends_inside_event(declared)) {
+        note_incomplete_event(where);
+    }
     if (m_unframed && is_broken_end(sent, where)) {
         note_broken_end();
         return end_broken_stream();
     }
-    const auto rest = m_route->resumable ? m_events.finish() : std::string{};
+    auto rest = m_events.finish(declared);
     if (m_events.fault() != event_fault::none) {
-        return reject_events(to_text(m_events.fault()));
+        (void)reject_events(to_text(m_events.fault()));
+        return end_broken_stream();
+    }
+    if (!m_route->resumable) {
+        rest.clear(); // has been passed on
     }
     if (!shows_orderly_end(exchange)) {
         return reject_events("no event, and an end that isn't shown");
@@ -415,6 +429,21 @@
     return send_result::answered;
 }
 
+/// Records that an upstream, or another VM, has ended the body of a stream inside an event.
+template <gateway_wire Wire>
+void request_flow<Wire>::note_incomplete_event(const placement& where)
+{
+    m_state.counters.incomplete_streams.increment(m_placing_request.service);
+    m_state.log.write(log_weight::failure, "stream_incomplete",
+                      {{"request", m_caller_request.id.str()},
+                       {"upstream", where.upstream.str()},
+                       {"address", where.address.str()},
+                       {"after", m_events.last_id()},
+                       {"unframed", std::int64_t{m_unframed ? 1 : 0}},
+                       {"resumable", std::int64_t{m_route->resumable ? 1 : 0}},
+                       {"send", std::int64_t{m_sends}}});
+}
+
 /// Ends the run of an upstream whose bytes don't go on after the events that the caller has.
 template <gateway_wire Wire>
 typename request_flow<Wire>::send_result request_flow<Wire>::reject_events(std::string_view reason)
--- a/src/request/gateway/answer_use.cpp
+++ b/src/request/gateway/answer_use.cpp
@@ -7,7 +7,6 @@
 namespace {
 
 constexpr unsigned ok = 200;
-constexpr unsigned first_redirection = 300;
 
 std::string_view media_type(const http_response_head& head)
 {
--- a/src/request/gateway/event_splitter.cpp
+++ b/src/request/gateway/event_splitter.cpp
@@ -13,6 +13,21 @@
 constexpr std::string_view digits = "0123456789";
 constexpr std::string_view id_field = "id";
 constexpr std::array<std::string_view, 3> unnumbered_fields{"data", "event", "retry"};
+constexpr std::size_t longest_field_name = 5;
+
+bool is_event_field(std::string_view name)
+{
+    return name == id_field ||
+           std::find(unnumbered_fields.begin(), unnumbered_fields.end(), name) != unnumbered_fields.end();
+}
+
+/// True for the beginning of a field's name.
+bool may_become_event_field(std::string_view text)
+{
+    return !text.empty() && (id_field.starts_with(text) ||
+                             std::any_of(unnumbered_fields.begin(), unnumbered_fields.end(),
+                                         [&](std::string_view field) { return field.starts_with(text); }));
+}
 
 /// True for a name as header fields have it.
 bool is_field_name(std::string_view text)
@@ -78,7 +93,7 @@
             id.remove_prefix(id.starts_with(' ') ? 1 : 0);
             return;
         }
-        if (std::find(unnumbered_fields.begin(), unnumbered_fields.end(), name) == unnumbered_fields.end()) {
+        if (!is_event_field(name)) {
             const bool is_field = has_colon && is_field_name(name);
             other_field = other_field || is_field;
             other_text = other_text || !is_field;
@@ -134,11 +149,38 @@
     m_run_continues = !m_last_id.empty();
     m_line_empty = true;
     m_after_cr = false;
+    m_field_name.clear();
+    m_in_value = false;
+    m_has_event_field = false;
+}
+
+/// Notes whether the bytes have a field of an event.
+void event_splitter::scan_fields(std::string_view bytes)
+{
+    for (const char byte : bytes) {
+        const bool ends_line = byte == '\r' || byte == '\n';
+        if (!m_in_value && (ends_line || byte == ':')) {
+            m_has_event_field = m_has_event_field || is_event_field(m_field_name);
+        }
+        else if (!m_in_value && m_field_name.size() <= longest_field_name) {
+            m_field_name.push_back(byte);
+        }
+        m_in_value = !ends_line && (m_in_value || byte == ':');
+        if (ends_line) {
+            m_field_name.clear();
+        }
+    }
+}
+
+bool event_splitter::has_events() const
+{
+    return m_has_event_field || (!m_in_value && may_become_event_field(m_field_name));
 }
 
 std::string event_splitter::feed(std::string_view bytes)
 {
     m_has_bytes = m_has_bytes || !bytes.empty();
+    scan_fields(bytes);
     std::string events;
     for (const char byte : bytes) {
         if (m_fault != event_fault::none) {
@@ -161,18 +203,23 @@
     return events;
 }
 
-std::string event_splitter::finish()
+std::string event_splitter::finish(bool declared)
 {
     if (m_fault != event_fault::none || at_event_end()) {
         return std::exchange(m_partial_event, {});
     }
-    if (m_run_continues) {
+    if (ends_inside_event(declared) || m_run_continues) {
         m_fault = event_fault::incomplete_event;
         return {};
     }
     return accept(m_partial_event);
 }
 
+bool event_splitter::ends_inside_event(bool declared) const
+{
+    return !at_event_end() && (declared || has_events());
+}
+
 std::string event_splitter::accept(std::string_view event)
 {
     const auto content = read_event(event);
@@ -222,12 +269,20 @@
 std::string event_splitter::pass_over(std::string bytes)
 {
     m_has_bytes = m_has_bytes || !bytes.empty();
+    scan_fields(bytes);
     constexpr std::size_t longest_blank_line = 3; // CRLF after the end of another line
     m_partial_event.append(bytes, bytes.size() - std::min(bytes.size(), longest_blank_line));
     m_partial_event.erase(0, m_partial_event.size() - std::min(m_partial_event.size(), longest_blank_line));
     return bytes;
 }
 
+bool ends_inside_event(std::string_view body)
+{
+    event_splitter events;
+    (void)events.pass_over(std::string(body));
+    return !events.at_event_end();
+}
+
 bool event_splitter::at_event_end() const noexcept
 {
     std::string_view rest = m_partial_event;
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -33,6 +33,9 @@
     , resumptions(m_registry, {"cardamomstream_gateway_stream_resumptions_total",
                                "Answers to the resumption of a begun stream, by outcome.",
                                {"service", "outcome"}})
+    , incomplete_streams(m_registry, {"cardamomstream_gateway_incomplete_streams_total",
+                                      "Streams that an upstream ended inside an event.",
+                                      {"service"}})
     , limit_statements(m_registry, {"cardamomstream_gateway_limit_statements_total",
                                     "Changes of a request limit that an upstream states.",
                                     {"service"}})
--- a/src/request/serving/answer_relay.cpp
+++ b/src/request/serving/answer_relay.cpp
@@ -4,9 +4,13 @@
 
 namespace cardamomstream {
 
-bool is_event_stream(const http_response_head& head)
+error incomplete_event_stream()
 {
-    return header_value(head.headers, "Content-Type").starts_with("text/event-stream");
+    return {error_kind::upstream_failed,
+            "the stream of the upstream ended inside an event",
+            "read the status before you submit again",
+            run_outcome::unknown,
+            {}};
 }
 
 void abort_stream(request_context& context, const error& reason)
--- a/src/request/serving/answer_relay.h
+++ b/src/request/serving/answer_relay.h
@@ -6,6 +6,7 @@
 #include "request_context.h"
 
 #include "cardamomstream/connection/http_client.h"
+#include "cardamomstream/request/gateway/answer_use.h"
 
 #include <concepts>
 #include <optional>
@@ -29,14 +30,15 @@
         } -> std::same_as<result<std::optional<std::string>>>;
 };
 
-/// Whether the response is a stream of server-sent events.
-bool is_event_stream(const http_response_head& head);
+/// Error for a stream whose body ended inside an event: it was broken off, whatever frames it.
+error incomplete_event_stream();
 
 /// Aborts a stream that cannot be completed: the caller receives the error as an event, unless the stream
 /// broke off inside an event, then the connection is closed without the final chunk.
 void abort_stream(request_context& context, const error& reason);
 
-/// Reads the rest of the body. Errors: those of the source, upstream_failed if the body is too large.
+/// Reads the rest of the body. Errors: those of the source, upstream_failed if the body is too large or is a
+/// stream that ends inside an event.
 template <response_source Source>
 result<std::string> read_body(Source& source)
 {
@@ -44,6 +46,11 @@
     while (true) {
         BOOST_OUTCOME_TRY(auto part, source.next());
         if (!part) {
+            const auto& head = source.head();
+            if (head.status < first_redirection && is_declared_event_stream(head) &&
+                ends_inside_event(body)) {
+                return incomplete_event_stream();
+            }
             return body;
         }
         body += *part;
@@ -58,7 +65,8 @@
 }
 
 /// Relays a stream part by part until the source ends it. Errors: those of the source and the writer,
-/// upstream_failed if `max_tokens` is not 0 and the stream exceeds it, upstream_timeout after the deadline,
+/// upstream_failed if `max_tokens` is not 0 and the stream exceeds it or if it ends inside an event,
+/// upstream_timeout after the deadline,
 /// stale_version, cancelled if the key was withdrawn.
 template <response_source Source>
 result<void> relay_stream(request_context& context, Source& source, answer_meter& meter,
@@ -91,6 +99,9 @@
         }
         BOOST_OUTCOME_TRY(context.writer.write_chunk(context.relayed.pass_over(std::move(*part))));
     }
+    if (!context.relayed.at_event_end()) {
+        return incomplete_event_stream();
+    }
     return context.writer.end_stream();
 }
 
--- a/src/request/serving/attempt_runner.cpp
+++ b/src/request/serving/attempt_runner.cpp
@@ -54,8 +54,8 @@
     return fields;
 }
 
-/// Response of an upstream. One with neither length nor chunks is known to be incomplete when it ends inside
-/// an event, or when the upstream's process has ended.
+/// Response of an upstream. One with neither length nor chunks is known to be incomplete when it is a stream
+/// without an event, or when the upstream's process has ended.
 class upstream_response {
 public:
     upstream_response(std::unique_ptr<http_exchange> exchange, http_client& client, endpoint address)
@@ -71,11 +71,11 @@
     {
         BOOST_OUTCOME_TRY(auto part, m_exchange->next());
         if (part) {
-            return std::optional<std::string>(m_events.pass_over(std::move(*part)));
+            m_has_bytes = m_has_bytes || !part->empty();
+            return part;
         }
-        const bool broken_stream =
-            is_event_stream(head()) && (!m_events.at_event_end() || !m_events.has_bytes());
-        if (head().ends_with_connection && (broken_stream || upstream_probe(m_client).has_ended(m_address))) {
+        const bool empty_stream = is_declared_event_stream(head()) && !m_has_bytes;
+        if (head().ends_with_connection && (empty_stream || upstream_probe(m_client).has_ended(m_address))) {
             return error{error_kind::upstream_failed,
                          "the connection to the upstream broke: an answer without length was broken off",
                          "read the status before you submit again",
@@ -89,7 +89,7 @@
     std::unique_ptr<http_exchange> m_exchange;
     http_client& m_client;
     endpoint m_address;
-    event_splitter m_events;
+    bool m_has_bytes = false;
 };
 
 /// Response of another VM, read from its forward stream.
@@ -294,7 +294,7 @@
                      run_outcome::unknown,
                      {}};
     }
-    if (is_event_stream(head)) {
+    if (is_declared_event_stream(head)) {
         BOOST_OUTCOME_TRY(relay_stream(m_context, source, m_meter, m_work.max_tokens));
         return attempt_result{head.status, {}, {}};
     }
--- a/standins/fault_control.h
+++ b/standins/fault_control.h
@@ -16,6 +16,7 @@
     close_after_head,         ///< sends the head and a part of the body, then closes
     hang_without_length,      ///< sends a head without length and a part of the body, then nothing
     close_inside_event,       ///< sends an event of a stream and half of the next one, then closes
+    end_inside_event,         ///< the same, with the last chunk
     slow_chunks,              ///< waits before each chunk
     split_chunks,             ///< cuts each event into small pieces
     error500,                 ///< answers with status 500
--- a/tests/integration/upstream_answer_test.cpp
+++ b/tests/integration/upstream_answer_test.cpp
@@ -41,6 +41,34 @@
     CHECK_FALSE(spoiled);
 }
 
+TEST_CASE("a stream that an upstream ends inside an event, with its last chunk, never looks whole")
+{
+    const auto ends_in_order = [](const fleet& vms, const std::string& key) {
+        http_caller caller(vms.entry("riga-a"), answer_limit);
+        REQUIRE(caller.begin(chat_call(key, "ledger", 5, true)));
+        auto event = caller.next_event();
+        REQUIRE(event);
+        while (event && event.value()) {
+            event = caller.next_event();
+        }
+        return event.has_value();
+    };
+    SECTION("at the VM that its caller asks")
+    {
+        const fleet vms(one_region(programs(), 1));
+        CHECK(ends_in_order(vms, keys::carrier));
+        vms.set_upstream_fault("riga-w1", "kind=end_inside_event");
+        CHECK_FALSE(ends_in_order(vms, keys::carrier));
+    }
+    SECTION("over a hop")
+    {
+        const fleet vms(two_regions(programs()));
+        CHECK(ends_in_order(vms, keys::bound));
+        vms.set_upstream_fault("kurzeme-w1", "kind=end_inside_event");
+        CHECK_FALSE(ends_in_order(vms, keys::bound));
+    }
+}
+
 TEST_CASE("an answer without length whose upstream was killed never looks whole")
 {
     fleet fleet(one_region(programs(), 1));
