VMs that start, or stop, let the fleet keep what it knows of streams' origins

Streams that the second stop cuts are refused by the first one, with 503 stream_not_resumable, until their callers' time is up, while one software version serves.

Cause: a VM is certain of an unknown stream's version only by what it has seen itself for the life of a stream, 20 s and more. What its neighbours know of the time before its start it never asked; they report streams once, for 0.9 s, and with one version known for long not at all.

Change: a VM that hasn't known the list for the life of a stream asks two neighbours and one VM of another data centre, others each time: for how long they have known the list, which versions were listed in that time, and, beside several, which streams began where. It takes over their time only if they have read the list up to where its own knowledge begins, in one era of the store, so that no version can have come and gone unseen; otherwise only versions and streams. What is learned is told on. Reports that were missed beside several versions lead to the same question, and a VM that stops reports its streams. Nothing is sent while no VM starts or stops; the landed version reads the reports, and takes a question for a report that it knows.

The refusal told no reason: stream_origin_unknown and its counter do now, origins_learned tells what came from which VM.

--- a/include/cardamomstream/process/deployment/deployment_types.h
+++ b/include/cardamomstream/process/deployment/deployment_types.h
@@ -124,6 +124,27 @@
     pool_name service;
     std::string version;
     std::vector<std::uint64_t> attempts; ///< hashes of the ids of the callers' attempts
+    std::chrono::milliseconds age{0};    ///< of the youngest stream, when the report was made
+};
+
+/// A software version of a service's upstreams, as one VM knows it.
+struct known_version {
+    pool_name service;
+    std::string version;
+    std::chrono::milliseconds age{0}; ///< since it was last listed, when the report was made
+};
+
+/// Asks another VM where streams began.
+struct origin_query {
+    store_position known_from; ///< position from which the asking VM knows the list of upstreams
+};
+
+/// Where streams began, as one VM knows it.
+struct origin_knowledge {
+    store_position read_up_to;               ///< position up to which the VM knows the list of upstreams
+    std::chrono::milliseconds list_known{0}; ///< for how long it has known the list without a gap
+    std::vector<known_version> versions;     ///< listed in that time
+    std::vector<reported_origins> streams;   ///< of services with several of these versions
 };
 
 /// How much later the first bytes of a service arrived than predicted from the loads, in the reporting VM's
@@ -208,6 +229,8 @@
     /// before it, such as the removal of an entry.
     std::vector<store_position> read_from;
     std::optional<store_changes> changes; ///< store changes that the VM has just read
+    std::optional<origin_query> asks_for_origins;
+    std::optional<origin_knowledge> origins; ///< set in an answer, which holds nothing else of a report
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/process/deployment/report_exchange.h
+++ b/include/cardamomstream/process/deployment/report_exchange.h
@@ -60,6 +60,9 @@
     /// last one.
     outgoing_report announce(vm_report state, time_point now);
 
+    /// Creates an answer to a VM that asks where streams began.
+    outgoing_report answer_origin_query(origin_knowledge known, const endpoint& asker);
+
     /// Creates the summaries that this VM sends to other data centres; call once every `summary_interval`.
     std::vector<outgoing_report> summarise(time_point now);
 
@@ -87,6 +90,8 @@
     void set_identity(vm_report& report);
     void add_known_vms(vm_report& report, const data_centre_name& data_centre) const;
     outgoing_report relay(const vm_report& summary, time_point now) const;
+    /// A few VMs, others each time, to ask where streams began; empty while it isn't time to ask.
+    std::vector<endpoint> select_for_origin_query(const known_vms& neighbours, time_point now);
     void answer_member_query(const vm_report& query, time_point now, std::vector<outgoing_report>& out);
 
     /// Inner addresses of the VMs that may send this data centre's summaries: those that are not leaving,
@@ -112,6 +117,8 @@
     time_point m_started_at;            ///< of the first report
     time_point m_searched_at;           ///< when unidentified and silent VMs were last contacted
     std::unordered_map<vm_name, time_point> m_answered_at;
+    std::uint64_t m_origin_queries = 0; ///< since this VM last knew enough
+    time_point m_origins_asked_at;
 };
 
 } // namespace cardamomstream
--- a/include/cardamomstream/request/gateway/gateway_metrics.h
+++ b/include/cardamomstream/request/gateway/gateway_metrics.h
@@ -32,6 +32,8 @@
     counter_family<pool_name> repeats;            ///< sends of a request after the first
     /// Answers to the resumption of a begun stream, by what came of them.
     counter_family<pool_name, std::string> resumptions;
+    /// Callers who take up a stream of which it isn't known where it began, by reason.
+    counter_family<pool_name, std::string> unknown_origins;
     counter_family<pool_name> incomplete_streams; ///< that an upstream ended inside an event
     counter_family<pool_name> limit_statements;   ///< changes of a limit that an upstream states
     counter_family<pool_name> foreign_answers;    ///< that can't be shown to be to the request sent
@@ -41,7 +43,7 @@
     counter_family<pool_name> hedges; ///< second runs of idempotent calls whose upstream is silent
     counter_family<std::string> store_restorations; ///< eras of the store that began, by part
     /// Sizes of the datagrams between VMs, by direction ("sent", "received") and kind ("report", "summary",
-    /// "changes" of the store).
+    /// "changes" of the store, "origins" of streams).
     counter_family<std::string, std::string> report_bytes;
     duration_family<pool_name> first_byte; ///< from a request's arrival to the first byte of its answer
     duration_family<pool_name> predicted_first_byte; ///< as predicted when the request was placed
--- a/include/cardamomstream/request/gateway/gateway_state.h
+++ b/include/cardamomstream/request/gateway/gateway_state.h
@@ -51,6 +51,9 @@
     /// Applies the current reports. `sharers`: other VMs that share the fleet-wide limits with this one.
     void set_vms(known_vms vms, std::size_t sharers);
 
+    /// Applies another VM's answer to a query of `origins`.
+    void learn_origins(const vm_name& vm, const origin_knowledge& known);
+
     /// This VM's share of the fleet's retry budget for a service.
     retry_budget& retry_budget_for(const pool_name& service);
 
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -211,6 +211,7 @@
     std::optional<error> check_homes_known();
     std::optional<error> check_stopping() const;
     std::optional<error> require_origin();
+    void record_unknown_origin(const pool_name& service);
     void await_list_read(const pool_name& service);
     static error not_resumable(std::string_view reason);
     void begin_stream_at(const std::optional<std::string>& version);
--- a/include/cardamomstream/request/gateway/request_flow/admission.h
+++ b/include/cardamomstream/request/gateway/request_flow/admission.h
@@ -174,6 +174,18 @@
     }
 }
 
+template <gateway_wire Wire>
+void request_flow<Wire>::record_unknown_origin(const pool_name& service)
+{
+    const auto reason = to_text(m_state.origins.gap(m_caller_request.resumes, service, m_started));
+    m_state.counters.unknown_origins.increment(service, std::string(reason));
+    m_state.log.write(log_weight::failure, "stream_origin_unknown",
+                      {{"request", m_caller_request.id.str()},
+                       {"resumes", m_caller_request.resumes.str()},
+                       {"service", service.str()},
+                       {"reason", reason}});
+}
+
 /// A stream that a caller takes up goes on at the service and software version that began it.
 template <gateway_wire Wire>
 std::optional<error> request_flow<Wire>::require_origin()
@@ -185,6 +197,7 @@
     await_list_read(service);
     auto origin = m_state.origins.find(m_caller_request.resumes, service, m_started);
     if (!origin) {
+        record_unknown_origin(service);
         auto unknown = not_resumable("it isn't known at which software version the stream began");
         unknown.retry_after = origin_report_time;
         return unknown;
--- a/src/app/node/node_control.cpp
+++ b/src/app/node/node_control.cpp
@@ -87,6 +87,9 @@
     if (report.changes) {
         return "changes";
     }
+    if (report.origins) {
+        return "origins";
+    }
     return report.summary ? "summary" : "report";
 }
 
@@ -437,6 +440,16 @@
         }
         m_state.counters.report_bytes.add(length, "received", kind_of(report.value()));
         const auto now = boot_clock::now();
+        if (report.value().origins) {
+            boost::asio::post(m_traffic.io(), [this, answer = report.value()] {
+                m_state.learn_origins(answer.vm, *answer.origins);
+            });
+            continue;
+        }
+        if (report.value().asks_for_origins) {
+            answer_origin_query(report.value());
+        }
+        note_missed_reports(report.value(), now);
         if (report.value().changes && report.value().data_centre == m_settings.data_centre) {
             auto& follower = report.value().changes->part == store_part::operators ? m_operator_entries
                                                                                    : m_upstream_entries;
@@ -538,6 +551,34 @@
     m_confirming = false;
 }
 
+void node_control::answer_origin_query(const vm_report& query)
+{
+    m_thread.spawn([this, asker = query.inner, from = query.asks_for_origins->known_from] {
+        // The list that is known here has to go on where the asking VM's begins.
+        if (m_upstream_entries.read_up_to() < from && !std::exchange(m_answering_origins, true)) {
+            run_contained("the list isn't confirmed for an answer",
+                          [this] { m_upstream_entries.confirm(confirmation_limit); });
+            m_answering_origins = false;
+            publish_vms(boot_clock::now());
+        }
+        boost::asio::post(m_traffic.io(), [this, asker] {
+            boost::asio::post(m_thread.io(),
+                              [this, asker, known = m_state.origins.knowledge(boot_clock::now())]() mutable {
+                                  send({m_exchange.answer_origin_query(std::move(known), asker)});
+                              });
+        });
+    });
+}
+
+void node_control::note_missed_reports(const vm_report& report, time_point now)
+{
+    const auto previous = m_exchange.vms().find(report.vm);
+    if (previous && previous->report.process == report.process &&
+        now - previous->received_at > stream_origins::report_time) {
+        boost::asio::post(m_traffic.io(), [this, now] { m_state.origins.note_reports_missed(now); });
+    }
+}
+
 void node_control::publish_vms(time_point now)
 {
     m_vms_published_at = now;
@@ -549,19 +590,20 @@
     log_confirmation(plan_confirmed_at, now);
     boost::asio::post(m_traffic.io(),
                       [this, alive = vms.alive(now), sharers = vms.sharers(now), confirmed, now,
+                       read_up_to = m_upstream_entries.read_up_to(),
                        known_since = m_upstream_entries.known_since(now),
                        behind_since = m_operator_entries.behind_since(), plan_confirmed_at]() mutable {
                           m_state.set_vms(std::move(alive), sharers);
                           m_state.load.set_list_known_since(known_since);
                           m_state.plan_behind_since = behind_since;
                           m_state.plan_confirmed_at = plan_confirmed_at;
-                          m_state.origins.set_list_confirmed(confirmed, now);
+                          m_state.origins.set_list_confirmed(confirmed, now, read_up_to);
                       });
 }
 
 void node_control::report_from_traffic()
 {
-    boost::asio::post(m_traffic.io(), [this] {
+    boost::asio::post(m_traffic.io(), [this, leaving = m_leaving] {
         m_state.tend_links();
         traffic_figures traffic{m_state.load.take_loads(boot_clock::now()),
                                 m_state.quota.uses(),
@@ -571,7 +613,8 @@
                                 m_state.own_upstream_ends(),
                                 m_state.quarantine.take_report(boot_clock::now()),
                                 m_state.request_quarantine.take_report(boot_clock::now()),
-                                m_state.origins.take_report(boot_clock::now()),
+                                m_state.origins.take_report(boot_clock::now(), leaving),
+                                m_state.origins.query(boot_clock::now()),
                                 m_state.links.lost()};
         boost::asio::post(m_thread.io(),
                           [this, traffic = std::move(traffic)]() mutable { report(std::move(traffic)); });
@@ -616,6 +659,7 @@
                                 requests.successes.end());
     state.part_trials.insert(state.part_trials.end(), requests.trials.begin(), requests.trials.end());
     state.stream_origins = std::move(traffic.stream_origins);
+    state.asks_for_origins = traffic.asks_for_origins;
     state.links_lost = traffic.links_lost;
     m_exchange.record_report_bytes(send(m_exchange.report(std::move(state), now)));
 }
--- a/src/app/node/node_control.h
+++ b/src/app/node/node_control.h
@@ -28,6 +28,7 @@
     quarantine_report prompt_parts;
     quarantine_report requests;
     std::vector<reported_origins> stream_origins;
+    std::optional<origin_query> asks_for_origins;
     bool links_lost = false;
 };
 
@@ -75,6 +76,9 @@
     void report_from_traffic();
     void report_here();
     void confirm_upstreams();
+    void answer_origin_query(const vm_report& query);
+    /// Missed reports may have told where streams began.
+    void note_missed_reports(const vm_report& report, time_point now);
     /// Of the plan in force; 0 before the first.
     version_number plan_version() const { return m_plan.get() ? m_plan.get()->version() : 0; }
     /// False after the process stood still: datagrams of that time are read as if they came now.
@@ -119,6 +123,7 @@
     bool m_leaving = false;
     bool m_confirmation_wanted = false;
     bool m_confirming = false;         ///< the fiber that reads the list anew is running
+    bool m_answering_origins = false;  ///< the list is confirmed for an answer
     bool m_upstreams_listed = false;   ///< until then, upstreams may have started long ago
     bool m_evacuations_listed = false; ///< until then, evacuations may have begun long ago
 };
--- a/src/app/node/store_follower.cpp
+++ b/src/app/node/store_follower.cpp
@@ -116,6 +116,9 @@
         want_watch();
         return false;
     }
+    if (missing.value().items.empty()) {
+        m_lag.record_known(missing.value().position);
+    }
     const auto newest = newest_of(missing.value().position.era, missing.value().items);
     // The watch brings these changes: applied here as well, an older one might follow a newer one.
     while (m_lag.known() < newest && boot_clock::now() < until) {
--- a/src/process/deployment/report_exchange.cpp
+++ b/src/process/deployment/report_exchange.cpp
@@ -47,6 +47,13 @@
 /// A VM that asks again sooner cannot have received the answer yet.
 constexpr std::chrono::milliseconds min_answer_interval{150};
 
+/// VMs of this data centre, and of all others, that are asked at a time where streams began.
+constexpr std::size_t origin_query_neighbours = 2;
+constexpr std::size_t origin_query_others = 1;
+/// A VM that knows too little asks again after this time, then after twice as long, up to the longest.
+constexpr std::chrono::milliseconds first_origin_query_interval{400};
+constexpr std::chrono::milliseconds longest_origin_query_interval{1'600};
+
 /// Selects the VMs that exchange summaries with data centre `other`, highest rank first. VMs are identified
 /// by address, as in summaries.
 std::vector<endpoint> select_for_link(const data_centre_name& other, const std::vector<endpoint>& vms)
@@ -346,6 +353,7 @@
         m_started_at = now;
     }
     const bool first_report = m_last_report.vm.empty();
+    const auto origin_query = std::exchange(state.asks_for_origins, std::nullopt);
     set_identity(state);
     m_totals.add(state, first_report ? nullptr : &m_last_report);
     m_last_report = state;
@@ -360,6 +368,14 @@
         add_known_vms(state, m_self.data_centre);
     }
     std::vector<outgoing_report> out;
+    if (!origin_query) {
+        m_origin_queries = 0;
+    }
+    else if (auto asked = select_for_origin_query(neighbours, now); !asked.empty()) {
+        out.push_back({state, std::move(asked)});
+        out.back().report.asks_for_origins = origin_query;
+        out.back().report.known_vms.clear(); // the receivers may be in another data centre
+    }
     const auto search_interval =
         now - m_started_at < initial_search_period ? report_interval : later_search_interval;
     if (now - m_searched_at >= search_interval) {
@@ -375,6 +391,42 @@
     return out;
 }
 
+std::vector<endpoint> report_exchange::select_for_origin_query(const known_vms& neighbours, time_point now)
+{
+    constexpr std::uint64_t doublings = 2; // up to the longest interval
+    const auto interval = first_origin_query_interval * (1 << std::min(m_origin_queries, doublings));
+    static_assert(first_origin_query_interval * (1 << doublings) == longest_origin_query_interval);
+    if (m_origin_queries > 0 && now - m_origins_asked_at < interval) {
+        return {};
+    }
+    std::set<endpoint> near;
+    for (const auto& vm : neighbours) {
+        near.insert(vm->report.inner);
+    }
+    std::set<endpoint> far;
+    for (const auto& [other, region] : m_other_data_centres) {
+        for (const auto& member : m_vms.alive_in(other, now)) {
+            far.insert(member.inner);
+        }
+    }
+    auto asked = rotating_subset(near, origin_query_neighbours, m_origin_queries * origin_query_neighbours);
+    const auto others = rotating_subset(far, origin_query_others, m_sequence);
+    asked.insert(asked.end(), others.begin(), others.end());
+    if (!asked.empty()) {
+        m_origin_queries += 1;
+        m_origins_asked_at = now;
+    }
+    return asked;
+}
+
+outgoing_report report_exchange::answer_origin_query(origin_knowledge known, const endpoint& asker)
+{
+    vm_report answer;
+    set_identity(answer);
+    answer.origins = std::move(known);
+    return {std::move(answer), {asker}};
+}
+
 outgoing_report report_exchange::announce(vm_report state, time_point now)
 {
     state.loads = m_last_report.loads;
--- a/src/process/deployment/tests/report_exchange_test.cpp
+++ b/src/process/deployment/tests/report_exchange_test.cpp
@@ -688,3 +688,72 @@
         CHECK(first.size() == neighbours);
     }
 }
+
+TEST_CASE("a VM asks a few others at a time where streams began, others each time")
+{
+    const region_name riga("riga");
+    const data_centre_name here("riga-a");
+    report_exchange asking({vm_name("vm"), {1}, riga, here, {"10.0.0.1", 80}, {"10.0.0.1", 7'000}, 0, 0},
+                           {{here, riga}, {data_centre_name("kurzeme-a"), region_name("kurzeme")}});
+    time_point now{1'000s};
+    constexpr std::size_t neighbours = 6;
+    const auto hear_all = [&] {
+        for (std::size_t number = 0; number <= neighbours; ++number) {
+            vm_report report;
+            report.vm = vm_name("vm" + std::to_string(number));
+            report.process = {number + 2};
+            report.sequence = static_cast<std::uint64_t>(now.time_since_epoch().count());
+            report.region = riga;
+            report.data_centre = here;
+            report.inner = {"10.0.1." + std::to_string(number + 1), 7'000};
+            if (number == neighbours) {
+                report.region = region_name("kurzeme");
+                report.data_centre = data_centre_name("kurzeme-a");
+                report.summary.emplace();
+                report.summary->members = {{report.inner, {}, true}};
+            }
+            (void)asking.receive(report, now);
+        }
+    };
+    std::set<endpoint> asked;
+    std::size_t rounds = 0;
+    const auto report = [&](bool asks) {
+        hear_all();
+        vm_report state;
+        if (asks) {
+            state.asks_for_origins = origin_query{{1, 50}};
+        }
+        for (const auto& sent : asking.report(state, now)) {
+            if (sent.report.asks_for_origins) {
+                CHECK(asks);
+                CHECK(sent.receivers.size() == 3);
+                CHECK(sent.report.asks_for_origins->known_from == store_position{1, 50});
+                asked.insert(sent.receivers.begin(), sent.receivers.end());
+                rounds += 1;
+            }
+        }
+        now += report_interval;
+    };
+    for (auto time = 0ms; time < 10s; time += report_interval) {
+        report(true);
+    }
+    CHECK(asked.size() == neighbours + 1);
+    CHECK(rounds >= 5);
+    CHECK(rounds <= 8);
+    SECTION("and none once it knows enough")
+    {
+        rounds = 0;
+        report(false);
+        CHECK(rounds == 0);
+        report(true); // at once, when it knows too little again
+        CHECK(rounds == 1);
+    }
+    SECTION("an answer goes to the VM that has asked alone")
+    {
+        const endpoint asker{"10.0.1.1", 7'000};
+        const auto answer = asking.answer_origin_query({{1, 51}, 20s, {}, {}}, asker);
+        CHECK(answer.receivers == std::vector{asker});
+        REQUIRE(answer.report.origins);
+        CHECK(answer.report.origins->list_known == 20s);
+    }
+}
--- a/src/process/deployment/tests/vm_table_test.cpp
+++ b/src/process/deployment/tests/vm_table_test.cpp
@@ -164,6 +164,9 @@
     sent.part_successes = {{5, 300ms}};
     sent.part_trials = {{6, 0xeeeeeeeeeeeeeeeeULL, 200ms}};
     sent.stream_origins = {{pool_name("s"), "v1", {0xddddddddddddddddULL, 1}}, {pool_name("s"), "v2", {2}}};
+    sent.asks_for_origins = {{3, 70}};
+    sent.origins = {
+        {3, 71}, 20'000ms, {{pool_name("s"), "v1", 400ms}}, {{pool_name("s"), "v2", {7}, 2'000ms}}};
     sent.loads.push_back({upstream_name("u"), 3, 250ms, 9'000, {0xffffffffffffffffULL, 4}});
     sent.lateness.push_back({pool_name("s"), 2, -30ms, 7});
     sent.uses.push_back({customer_name("c"), 12.5});
@@ -225,6 +228,19 @@
         CHECK(read.value().stream_origins[0].version == "v1");
         CHECK(read.value().stream_origins[0].attempts == sent.stream_origins[0].attempts);
         CHECK(read.value().stream_origins[1].attempts == sent.stream_origins[1].attempts);
+        REQUIRE(read.value().asks_for_origins);
+        CHECK(read.value().asks_for_origins->known_from == store_position{3, 70});
+        REQUIRE(read.value().origins);
+        const auto& origins = *read.value().origins;
+        CHECK(origins.read_up_to == store_position{3, 71});
+        CHECK(origins.list_known == 20'000ms);
+        REQUIRE(origins.versions.size() == 1);
+        CHECK(origins.versions[0].service == pool_name("s"));
+        CHECK(origins.versions[0].version == "v1");
+        CHECK(origins.versions[0].age == 400ms);
+        REQUIRE(origins.streams.size() == 1);
+        CHECK(origins.streams[0].attempts == std::vector<std::uint64_t>{7});
+        CHECK(origins.streams[0].age == 2'000ms);
         CHECK(read.value().lateness[0].service == pool_name("s"));
         CHECK(read.value().lateness[0].urgency == 2);
         CHECK(read.value().lateness[0].mean == -30ms);
--- a/src/process/deployment/vm_report_codec.cpp
+++ b/src/process/deployment/vm_report_codec.cpp
@@ -370,22 +370,80 @@
     }
 }
 
+void encode_origin(const reported_origins& origin, report_messages::StreamOrigins& message)
+{
+    message.set_service(origin.service.str());
+    message.set_version(origin.version);
+    message.mutable_attempts()->Add(origin.attempts.begin(), origin.attempts.end());
+    message.set_age_ms(encode_age(origin.age));
+}
+
+reported_origins decode_origin(const report_messages::StreamOrigins& message)
+{
+    return {pool_name(message.service()),
+            message.version(),
+            {message.attempts().begin(), message.attempts().end()},
+            std::chrono::milliseconds(std::min<std::uint64_t>(message.age_ms(), max_age_ms))};
+}
+
+void encode_knowledge(const origin_knowledge& known, report_messages::OriginKnowledge& message)
+{
+    message.set_era(known.read_up_to.era);
+    message.set_revision(known.read_up_to.revision);
+    message.set_list_known_ms(encode_age(known.list_known));
+    for (const auto& version : known.versions) {
+        auto& added = *message.add_versions();
+        added.set_service(version.service.str());
+        added.set_version(version.version);
+        added.set_age_ms(encode_age(version.age));
+    }
+    for (const auto& origin : known.streams) {
+        encode_origin(origin, *message.add_streams());
+    }
+}
+
+origin_knowledge decode_knowledge(const report_messages::OriginKnowledge& message)
+{
+    origin_knowledge known;
+    known.read_up_to = {message.era(), message.revision()};
+    known.list_known =
+        std::chrono::milliseconds(std::min<std::uint64_t>(message.list_known_ms(), max_age_ms));
+    for (const auto& version : message.versions()) {
+        known.versions.push_back(
+            {pool_name(version.service()), version.version(),
+             std::chrono::milliseconds(std::min<std::uint64_t>(version.age_ms(), max_age_ms))});
+    }
+    for (const auto& origin : message.streams()) {
+        known.streams.push_back(decode_origin(origin));
+    }
+    return known;
+}
+
 void encode_origins(const vm_report& report, report_messages::Report& message)
 {
     for (const auto& origin : report.stream_origins) {
-        auto& added = *message.add_stream_origins();
-        added.set_service(origin.service.str());
-        added.set_version(origin.version);
-        added.mutable_attempts()->Add(origin.attempts.begin(), origin.attempts.end());
+        encode_origin(origin, *message.add_stream_origins());
+    }
+    if (report.asks_for_origins) {
+        auto& query = *message.mutable_origin_query();
+        query.set_era(report.asks_for_origins->known_from.era);
+        query.set_revision(report.asks_for_origins->known_from.revision);
+    }
+    if (report.origins) {
+        encode_knowledge(*report.origins, *message.mutable_origin_knowledge());
     }
 }
 
 void decode_origins(const report_messages::Report& message, vm_report& report)
 {
     for (const auto& origin : message.stream_origins()) {
-        report.stream_origins.push_back({pool_name(origin.service()),
-                                         origin.version(),
-                                         {origin.attempts().begin(), origin.attempts().end()}});
+        report.stream_origins.push_back(decode_origin(origin));
+    }
+    if (message.has_origin_query()) {
+        report.asks_for_origins = {{message.origin_query().era(), message.origin_query().revision()}};
+    }
+    if (message.has_origin_knowledge()) {
+        report.origins = decode_knowledge(message.origin_knowledge());
     }
 }
 
--- a/src/request/gateway/gateway_metrics.cpp
+++ b/src/request/gateway/gateway_metrics.cpp
@@ -33,6 +33,9 @@
     , resumptions(m_registry, {"cardamomstream_gateway_stream_resumptions_total",
                                "Answers to the resumption of a begun stream, by outcome.",
                                {"service", "outcome"}})
+    , unknown_origins(m_registry, {"cardamomstream_gateway_unknown_stream_origins_total",
+                                   "Resumed streams of which it isn't known where they began, by reason.",
+                                   {"service", "reason"}})
     , incomplete_streams(m_registry, {"cardamomstream_gateway_incomplete_streams_total",
                                       "Streams that an upstream ended inside an event.",
                                       {"service"}})
--- a/src/request/gateway/gateway_state.cpp
+++ b/src/request/gateway/gateway_state.cpp
@@ -120,6 +120,21 @@
     }
 }
 
+void gateway_state::learn_origins(const vm_name& vm, const origin_knowledge& known)
+{
+    const bool without_gap = origins.learn(known, boot_clock::now());
+    std::size_t streams = 0;
+    for (const auto& origin : known.streams) {
+        streams += origin.attempts.size();
+    }
+    log.write(log_weight::state, "origins_learned",
+              {{"vm", vm.str()},
+               {"list_known_ms", std::int64_t{known.list_known.count()}},
+               {"without_gap", std::int64_t{without_gap ? 1 : 0}},
+               {"versions", static_cast<std::int64_t>(known.versions.size())},
+               {"streams", static_cast<std::int64_t>(streams)}});
+}
+
 bool gateway_state::plan_may_be_outdated(time_point now) const
 {
     if (plan_behind_since && now - *plan_behind_since >= usual_news_lag) {
