Log: homes that leave no region are told from no homes

No fault of placing: such requests were refused before as well. describe_homes is new, so its test doesn't compile on the code before.

--- a/include/cardamomstream/request/gateway/gateway_types.h
+++ b/include/cardamomstream/request/gateway/gateway_types.h
@@ -12,6 +12,7 @@
 #include <concepts>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,10 @@
     std::optional<std::string> resume_after; ///< id of the last event that the caller has received
 };
 
+/// Regions in which a request may run, separated by spaces, for the log: empty if it may run in all of them,
+/// "none" if its homes leave none.
+std::string describe_homes(const std::set<region_name>& regions, const std::set<region_name>& permitted);
+
 /// Status with which another upstream at the same address rejects a request.
 inline constexpr unsigned other_upstream = 421;
 
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -800,30 +800,18 @@
             {}};
 }
 
-/// Regions in which the request may run, separated by spaces; empty when it may run in all of them.
 template <gateway_wire Wire>
 std::string request_flow<Wire>::permitted_regions() const
 {
-    if (!residency{m_route, m_customer}.binds() && !m_placing_request.newer_homes.binds()) {
-        return {};
-    }
     std::set<region_name> regions;
-    bool bound = false;
+    std::set<region_name> permitted;
     for (const auto& [data_centre, region] : m_state.settings.regions) {
+        regions.insert(region);
         if (permits(region)) {
-            regions.insert(region);
-        }
-        else {
-            bound = true;
-        }
-    }
-    std::string text;
-    if (bound) {
-        for (const auto& region : regions) {
-            text += (text.empty() ? "" : " ") + region.str();
+            permitted.insert(region);
         }
     }
-    return text;
+    return describe_homes(regions, permitted);
 }
 
 /// False if the homes by which the request was admitted and those in force have no region in common.
--- a/src/request/gateway/gateway_types.cpp
+++ b/src/request/gateway/gateway_types.cpp
@@ -65,4 +65,16 @@
     headers.push_back({std::string(name), std::move(value)});
 }
 
+std::string describe_homes(const std::set<region_name>& regions, const std::set<region_name>& permitted)
+{
+    if (permitted == regions) {
+        return {};
+    }
+    std::string text;
+    for (const auto& region : permitted) {
+        text += (text.empty() ? "" : " ") + region.str();
+    }
+    return text.empty() ? "none" : text;
+}
+
 } // namespace cardamomstream
--- a/src/request/gateway/tests/gateway_types_test.cpp
+++ b/src/request/gateway/tests/gateway_types_test.cpp
@@ -38,3 +38,12 @@
         CHECK(headers.size() == 1);
     }
 }
+
+// The log line of a request that no region may serve looked like that of one without homes.
+TEST_CASE("the log tells homes that leave no region from no homes")
+{
+    const std::set<region_name> regions{region_name("kurzeme"), region_name("riga")};
+    CHECK(describe_homes(regions, regions).empty());
+    CHECK(describe_homes(regions, {region_name("riga")}) == "riga");
+    CHECK(describe_homes(regions, {}) == "none");
+}
