--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -800,9 +800,13 @@
             {}};
 }
 
+/// Regions in which the request may run, as `describe_homes` writes them.
 template <gateway_wire Wire>
 std::string request_flow<Wire>::permitted_regions() const
 {
+    if (!residency{m_route, m_customer}.binds() && !m_placing_request.newer_homes.binds()) {
+        return {};
+    }
     std::set<region_name> regions;
     std::set<region_name> permitted;
     for (const auto& [data_centre, region] : m_state.settings.regions) {
--- a/src/request/gateway/event_splitter.cpp
+++ b/src/request/gateway/event_splitter.cpp
@@ -14,6 +14,13 @@
 constexpr std::string_view id_field = "id";
 constexpr std::array<std::string_view, 3> unnumbered_fields{"data", "event", "retry"};
 constexpr std::size_t longest_field_name = 5;
+constexpr std::size_t longest_blank_line = 3; // CRLF after the end of another line
+
+/// The bytes that show whether others before them end with an event.
+std::string_view end_of(std::string_view bytes)
+{
+    return bytes.substr(bytes.size() - std::min(bytes.size(), longest_blank_line));
+}
 
 bool is_event_field(std::string_view name)
 {
@@ -158,9 +165,12 @@
 void event_splitter::scan_fields(std::string_view bytes)
 {
     for (const char byte : bytes) {
+        if (m_has_event_field) {
+            return;
+        }
         const bool ends_line = byte == '\r' || byte == '\n';
         if (!m_in_value && (ends_line || byte == ':')) {
-            m_has_event_field = m_has_event_field || is_event_field(m_field_name);
+            m_has_event_field = is_event_field(m_field_name);
         }
         else if (!m_in_value && m_field_name.size() <= longest_field_name) {
             m_field_name.push_back(byte);
@@ -270,16 +280,15 @@
 {
     m_has_bytes = m_has_bytes || !bytes.empty();
     scan_fields(bytes);
-    constexpr std::size_t longest_blank_line = 3; // CRLF after the end of another line
-    m_partial_event.append(bytes, bytes.size() - std::min(bytes.size(), longest_blank_line));
-    m_partial_event.erase(0, m_partial_event.size() - std::min(m_partial_event.size(), longest_blank_line));
+    m_partial_event += end_of(bytes);
+    m_partial_event = std::string(end_of(m_partial_event));
     return bytes;
 }
 
 bool ends_inside_event(std::string_view body)
 {
     event_splitter events;
-    (void)events.pass_over(std::string(body));
+    (void)events.pass_over(std::string(end_of(body)));
     return !events.at_event_end();
 }
 
