--- a/src/request/stream_origin/stream_origins.cpp
+++ b/src/request/stream_origin/stream_origins.cpp
@@ -257,7 +257,7 @@
     origin_knowledge known;
     known.read_up_to = m_read_up_to;
     if (m_confirmed_since) {
-        // Versions that were listed earlier aren't told.
+        // Versions that were listed earlier are not part of the answer.
         known.list_known =
             std::min(m_life, std::chrono::floor<std::chrono::milliseconds>(now - *m_confirmed_since));
     }
@@ -287,13 +287,13 @@
             }
         }
     }
-    std::vector<reported_origins> told;
+    std::vector<reported_origins> groups;
     for (auto& [group, keys] : streams) {
         const auto& origin = m_origins[group.first];
-        told.push_back({origin.service, origin.version, std::move(keys),
-                        std::chrono::floor<std::chrono::milliseconds>(group.second)});
+        groups.push_back({origin.service, origin.version, std::move(keys),
+                          std::chrono::floor<std::chrono::milliseconds>(group.second)});
     }
-    return told;
+    return groups;
 }
 
 bool stream_origins::learn(const origin_knowledge& known, time_point now)
