--- a/include/cardamomstream/request/gateway/hop_headers.h
+++ b/include/cardamomstream/request/gateway/hop_headers.h
@@ -5,6 +5,7 @@
 #include "cardamomstream/core/core_types.h"
 
 #include <chrono>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -40,6 +41,16 @@
 void set_answer_version(std::vector<http_header>& headers, const std::optional<std::string>& version);
 std::optional<std::string> answer_version(const std::vector<http_header>& headers);
 
+/// Process of an upstream, as it was listed when a request was sent there.
+struct upstream_process {
+    upstream_name upstream;
+    std::int64_t started_unix_ms = 0;
+};
+
+/// Tells the VM that passed a stream on to which process it was sent.
+void set_answer_process(std::vector<http_header>& headers, const std::optional<upstream_process>& process);
+std::optional<upstream_process> answer_process(const std::vector<http_header>& headers);
+
 /// Tells the VM that passed a request on that the upstream's answer has neither a length nor chunks. The
 /// answer to that VM has, so that it can tell the end of the answer from the end of the connection.
 void set_answer_unframed(std::vector<http_header>& headers, bool unframed);
--- a/include/cardamomstream/request/gateway/request_flow.h
+++ b/include/cardamomstream/request/gateway/request_flow.h
@@ -215,6 +215,7 @@
     void await_list_read(const pool_name& service);
     static error not_resumable(std::string_view reason);
     void begin_stream_at(const std::optional<std::string>& version);
+    void discard_uncertain_version();
     http_response_head answer_head(const http_response_head& head) const;
     void init_placing_request(const pool_name& service, int urgency);
     void serve();
@@ -364,6 +365,8 @@
     version_number m_sent_plan = 0; ///< the plan in force at the last send; 0 before the first
     /// Software version of the last send's upstream; empty if it isn't certain.
     std::optional<std::string> m_sent_version;
+    /// Of the last send; empty if another VM hasn't told to which process it sent the request.
+    std::optional<upstream_process> m_sent_process;
     std::optional<std::chrono::milliseconds> m_last_pause; ///< asked for by the last send's upstream
     // Of the last send:
     std::optional<time_point> m_answer_began_at; ///< when the head of its answer came
@@ -488,6 +491,7 @@
             end_without_send(*refused, "plan_outdated");
             return;
         }
+        discard_uncertain_version();
         if (const auto reason = why_stream_ends(); !reason.empty()) {
             m_last_failure += "; the stream can't go on: ";
             m_last_failure += reason;
@@ -508,7 +512,8 @@
         const auto result = end_hedge(send(where));
         if (result == send_result::answered || result == send_result::caller_left) {
             if (result == send_result::caller_left) {
-                m_may_have_run = true; // not refunded: it is unknown whether it ran
+                discard_uncertain_version(); // the caller may take the stream up again
+                m_may_have_run = true;       // not refunded: it is unknown whether it ran
                 if (m_ended_by_stop && !m_writer.started()) {
                     give_up(send_result::may_have_run);
                 }
@@ -647,6 +652,10 @@
     m_sent_region = where.region;
     m_sent_plan = plan_in_force_version();
     m_sent_version = where.version;
+    m_sent_process.reset();
+    if (where.verdict == placing_verdict::here) {
+        m_sent_process = {where.upstream, where.started_unix_ms};
+    }
     m_answer_began_at.reset();
     m_answer_status = 0;
     m_connection = "none";
--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -324,6 +324,7 @@
     m_may_have_run = true;
     if (sent == nullptr) {
         m_sent_version = answer_version(exchange.head().headers);
+        m_sent_process = answer_process(exchange.head().headers);
     }
     m_last_event_at = boot_clock::now();
     auto held = m_state.held_answers.reserve();
@@ -358,6 +359,7 @@
     if (write_events(bytes, head) == send_result::caller_left) {
         return send_result::caller_left;
     }
+    discard_uncertain_version();
     if (m_events.fault() != event_fault::none) {
         return reject_events(to_text(m_events.fault()));
     }
@@ -510,12 +512,44 @@
                            boot_clock::now());
 }
 
+/// A process that starts under the id of an earlier one may get requests before its entry is known. If it has
+/// another software version, it isn't certain which of the two versions sent the events of this run.
+template <gateway_wire Wire>
+void request_flow<Wire>::discard_uncertain_version()
+{
+    if (!m_sent_process || !m_placing_request.version || m_events.first_id().empty()) {
+        return;
+    }
+    const auto* state = m_state.load.find(m_sent_process->upstream);
+    if (state == nullptr) {
+        return;
+    }
+    const auto& listed = state->view.record;
+    // The list of the VM that passed the request on may be older than that of the one that sent it.
+    if (listed.started_unix_ms <= m_sent_process->started_unix_ms ||
+        listed.version == *m_placing_request.version) {
+        return;
+    }
+    m_state.log.write(log_weight::failure, "stream_version_uncertain",
+                      {{"request", m_caller_request.id.str()},
+                       {"upstream", listed.id.str()},
+                       {"version", *m_placing_request.version},
+                       {"listed_version", listed.version},
+                       {"after", m_events.last_id()}});
+    // A second origin: no VM that knows of both resumes the stream.
+    m_state.origins.record(m_caller_request.id, stream_origin{m_placing_request.service, listed.version},
+                           !m_placing_request.own_region_only, boot_clock::now());
+    m_placing_request.version.reset();
+}
+
 /// Head of a stream for the caller, or for the VM that passed the request on.
 template <gateway_wire Wire>
 http_response_head request_flow<Wire>::answer_head(const http_response_head& head) const
 {
     http_response_head relayed{head.status, end_to_end_headers(head.headers)};
-    set_answer_version(relayed.headers, m_placing_request.own_region_only ? m_sent_version : std::nullopt);
+    const bool to_vm = m_placing_request.own_region_only;
+    set_answer_version(relayed.headers, to_vm ? m_sent_version : std::nullopt);
+    set_answer_process(relayed.headers, to_vm ? m_sent_process : std::nullopt);
     set_framing(relayed);
     return relayed;
 }
--- a/include/cardamomstream/request/placing/placing_types.h
+++ b/include/cardamomstream/request/placing/placing_types.h
@@ -66,6 +66,7 @@
     upstream_name upstream;
     endpoint address;                   ///< of the upstream, or of a VM of its region
     std::optional<std::string> version; ///< of the upstream's software; empty while it isn't certain
+    std::int64_t started_unix_ms = 0;   ///< of the upstream's process, as it is listed
     region_name region;
     std::chrono::milliseconds predicted{0};   ///< time until the first byte of the answer
     std::chrono::milliseconds retry_after{0}; ///< set for refusals
--- a/src/request/gateway/hop_headers.cpp
+++ b/src/request/gateway/hop_headers.cpp
@@ -20,6 +20,8 @@
 constexpr std::string_view urgency_header = "Cs-Hop-Urgency";
 constexpr std::string_view waited_header = "Cs-Hop-Waited-Ms";
 constexpr std::string_view version_header = "Cs-Hop-Version";
+constexpr std::string_view upstream_header = "Cs-Hop-Upstream";
+constexpr std::string_view upstream_start_header = "Cs-Hop-Upstream-Started-Ms";
 constexpr std::string_view unframed_header = "Cs-Hop-Unframed";
 constexpr std::string_view final_refusal_header = "Cs-Hop-Refused-Ms";
 
@@ -94,6 +96,26 @@
     return found == headers.end() ? std::nullopt : std::optional(found->value);
 }
 
+void set_answer_process(std::vector<http_header>& headers, const std::optional<upstream_process>& process)
+{
+    remove_header(headers, upstream_header);
+    remove_header(headers, upstream_start_header);
+    if (process) {
+        headers.push_back({std::string(upstream_header), process->upstream.str()});
+        headers.push_back({std::string(upstream_start_header), std::to_string(process->started_unix_ms)});
+    }
+}
+
+std::optional<upstream_process> answer_process(const std::vector<http_header>& headers)
+{
+    const auto upstream = header_value(headers, upstream_header);
+    const auto started = leading_number<std::int64_t>(header_value(headers, upstream_start_header));
+    if (upstream.empty() || !started) {
+        return std::nullopt;
+    }
+    return upstream_process{upstream_name(std::string(upstream)), *started};
+}
+
 void set_answer_unframed(std::vector<http_header>& headers, bool unframed)
 {
     remove_header(headers, unframed_header);
--- a/src/request/placing/placer.cpp
+++ b/src/request/placing/placer.cpp
@@ -522,6 +522,7 @@
     chosen.upstream = best->state->view.record.id;
     chosen.region = best->state->view.region;
     chosen.version = load.version_of(*best->state, now);
+    chosen.started_unix_ms = best->state->view.record.started_unix_ms;
     chosen.address = through_vm   ? random_of(other_vms)
                      : best->here ? best->state->view.record.address
                                   : random_vm_in(chosen.region);
