--- a/include/cardamomstream/request/gateway/request_flow/answering.h
+++ b/include/cardamomstream/request/gateway/request_flow/answering.h
@@ -464,13 +464,12 @@
            (is_declared_event_stream(exchange.head()) && !m_unframed);
 }
 
-/// True when the answer may have ended because the upstream's process did. An upstream that leaves may end
-/// after its last answer.
+/// True when the answer may have ended because the upstream's process did. An upstream that leaves runs its
+/// requests until it ends, so its end counts like that of any other one.
 template <gateway_wire Wire>
 bool request_flow<Wire>::process_has_ended(const sent_request* sent, const placement& where)
 {
-    return sent != nullptr && m_state.load.find(where.upstream) != nullptr &&
-           m_state.probe.has_ended(where.address);
+    return sent != nullptr && m_state.probe.has_ended(where.address);
 }
 
 template <gateway_wire Wire>
